--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin runs stand-ins of the systems around turmericshunt.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/turmericshunt/main.go
@@ -0,0 +1,4 @@
+// Command turmericshunt is the entry host and its command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves the operators' HTTP interface.
+package admin
--- /dev/null
+++ b/internal/dispatch/doc.go
@@ -0,0 +1,2 @@
+// Package dispatch runs admitted requests on backend servers.
+package dispatch
--- /dev/null
+++ b/internal/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the client of the model engines' HTTP interface.
+package engine
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry serves the callers' HTTP interface.
+package entry
--- /dev/null
+++ b/internal/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet holds what a host knows about backend servers as snapshots that requests read without locks.
+package fleet
--- /dev/null
+++ b/internal/grant/doc.go
@@ -0,0 +1,2 @@
+// Package grant decides which attempts run on one backend server and when; it does no I/O.
+package grant
--- /dev/null
+++ b/internal/manifest/doc.go
@@ -0,0 +1,2 @@
+// Package manifest decides which configuration is accepted and in force; it does no I/O.
+package manifest
--- /dev/null
+++ b/internal/member/doc.go
@@ -0,0 +1,2 @@
+// Package member decides which entry hosts are alive; it does no I/O.
+package member
--- /dev/null
+++ b/internal/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries the inner protocol between entry hosts over QUIC.
+package peer
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings file of a host.
+package settings
--- /dev/null
+++ b/internal/spread/doc.go
@@ -0,0 +1,2 @@
+// Package spread brings accepted configuration to each host.
+package spread
--- /dev/null
+++ b/internal/standin/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo sends the demo's requests and prints their table.
+package demo
--- /dev/null
+++ b/internal/standin/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is a stand-in of a model engine for the demo and tests.
+package engine
--- /dev/null
+++ b/pkg/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome names what callers are told about a request.
+package outcome
--- /dev/null
+++ b/pkg/outcome/outcome.go
@@ -0,0 +1,98 @@
+package outcome
+
+import (
+	"net/http"
+	"time"
+)
+
+// Header is the response header or trailer that carries the outcome.
+const Header = "Turmericshunt-Outcome"
+
+// Outcome states what happened to a request as far as the system knows.
+type Outcome string
+
+// The outcomes a caller can be told.
+const (
+	// Completed means that the whole answer was delivered.
+	Completed Outcome = "completed"
+	// NotRun means that no backend server has run or will run the request.
+	NotRun Outcome = "not_run"
+	// Failed means that the request ran or may have run and has no whole answer; repeating it is safe.
+	Failed Outcome = "failed"
+	// Unknown means that a request that must not be repeated may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Error is the refusal or failure of a request as its caller sees it.
+type Error struct {
+	Op         string
+	Kind       Kind
+	Outcome    Outcome
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Kind classifies an Error; its text is part of the callers' interface.
+type Kind string
+
+// The kinds of errors that callers meet.
+const (
+	KindBadRequest     Kind = "bad_request"
+	KindUnauthorized   Kind = "unauthorized"
+	KindNotFound       Kind = "not_found"
+	KindTooLarge       Kind = "too_large"
+	KindTooLong        Kind = "prompt_too_long"
+	KindQuota          Kind = "workspace_limit"
+	KindOverloaded     Kind = "overloaded"
+	KindDeadline       Kind = "deadline_exceeded"
+	KindUnavailable    Kind = "unavailable"
+	KindCrashing       Kind = "crashes_backend_server"
+	KindBroken         Kind = "answer_incomplete"
+	KindKeyReused      Kind = "idempotency_key_reused"
+	KindInProgress     Kind = "in_progress"
+	KindStoreDown      Kind = "store_unavailable"
+	KindOutcomeUnknown Kind = "outcome_unknown"
+	KindStopping       Kind = "host_stopping"
+)
+
+// Error returns the operation, kind and message in one line.
+func (e *Error) Error() string {
+	return e.Op + ": " + string(e.Kind) + ": " + e.Message
+}
+
+// Status returns the HTTP status code that reports e to a caller.
+func (e *Error) Status() int {
+	switch e.Kind {
+	case KindBadRequest:
+		return http.StatusBadRequest
+	case KindUnauthorized:
+		return http.StatusUnauthorized
+	case KindNotFound:
+		return http.StatusNotFound
+	case KindTooLarge, KindTooLong:
+		return http.StatusRequestEntityTooLarge
+	case KindKeyReused, KindCrashing:
+		return http.StatusUnprocessableEntity
+	case KindInProgress:
+		return http.StatusConflict
+	case KindQuota:
+		return http.StatusTooManyRequests
+	case KindDeadline:
+		return http.StatusGatewayTimeout
+	case KindBroken, KindOutcomeUnknown:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Retryable reports whether the caller may send the request again later.
+func (e *Error) Retryable() bool {
+	switch e.Kind {
+	case KindBadRequest, KindUnauthorized, KindNotFound, KindTooLarge, KindTooLong,
+		KindKeyReused, KindCrashing, KindOutcomeUnknown:
+		return false
+	default:
+		return true
+	}
+}
