--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,13 @@
 TOOLS := $(shell $(GO) env GOPATH)/bin
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build check demo bench proofs fmt lint vet test model tools spin clean
+.PHONY: build check measure demo bench proofs fmt lint vet test model tools spin clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 # Runs every check with the same verdict each time.
-check: lint vet build test model
+check: lint vet build test model measure
 
 $(LINT):
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
@@ -30,6 +30,10 @@
 test:
 	scripts/test
 
+# Compares the measurements with their targets.
+measure: build
+	scripts/bench
+
 model:
 	scripts/model
 
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,55 @@
+// Command bench measures the decisions in virtual time and compares the figures with their targets.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+)
+
+// A measurement is one named set of figures; it must give the same figures each time.
+type measurement struct {
+	name string
+	run  func(*report.Report)
+}
+
+// The measurements that the command runs, each in a package of its own under internal/bench.
+var measurements = []measurement{}
+
+func main() {
+	only := flag.String("only", "", "comma-separated names of the measurements to run; empty runs all")
+	out := flag.String("json", "", "file to write the figures to as JSON")
+	flag.Parse()
+	var r report.Report
+	for _, m := range measurements {
+		if *only == "" || strings.Contains(","+*only+",", ","+m.name+",") {
+			m.run(&r)
+		}
+	}
+	if err := write(&r, *out); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if n := r.Missed(); n > 0 {
+		fmt.Printf("%d figures miss their targets\n", n)
+		os.Exit(1)
+	}
+}
+
+func write(r *report.Report, path string) error {
+	if path == "" {
+		return r.WriteTable(os.Stdout)
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close() //nolint:errcheck // the write's own error is returned
+	if err := r.WriteJSON(f); err != nil {
+		return err
+	}
+	return r.WriteTable(os.Stdout)
+}
--- a/internal/bench/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package bench measures the decisions in virtual time against their targets.
-package bench
--- /dev/null
+++ b/internal/bench/report/doc.go
@@ -0,0 +1,2 @@
+// Package report collects the figures of measurements and compares them with their targets.
+package report
