settings: read JSON with comments and name the line of a mistake

Cause: operators edit settings by hand, and a host must not start with half of them understood. Ruled out: encoding/json alone, since its error for an unknown field has no offset.

--- /dev/null
+++ b/internal/jsonc/doc.go
@@ -0,0 +1,2 @@
+// Package jsonc reads JSON with comments into structs and says where an error stands.
+package jsonc
