protocol: add the tokens of a block, the demand for long prompts and the use of workspaces

Schedulers need to know how many prompt tokens a cached block saves; the subset for long prompts follows the demand that rows tell; limits over a failure domain need each host's use. New fields at the end only.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -85,6 +85,7 @@
 		Queue        bool          `cbor:"11,keyasint"` // wait in the queue instead of a busy refusal
 		Suspect      bool          `cbor:"12,keyasint"` // may have crashed a backend server before
 		Bytes        int64         `cbor:"13,keyasint"` // memory to reserve; 0 lets the scheduler work it out
+		BlockTokens  int64         `cbor:"14,keyasint"` // prompt tokens that each of Blocks covers
 	}
 
 	// Grant allows one attempt to run on a backend server until Expiry has passed.
@@ -149,6 +150,8 @@
 		Models        []string      `cbor:"12,keyasint"`
 		PrefillRate   float64       `cbor:"13,keyasint"` // tokens per second
 		DecodeRate    float64       `cbor:"14,keyasint"` // tokens per second and sequence
+		LongDemand    float64       `cbor:"15,keyasint"` // prompt tokens per second of long prompts asked for here
+		ShortDemand   float64       `cbor:"16,keyasint"` // prompt tokens per second of other prompts asked for here
 	}
 
 	// Aggregate summarizes a model's backend servers of one failure domain for the others.
@@ -174,6 +177,16 @@
 		Digest   string `cbor:"2,keyasint"`
 	}
 
+	// Usage is what a workspace has used through one entry host, for the limits that hold over a failure domain.
+	Usage struct {
+		Host        string  `cbor:"1,keyasint"`
+		Incarnation uint64  `cbor:"2,keyasint"`
+		Workspace   string  `cbor:"3,keyasint"`
+		Tokens      float64 `cbor:"4,keyasint"` // used in total by this incarnation, never falling
+		InFlight    int     `cbor:"5,keyasint"`
+		Pending     float64 `cbor:"6,keyasint"` // predicted for the requests in flight
+	}
+
 	// Probe checks that a host is alive and carries what the sender spreads.
 	Probe struct {
 		From       Host            `cbor:"1,keyasint"`
@@ -183,6 +196,7 @@
 		Rows       []Row           `cbor:"5,keyasint"`
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
+		Usage      []Usage         `cbor:"8,keyasint"`
 	}
 
 	// Ack answers a Probe with the receiver's own news.
@@ -194,6 +208,7 @@
 		Rows       []Row           `cbor:"5,keyasint"`
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
+		Usage      []Usage         `cbor:"8,keyasint"`
 	}
 
 	// Suspicion spreads that a request content may crash backend servers.
