--- /dev/null
+++ b/internal/grant/ask.go
@@ -0,0 +1,229 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/queue"
+)
+
+// Ask decides on a request for a grant. Without ask.Queue it is decided at once; otherwise the Decision
+// may come out of a later call. A repeated ask has the same answer.
+func (s *Scheduler) Ask(now time.Time, ask protocol.Ask) []Decision {
+	s.advance(now)
+	if r, ok := s.held[ask.ID]; ok && !s.noIdentity {
+		g := r.grant
+		return []Decision{{ID: ask.ID, Grant: &g}}
+	}
+	if _, ok := s.waiting[ask.ID]; ok {
+		return nil
+	}
+	if _, ok := s.finished[ask.ID]; ok && !s.noIdentity {
+		return []Decision{refuse(ask.ID, protocol.RefusalBusy, 0, 0)}
+	}
+	if ask.TimeLeft <= 0 {
+		ask.TimeLeft = DefaultTimeLimit
+	}
+	s.demand.add(now, ask.PromptTokens, s.long(ask.PromptTokens))
+	if kind := s.unable(ask); kind != "" {
+		return []Decision{refuse(ask.ID, kind, 0, 0)}
+	}
+	w := &waiter{ask: ask, bytes: s.bytes(ask), enqueued: now, deadline: now.Add(ask.TimeLeft)}
+	wait := s.wait(now, w)
+	if late := wait + s.service(ask) - ask.TimeLeft; late > 0 {
+		return []Decision{refuse(ask.ID, protocol.RefusalDeadline, wait, late)}
+	}
+	limit := orDefault(s.Idle, DefaultIdle)
+	if ask.Queue {
+		limit = orDefault(s.Lead, DefaultLead)
+	}
+	if wait <= limit && s.mayStart(now, w) {
+		return []Decision{s.give(now, w)}
+	}
+	if !ask.Queue || s.queue.Len() >= s.maxQueued() {
+		return []Decision{refuse(ask.ID, protocol.RefusalBusy, wait, wait)}
+	}
+	s.push(w)
+	return nil
+}
+
+// unable returns why the backend server can't run an ask whatever the load, or nothing.
+func (s *Scheduler) unable(ask protocol.Ask) protocol.RefusalKind {
+	switch {
+	case s.down:
+		return protocol.RefusalUnhealthy
+	case s.load.Leaving:
+		return protocol.RefusalLeaving
+	case !s.serves(ask.Model):
+		return protocol.RefusalModel
+	case !s.reported.IsZero() && s.bytes(ask) > s.load.MemoryBytes && !s.noMemory:
+		return protocol.RefusalMemory
+	case ask.Suspect && s.holdsSuspect():
+		return protocol.RefusalSuspect
+	}
+	return ""
+}
+
+func (s *Scheduler) serves(model string) bool {
+	if s.reported.IsZero() || model == "" {
+		return true
+	}
+	for _, m := range s.load.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) holdsSuspect() bool {
+	for _, r := range s.held {
+		if r.ask.Suspect {
+			return true
+		}
+	}
+	for _, w := range s.waiting {
+		if w.ask.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) maxQueued() int {
+	if s.MaxQueued > 0 {
+		return s.MaxQueued
+	}
+	return DefaultMaxQueued
+}
+
+func (s *Scheduler) push(w *waiter) {
+	s.revision++
+	s.waiting[w.ask.ID] = w
+	s.queue.Push(s.item(w))
+}
+
+func (s *Scheduler) item(w *waiter) queue.Item {
+	return queue.Item{
+		ID: w.ask.ID, Workspace: w.ask.Workspace, Class: w.ask.Class, Enqueued: w.enqueued,
+		Cost: w.ask.PromptTokens + w.ask.OutputTokens, Due: s.due(w),
+	}
+}
+
+// due is the moment by which an ask is to have its first token.
+// It grows with the prompt, so that a short prompt does not wait behind a long one that came a little earlier.
+func (s *Scheduler) due(w *waiter) time.Time {
+	service := s.prefill(w.ask)
+	due := w.enqueued.Add(2 * service)
+	if last := w.deadline.Add(-s.service(w.ask)); last.Before(due) {
+		return last
+	}
+	return due
+}
+
+// give makes a grant.
+func (s *Scheduler) give(now time.Time, w *waiter) Decision {
+	s.revision++
+	cached := s.cached(w.ask)
+	r := &reservation{
+		ask: w.ask, bytes: w.bytes, granted: now, expires: w.deadline,
+		prefilling: true, left: float64(max(w.ask.PromptTokens-cached, 1)),
+		grant: protocol.Grant{
+			ID: w.ask.ID, Server: s.Server.Name, Address: s.Server.Address,
+			Expiry: w.deadline.Sub(now), CachedTokens: cached, Priority: s.priority(now, w),
+		},
+	}
+	s.hold(r)
+	s.queue.Charge(w.ask.Workspace, w.ask.PromptTokens+w.ask.OutputTokens)
+	g := r.grant
+	return Decision{ID: w.ask.ID, Grant: &g}
+}
+
+// drain gives grants to waiting asks as far as they may start.
+func (s *Scheduler) drain(now time.Time, decisions []Decision) []Decision {
+	if s.down || s.load.Leaving {
+		return decisions
+	}
+	for s.queue.Len() > 0 {
+		it, ok := s.nextWaiter(now)
+		if !ok {
+			return decisions
+		}
+		w := s.waiting[it.ID]
+		s.drop(it.ID)
+		decisions = append(decisions, s.give(now, w))
+	}
+	return decisions
+}
+
+// nextWaiter returns the ask that goes next. Asks that don't fit may be passed by others,
+// but not once they have waited for an aging period.
+func (s *Scheduler) nextWaiter(now time.Time) (queue.Item, bool) {
+	lead := orDefault(s.Lead, DefaultLead)
+	oldest := s.starved(now)
+	return s.queue.Next(now, func(it queue.Item) bool {
+		if oldest != nil && it.Enqueued.After(oldest.enqueued) {
+			return false
+		}
+		w := s.waiting[it.ID]
+		return s.mayStart(now, w) && s.ahead(now, s.priority(now, w)) <= lead
+	})
+}
+
+// starved returns the ask that has waited longest for room, if that is an aging period or more.
+func (s *Scheduler) starved(now time.Time) *waiter {
+	items := s.queue.Items()
+	if len(items) == 0 || now.Sub(items[0].Enqueued) < s.aging() {
+		return nil
+	}
+	w := s.waiting[items[0].ID]
+	if s.mayStart(now, w) {
+		return nil
+	}
+	return w
+}
+
+func (s *Scheduler) aging() time.Duration {
+	return orDefault(s.queue.Aging, queue.DefaultAging)
+}
+
+func (s *Scheduler) drop(id protocol.AttemptID) {
+	s.queue.Remove(id)
+	delete(s.waiting, id)
+}
+
+// refuseLate refuses the waiting asks that can't meet their time any more.
+func (s *Scheduler) refuseLate(now time.Time) []Decision {
+	if s.noRefusal {
+		return nil
+	}
+	var decisions []Decision
+	items := append([]queue.Item(nil), s.queue.Items()...)
+	for _, it := range items {
+		w := s.waiting[it.ID]
+		wait := s.waitQueued(now, w, it)
+		if late := now.Add(wait + s.service(w.ask)).Sub(w.deadline); late > 0 {
+			s.drop(it.ID)
+			decisions = append(decisions, refuse(it.ID, protocol.RefusalDeadline, wait, late))
+		}
+	}
+	if len(decisions) > 0 {
+		s.revision++
+	}
+	return decisions
+}
+
+// refuseAll refuses everything that waits.
+func (s *Scheduler) refuseAll(kind protocol.RefusalKind) []Decision {
+	var decisions []Decision
+	items := append([]queue.Item(nil), s.queue.Items()...)
+	for _, it := range items {
+		s.drop(it.ID)
+		decisions = append(decisions, refuse(it.ID, kind, 0, 0))
+	}
+	return decisions
+}
+
+func refuse(id protocol.AttemptID, kind protocol.RefusalKind, wait, retryAfter time.Duration) Decision {
+	return Decision{ID: id, Refusal: &protocol.Refusal{ID: id, Kind: kind, Wait: wait, RetryAfter: retryAfter}}
+}
--- /dev/null
+++ b/internal/grant/learn.go
@@ -0,0 +1,59 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// Weight of a new observation, and the bounds of what is learned.
+const (
+	learnWeight   = 0.05
+	leastSpeed    = 0.1
+	mostSpeed     = 2.0
+	leastOutput   = 0.05
+	shortestLearn = 10 * time.Millisecond
+)
+
+// cost is what has been learned about a model on this backend server.
+type cost struct {
+	speed  float64 // prefill rate over the reported one
+	output float64 // output tokens over the asked ones
+}
+
+func (s *Scheduler) cost(model string) *cost {
+	c, ok := s.costs[model]
+	if !ok {
+		c = &cost{speed: 1, output: 1}
+		s.costs[model] = c
+	}
+	return c
+}
+
+// learnPrefill compares when the first token came with when it was expected.
+func (s *Scheduler) learnPrefill(now time.Time, r *reservation) {
+	expected := r.expected
+	if r.left > 0 {
+		expected = now.Add(seconds(r.left / s.rate(r.ask.Model)))
+	}
+	predicted, actual := expected.Sub(r.granted), now.Sub(r.granted)
+	if predicted < shortestLearn || actual < shortestLearn {
+		return
+	}
+	c := s.cost(r.ask.Model)
+	sample := c.speed * predicted.Seconds() / actual.Seconds()
+	c.speed = min(max(c.speed+learnWeight*(sample-c.speed), leastSpeed), mostSpeed)
+}
+
+// learnFinish takes in how long the answer was and how much of the prompt was cached.
+func (s *Scheduler) learnFinish(r *reservation, fin protocol.Finish) {
+	if fin.OutputTokens > 0 && r.ask.OutputTokens > 0 && !fin.Crashed {
+		c := s.cost(r.ask.Model)
+		sample := float64(fin.OutputTokens) / float64(r.ask.OutputTokens)
+		c.output = min(max(c.output+learnWeight*(sample-c.output), leastOutput), 1)
+	}
+	if fin.OutputTokens > 0 && fin.CachedTokens < r.grant.CachedTokens && r.ask.BlockTokens > 0 {
+		// The engine had fewer blocks than predicted when the prompt came; those after the miss were stored by it.
+		s.cache.tokens = r.ask.BlockTokens
+	}
+}
--- /dev/null
+++ b/internal/grant/memory.go
@@ -0,0 +1,110 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+)
+
+// First bound on concurrent grants, and how it moves with the reported time between tokens.
+const (
+	firstRunning  = 24.0
+	leastRunning  = 4.0
+	mostRunning   = 512.0
+	runningGrowth = 2.0
+	runningCut    = 0.9
+)
+
+// Report takes in the engine's own report.
+func (s *Scheduler) Report(now time.Time, load engineapi.Load) []Decision {
+	s.advance(now)
+	s.revision++
+	if load.Epoch != s.load.Epoch {
+		s.cache.clear()
+	}
+	s.load = load
+	s.reported = now.Add(-time.Duration(load.AgeMS) * time.Millisecond)
+	s.forget()
+	s.cache.resize(s.blockCapacity())
+	s.adaptRunning()
+	if load.Leaving {
+		return s.refuseAll(protocol.RefusalLeaving)
+	}
+	return s.drain(now, nil)
+}
+
+// bytes is the memory to reserve for prompt and output of an ask.
+func (s *Scheduler) bytes(ask protocol.Ask) int64 {
+	if ask.Bytes > 0 {
+		return ask.Bytes
+	}
+	per := s.load.KVBytesPerToken
+	if per <= 0 {
+		per = assumedKVBytes
+	}
+	return (ask.PromptTokens + ask.OutputTokens) * per
+}
+
+// used is the memory that counts as taken: what the grants reserve, or what the engine reported as held
+// with the changes since then, whichever is more.
+func (s *Scheduler) used() int64 {
+	reported := s.load.HeldBytes
+	for _, f := range s.freed {
+		reported -= f.bytes
+	}
+	for _, r := range s.held {
+		if r.granted.After(s.reported) {
+			reported += r.bytes
+		}
+	}
+	return max(s.reserved, reported)
+}
+
+// forget drops the releases that the last report already shows.
+func (s *Scheduler) forget() {
+	kept := s.freed[:0]
+	for _, f := range s.freed {
+		if f.at.After(s.reported) {
+			kept = append(kept, f)
+		}
+	}
+	s.freed = kept
+}
+
+// mayStart reports whether memory and the bound on concurrent grants allow an ask to start.
+func (s *Scheduler) mayStart(_ time.Time, w *waiter) bool {
+	if s.reported.IsZero() {
+		return false
+	}
+	if s.noMemory {
+		return true
+	}
+	return s.used()+w.bytes <= s.load.MemoryBytes && len(s.held) < s.maxRunning()
+}
+
+func (s *Scheduler) maxRunning() int {
+	if s.MaxRunning > 0 {
+		return s.MaxRunning
+	}
+	if s.limit == 0 {
+		s.limit = firstRunning
+	}
+	return int(s.limit)
+}
+
+// adaptRunning moves the bound on concurrent grants towards the one that keeps the time between tokens.
+func (s *Scheduler) adaptRunning() {
+	if s.load.DecodePerSecond <= 0 || s.load.Running == 0 {
+		return
+	}
+	gap := seconds(1 / s.load.DecodePerSecond)
+	target := orDefault(s.TokenGap, DefaultTokenGap)
+	running := float64(s.maxRunning())
+	switch {
+	case gap > target:
+		s.limit = max(running*runningCut, leastRunning)
+	case gap < target*9/10 && float64(s.load.Running) > running/2:
+		s.limit = min(running+runningGrowth, mostRunning)
+	}
+}
--- /dev/null
+++ b/internal/grant/row.go
@@ -0,0 +1,59 @@
+package grant
+
+import (
+	"math"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// demandWindow is the time over which the demand for long and short prompts is averaged.
+const demandWindow = 30 * time.Second
+
+type (
+	// demand averages the prompt tokens asked for.
+	demand struct {
+		at    time.Time
+		long  float64 // tokens per second
+		short float64
+	}
+
+	// subset is whether this backend server is one of those for long prompts.
+	subset struct {
+		long bool
+	}
+)
+
+func (d *demand) add(now time.Time, tokens int64, long bool) {
+	d.decay(now)
+	rate := float64(tokens) / demandWindow.Seconds()
+	if long {
+		d.long += rate
+	} else {
+		d.short += rate
+	}
+}
+
+func (d *demand) decay(now time.Time) {
+	f := math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
+	d.at, d.long, d.short = now, d.long*f, d.short*f
+}
+
+// Row summarizes the backend server for the hosts of its failure domain.
+func (s *Scheduler) Row(now time.Time) protocol.Row {
+	s.advance(now)
+	s.demand.decay(now)
+	row := protocol.Row{
+		Server: s.Server.Name, Revision: s.revision, Wait: s.ahead(now, math.MinInt),
+		FreeBytes: max(s.load.MemoryBytes-s.used(), 0), CapacityBytes: s.load.MemoryBytes,
+		BytesPerToken: s.load.KVBytesPerToken, Running: len(s.held), Long: s.subset.long,
+		Leaving: s.load.Leaving, Unhealthy: s.down, Models: s.load.Models,
+		PrefillRate: s.rate(""), DecodeRate: s.load.DecodePerSecond,
+		LongDemand: s.demand.long, ShortDemand: s.demand.short,
+	}
+	for _, w := range s.waiting {
+		row.QueuedTokens += w.ask.PromptTokens
+		row.Wait += s.prefill(w.ask)
+	}
+	return row
+}
--- /dev/null
+++ b/internal/grant/scheduler.go
@@ -0,0 +1,184 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/queue"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+)
+
+// Defaults of the exported fields of Scheduler.
+const (
+	DefaultTokenGap   = 28 * time.Millisecond
+	DefaultLead       = 25 * time.Millisecond
+	DefaultIdle       = 5 * time.Millisecond
+	DefaultRebuild    = 2 * time.Second
+	DefaultTimeLimit  = time.Minute
+	DefaultLongTokens = 100_000
+	DefaultMaxQueued  = 2000
+)
+
+const (
+	tickInterval   = 50 * time.Millisecond
+	tombstoneAge   = 10 * time.Second
+	assumedPrefill = 10_000.0 // tokens per second before the engine has reported a rate
+	assumedDecode  = 40.0     // tokens per second and sequence before the engine has reported a rate
+	assumedKVBytes = 1 << 16  // bytes per token before the engine has reported them
+)
+
+type (
+	// Scheduler decides which attempts run on one backend server; it is not safe for concurrent use.
+	Scheduler struct {
+		Server     protocol.Server
+		Weight     document.Weight
+		TokenGap   time.Duration // bound on the time between output tokens; 0 means DefaultTokenGap
+		Lead       time.Duration // prefill work that the engine gets ahead of time; 0 means DefaultLead
+		Idle       time.Duration // predicted wait up to which an ask that does not queue is granted; 0 means DefaultIdle
+		Rebuild    time.Duration // after the start, reports of held memory go before own knowledge; 0 means DefaultRebuild
+		LongTokens int64         // prompts above this are long; 0 means DefaultLongTokens
+		MaxRunning int           // bound on concurrent grants; 0 follows TokenGap
+		MaxQueued  int           // bound on waiting asks; 0 means DefaultMaxQueued
+
+		started  time.Time
+		clock    time.Time // time up to which the prefill progress is worked out
+		nextTick time.Time
+		held     map[protocol.AttemptID]*reservation
+		reserved int64
+		queue    queue.Queue
+		waiting  map[protocol.AttemptID]*waiter
+		finished map[protocol.AttemptID]time.Time
+		freed    []release
+		load     engineapi.Load
+		reported time.Time // when the engine made the load report; zero before the first
+		down     bool
+		limit    float64 // concurrent grants that keep TokenGap
+		cache    cache
+		costs    map[string]*cost
+		demand   demand
+		subset   subset
+		revision uint64
+
+		noMemory   bool // tests turn the memory check off
+		noRefusal  bool // tests turn the refusals in the queue off
+		noIdentity bool // tests turn the check for repeated asks off
+	}
+
+	// Decision answers one ask; exactly one of Grant and Refusal is set.
+	Decision struct {
+		ID      protocol.AttemptID
+		Grant   *protocol.Grant
+		Refusal *protocol.Refusal
+	}
+
+	// reservation is what a grant holds.
+	reservation struct {
+		ask        protocol.Ask
+		grant      protocol.Grant
+		bytes      int64
+		granted    time.Time
+		expires    time.Time
+		prefilling bool
+		left       float64   // prompt tokens that the engine still has to prefill, as predicted
+		expected   time.Time // when left has reached zero; zero before
+	}
+
+	// waiter is an ask in the queue.
+	waiter struct {
+		ask      protocol.Ask
+		bytes    int64
+		enqueued time.Time
+		deadline time.Time
+	}
+
+	// release is memory that a finished grant has given back.
+	release struct {
+		at    time.Time
+		bytes int64
+	}
+)
+
+// SetWorkspaces sets the shares of the workspaces.
+func (s *Scheduler) SetWorkspaces(workspaces []document.Workspace) {
+	for _, w := range workspaces {
+		s.queue.SetShare(w.Name, w.Share)
+	}
+}
+
+// SetScheduling sets what is favored.
+func (s *Scheduler) SetScheduling(c document.Scheduling) {
+	if c.Weight != "" {
+		s.Weight = c.Weight
+	}
+}
+
+// Next returns when Tick must be called; it is zero when nothing is held and nothing waits.
+func (s *Scheduler) Next() time.Time {
+	if len(s.held) == 0 && len(s.waiting) == 0 {
+		return time.Time{}
+	}
+	return s.nextTick
+}
+
+// Tick frees expired grants, gives grants to asks that can start and refuses those that can't meet their time.
+func (s *Scheduler) Tick(now time.Time) []Decision {
+	s.advance(now)
+	s.nextTick = now.Add(tickInterval)
+	for id, r := range s.held {
+		if !r.expires.After(now) {
+			s.free(now, id)
+		}
+	}
+	for id, at := range s.finished {
+		if now.Sub(at) > tombstoneAge {
+			delete(s.finished, id)
+		}
+	}
+	return s.drain(now, s.refuseLate(now))
+}
+
+// Unhealthy tells whether the backend server has stopped answering; if so, nothing waits for it any longer.
+func (s *Scheduler) Unhealthy(now time.Time, down bool) []Decision {
+	s.advance(now)
+	s.revision++
+	s.down = down
+	if down {
+		return s.refuseAll(protocol.RefusalUnhealthy)
+	}
+	return s.drain(now, nil)
+}
+
+// Held lists the grants in use.
+func (s *Scheduler) Held(now time.Time) []protocol.Held {
+	held := make([]protocol.Held, 0, len(s.held))
+	for id, r := range s.held {
+		held = append(held, protocol.Held{
+			ID: id, Workspace: r.ask.Workspace, Model: r.ask.Model, Bytes: r.bytes,
+			PromptTokens: r.ask.PromptTokens, OutputTokens: r.ask.OutputTokens,
+			Expiry: r.expires.Sub(now), Prefilling: r.prefilling,
+		})
+	}
+	return held
+}
+
+// advance starts the scheduler on the first call and moves the predicted prefill progress to now.
+func (s *Scheduler) advance(now time.Time) {
+	if s.started.IsZero() {
+		s.started, s.clock, s.nextTick = now, now, now.Add(tickInterval)
+		s.held = make(map[protocol.AttemptID]*reservation)
+		s.waiting = make(map[protocol.AttemptID]*waiter)
+		s.finished = make(map[protocol.AttemptID]time.Time)
+		s.costs = make(map[string]*cost)
+		// A successor's revisions follow those of its predecessor on another host.
+		s.revision = uint64(now.UnixMilli())
+	}
+	s.progress(now)
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return fallback
+}
--- a/internal/queue/doc.go
+++ b/internal/queue/doc.go
@@ -1,2 +1,5 @@
-// Package queue orders waiting requests by slack, workspace share and age; it does no I/O.
+// Package queue orders the asks that wait for one backend server; it does no I/O.
+//
+// Within an urgency class the workspaces share by weight, and the ask with the least slack goes first
+// among the workspaces that have not had more than their share. Waiting raises the class, so that nothing starves.
 package queue
--- /dev/null
+++ b/internal/quota/admit.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// peerAge is the time after which a silent host's requests no longer count as in flight.
+const peerAge = 10 * time.Second
+
+// Admit takes one request with its predicted tokens into account unless a limit is reached.
+// Each admitted request needs one call of Done.
+func (l *Limiter) Admit(now time.Time, workspace string, tokens int64) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u, ok := l.workspaces[workspace]
+	if !ok {
+		return Verdict{OK: true}
+	}
+	u.refill(now)
+	if wait := u.wait(now); wait > 0 {
+		return Verdict{RetryAfter: wait}
+	}
+	u.inFlight++
+	u.pending += float64(tokens)
+	return Verdict{OK: true}
+}
+
+// Done ends a request that Admit let in; tokens is what it has used.
+func (l *Limiter) Done(now time.Time, workspace string, tokens int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u, ok := l.workspaces[workspace]
+	if !ok || u.inFlight == 0 {
+		return
+	}
+	u.refill(now)
+	// Predictions are settled by their average, so that they add up to nothing when no request is left.
+	u.pending -= u.pending / float64(u.inFlight)
+	u.inFlight--
+	u.total += float64(tokens)
+	u.level -= float64(tokens)
+}
+
+// Usage returns what the workspaces have used through this host, for the other hosts of the failure domain.
+func (l *Limiter) Usage(_ time.Time) []protocol.Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rows := make([]protocol.Usage, 0, len(l.workspaces))
+	for name, u := range l.workspaces {
+		if u.total != 0 || u.inFlight != 0 {
+			rows = append(rows, protocol.Usage{
+				Host: l.Host, Incarnation: l.Incarnation, Workspace: name,
+				Tokens: u.total, InFlight: u.inFlight, Pending: u.pending,
+			})
+		}
+	}
+	return rows
+}
+
+// Merge takes in what other hosts have told.
+func (l *Limiter) Merge(now time.Time, rows []protocol.Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range rows {
+		if u, ok := l.workspaces[row.Workspace]; ok && row.Host != l.Host {
+			u.merge(now, row)
+		}
+	}
+}
+
+func (u *usage) merge(now time.Time, row protocol.Usage) {
+	u.refill(now)
+	p, known := u.peers[row.Host]
+	if known && row.Incarnation < p.incarnation {
+		return
+	}
+	before := p.total
+	if row.Incarnation > p.incarnation {
+		before = 0
+	}
+	u.level -= row.Tokens - before
+	u.peers[row.Host] = peer{incarnation: row.Incarnation, total: row.Tokens, inFlight: row.InFlight, pending: row.Pending, at: now}
+}
+
+// refill adds the tokens that time has given back.
+func (u *usage) refill(now time.Time) {
+	limit := float64(u.limits.TokensPerMinute)
+	if u.at.IsZero() {
+		u.at = now
+	}
+	if now.After(u.at) {
+		u.level = min(u.level+limit*now.Sub(u.at).Minutes(), limit)
+		u.at = now
+	}
+}
+
+// wait is the time until a limit allows the next request.
+func (u *usage) wait(now time.Time) time.Duration {
+	inFlight, pending := u.inFlight, u.pending
+	for _, p := range u.peers {
+		if now.Sub(p.at) <= peerAge {
+			inFlight += p.inFlight
+			pending += p.pending
+		}
+	}
+	if limit := u.limits.MaxInFlight; limit > 0 && inFlight >= limit {
+		return time.Second
+	}
+	level := u.level - pending
+	if limit := float64(u.limits.TokensPerMinute); limit > 0 && level <= 0 {
+		return time.Duration((1 - level) / limit * float64(time.Minute))
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+)
+
+type (
+	// Limiter holds the limits of the workspaces over a failure domain; it is safe for concurrent use.
+	Limiter struct {
+		Host        string
+		Incarnation uint64
+		Hosts       int // entry hosts of the failure domain, this one included
+
+		mu         sync.Mutex
+		workspaces map[string]*usage
+	}
+
+	// Verdict says whether a request is within the limits of its workspace; RetryAfter is set when it is not.
+	Verdict struct {
+		OK         bool
+		RetryAfter time.Duration
+	}
+
+	// usage is what one workspace has used.
+	usage struct {
+		limits   document.Workspace
+		level    float64 // tokens left to use in the failure domain, as known here
+		at       time.Time
+		total    float64 // tokens used through this host
+		pending  float64 // tokens predicted for the requests in flight through this host
+		inFlight int
+		peers    map[string]peer
+	}
+
+	// peer is what another host has told of its use of a workspace.
+	peer struct {
+		incarnation uint64
+		total       float64
+		pending     float64
+		inFlight    int
+		at          time.Time
+	}
+)
+
+// Set replaces the limits.
+func (l *Limiter) Set(workspaces []document.Workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.workspaces
+	l.workspaces = make(map[string]*usage, len(workspaces))
+	for _, w := range workspaces {
+		u, ok := old[w.Name]
+		if !ok {
+			u = &usage{level: float64(w.TokensPerMinute), peers: make(map[string]peer)}
+		}
+		u.limits = w
+		l.workspaces[w.Name] = u
+	}
+}
