protocol: name the crashes behind a suspicion

Several hosts report one crash, and a crash of several servers at once has another cause than a prompt. Both can only be told apart when the crashes are named in what peers spread.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -203,6 +203,16 @@
 		Crashes     int           `cbor:"3,keyasint"`
 		Expiry      time.Duration `cbor:"4,keyasint"`
 		Alone       bool          `cbor:"5,keyasint"` // was the only suspect on a crashed backend server
+		Causes      []CrashCause  `cbor:"6,keyasint,omitempty"`
+	}
+
+	// CrashCause is one crash of a backend server in a Suspicion.
+	CrashCause struct {
+		Server string        `cbor:"1,keyasint"`
+		Epoch  uint64        `cbor:"2,keyasint"` // of the process that crashed; 0 when unknown
+		Age    time.Duration `cbor:"3,keyasint"` // since the crash was first noticed
+		Began  time.Duration `cbor:"4,keyasint"` // since the content's attempt began there
+		Ran    bool          `cbor:"5,keyasint"` // the dispatching host says that the attempt reached the backend server
 	}
 
 	// PullConfig asks a peer for its configuration when it is newer than Have.
