--- /dev/null
+++ b/internal/suspect/ledger.go
@@ -0,0 +1,265 @@
+package suspect
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// Verdicts on a content.
+const (
+	Clear     Verdict = iota // runs like any other
+	Suspected                // runs apart from other suspects
+	Condemned                // is refused
+	Held                     // waits until the cause of its last crash is settled, then is checked again
+)
+
+// Defaults of a Ledger's exported fields.
+const (
+	DefaultExpiry = 10 * time.Minute
+	DefaultHold   = time.Second
+	DefaultWindow = time.Second
+	DefaultGrace  = 2 * time.Second
+)
+
+// Bounds of what a Ledger remembers and spreads.
+const (
+	maxContents      = 4096
+	maxCauses        = 4
+	maxNews          = 32
+	maxAttemptAge    = 2 * time.Hour
+	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
+	newsAge          = 15 * time.Second // how long a change is sent before older ones
+	sweepEvery       = 10 * time.Second
+	crashesToCondemn = 2
+)
+
+type (
+	// Verdict says how a content may run.
+	Verdict uint8
+
+	// content names what a request asks for, whoever sends it.
+	content struct {
+		workspace   string
+		fingerprint uint64
+	}
+
+	// run is one attempt on a backend server.
+	run struct {
+		content content
+		began   time.Time
+		own     bool      // dispatched by this host, which therefore knows that it ran
+		ended   time.Time // zero while it is in flight
+	}
+
+	runKey struct {
+		server string
+		id     protocol.AttemptID
+	}
+
+	// crash names the end of one process of a backend server.
+	crash struct {
+		server string
+		epoch  uint64
+	}
+
+	// cause is a crash during which a content was in flight.
+	cause struct {
+		crash crash
+		began time.Time // of the content's attempt
+		ran   bool      // the host that dispatched the attempt says that it reached the backend server
+	}
+
+	// suspicion is what is known of one content.
+	suspicion struct {
+		causes    []cause
+		condemned bool
+		changed   time.Time
+		expiry    time.Time
+	}
+
+	// loss is one crash with the contents that were in flight.
+	loss struct {
+		at       time.Time
+		changed  time.Time
+		contents map[content]bool
+		blamed   *content // the condemned content that explains it
+	}
+)
+
+// Ledger records which contents were in flight on crashed backend servers; it is safe for concurrent use.
+type Ledger struct {
+	Host   string        // name of this host, whose own attempts count as having run; empty counts all
+	Expiry time.Duration // of a suspicion; 0 means DefaultExpiry
+	Hold   time.Duration // from a crash to the verdict on it; 0 means DefaultHold
+	Window time.Duration // crashes this close together have a common cause; 0 means DefaultWindow
+	Grace  time.Duration // attempts that ended this long before a crash was noticed belong to it; 0 means DefaultGrace
+
+	mu       sync.Mutex
+	runs     map[runKey]*run
+	epochs   map[string]uint64
+	losses   map[crash]*loss
+	contents map[content]*suspicion
+	swept    time.Time
+	cursor   int
+
+	hasty  bool // gives verdicts without waiting for other crashes; for tests
+	simple bool // counts crashes without asking what else explains them; for tests
+}
+
+// Started records that an attempt is sent to a backend server, or granted there by its scheduler.
+func (l *Ledger) Started(
+	now time.Time, server string, id protocol.AttemptID, workspace string, fingerprint uint64, _ bool,
+) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	k := runKey{server, id}
+	if r := l.runs[k]; r != nil && r.ended.IsZero() {
+		return
+	}
+	l.runs[k] = &run{
+		content: content{workspace, fingerprint},
+		began:   now,
+		own:     l.Host == "" || l.Host == id.Host,
+	}
+}
+
+// Ended records that an attempt is over; a crash noticed shortly after still counts against it.
+func (l *Ledger) Ended(now time.Time, server string, id protocol.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.runs[runKey{server, id}]; r != nil && r.ended.IsZero() {
+		r.ended = now
+	}
+}
+
+// Withdrawn forgets an attempt that never reached the backend server, so that no crash counts against it.
+func (l *Ledger) Withdrawn(_ time.Time, server string, id protocol.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.runs, runKey{server, id})
+}
+
+// Completed records that an attempt gave its whole answer, which clears its content.
+func (l *Ledger) Completed(_ time.Time, server string, id protocol.AttemptID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := runKey{server, id}
+	r := l.runs[k]
+	if r == nil {
+		return
+	}
+	delete(l.runs, k)
+	if s := l.contents[r.content]; s != nil && !s.condemned {
+		l.forget(r.content)
+	}
+}
+
+// Epoch records the epoch in a backend server's load report, which tells its crashes apart.
+func (l *Ledger) Epoch(now time.Time, server string, epoch uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	l.epochs[server] = epoch
+}
+
+// Crashed records that a backend server's process died and returns what is now suspected because of it.
+//
+// It is for a stream that broke while new connections are refused, or an epoch that changed; silence is no crash.
+func (l *Ledger) Crashed(now time.Time, server string) []protocol.Suspicion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	c := l.resolve(crash{server, l.epochs[server]}, now)
+	lost := l.lose(c, now, now)
+	var suspects []content
+	for k, r := range l.runs {
+		if k.server != server {
+			continue
+		}
+		delete(l.runs, k)
+		if !r.ended.IsZero() && now.Sub(r.ended) > cmp.Or(l.Grace, DefaultGrace) {
+			continue
+		}
+		l.blame(now, r.content, lost, cause{crash: c, began: r.began, ran: r.own})
+		suspects = append(suspects, r.content)
+	}
+	return l.export(now, suspects)
+}
+
+// Check returns the verdict on a content.
+func (l *Ledger) Check(now time.Time, workspace string, fingerprint uint64) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	l.settle(now)
+	return l.verdict(now, content{workspace, fingerprint})
+}
+
+func (l *Ledger) verdict(now time.Time, k content) Verdict {
+	s := l.contents[k]
+	switch {
+	case s == nil:
+		return Clear
+	case s.condemned:
+		return Condemned
+	case l.unsettled(now, k, s):
+		return Held
+	case l.simple:
+		return Suspected
+	}
+	for _, c := range s.causes {
+		lost := l.losses[c.crash]
+		if lost != nil && lost.blamed == nil && !l.external(lost, k) {
+			return Suspected
+		}
+	}
+	return Clear
+}
+
+// prepare makes the maps and drops what is too old.
+func (l *Ledger) prepare(now time.Time) {
+	if l.runs == nil {
+		l.runs = make(map[runKey]*run)
+		l.epochs = make(map[string]uint64)
+		l.losses = make(map[crash]*loss)
+		l.contents = make(map[content]*suspicion)
+	}
+	if now.Sub(l.swept) < sweepEvery {
+		return
+	}
+	l.swept = now
+	l.sweep(now)
+}
+
+func (l *Ledger) sweep(now time.Time) {
+	grace := cmp.Or(l.Grace, DefaultGrace)
+	for k, r := range l.runs {
+		if now.Sub(r.began) > maxAttemptAge || !r.ended.IsZero() && now.Sub(r.ended) > grace {
+			delete(l.runs, k)
+		}
+	}
+	for k, s := range l.contents {
+		if !now.Before(s.expiry) {
+			l.forget(k)
+		}
+	}
+	for c, lost := range l.losses {
+		if now.Sub(lost.at) > cmp.Or(l.Expiry, DefaultExpiry) {
+			delete(l.losses, c)
+		}
+	}
+}
+
+// forget drops a suspicion but keeps the crashes, which stay evidence about other contents.
+func (l *Ledger) forget(k content) {
+	for _, c := range l.contents[k].causes {
+		if lost := l.losses[c.crash]; lost != nil {
+			delete(lost.contents, k)
+		}
+	}
+	delete(l.contents, k)
+}
--- /dev/null
+++ b/internal/suspect/news.go
@@ -0,0 +1,124 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// Merge takes in what other hosts suspect.
+func (l *Ledger) Merge(now time.Time, news []protocol.Suspicion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	for i := range news {
+		l.merge(now, &news[i])
+	}
+}
+
+func (l *Ledger) merge(now time.Time, n *protocol.Suspicion) {
+	k := content{n.Workspace, n.Fingerprint}
+	for _, m := range n.Causes {
+		at := now.Add(-m.Age)
+		c := l.resolve(crash{m.Server, m.Epoch}, at)
+		lost := l.lose(c, at, now)
+		if k != (content{}) {
+			l.blame(now, k, lost, cause{crash: c, began: now.Add(-m.Began), ran: m.Ran})
+		}
+	}
+	s := l.contents[k]
+	if s == nil {
+		return
+	}
+	expiry := now.Add(min(n.Expiry, cmp.Or(l.Expiry, DefaultExpiry)))
+	if n.Expiry > 0 {
+		s.expiry = expiry
+	}
+	if n.Alone && n.Crashes >= crashesToCondemn && !s.condemned {
+		s.condemned = true
+		s.changed = now
+		l.attribute(k, s)
+	}
+}
+
+// attribute blames a content that another host condemned for its crashes.
+func (l *Ledger) attribute(k content, s *suspicion) {
+	for _, c := range s.causes {
+		if lost := l.losses[c.crash]; lost != nil && lost.blamed == nil {
+			lost.blamed = &k
+		}
+	}
+}
+
+// Recent returns a bounded number of suspicions for peers: the latest changes first, then older ones in turn.
+func (l *Ledger) Recent(now time.Time) []protocol.Suspicion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	l.settle(now)
+	var fresh, old []content
+	for k, s := range l.contents {
+		if now.Sub(s.changed) <= newsAge {
+			fresh = append(fresh, k)
+		} else {
+			old = append(old, k)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b content) int {
+		return cmp.Or(l.contents[b].changed.Compare(l.contents[a].changed), compare(a, b))
+	})
+	slices.SortFunc(old, compare)
+	news := l.export(now, fresh[:min(len(fresh), maxNews)])
+	for range min(len(old), maxNews-len(news)) {
+		l.cursor++
+		news = append(news, l.export(now, old[l.cursor%len(old):][:1])...)
+	}
+	return append(news, l.bare(now)...)
+}
+
+// bare tells of recent crashes with nothing in flight, which show that several crashes have a common cause.
+func (l *Ledger) bare(now time.Time) []protocol.Suspicion {
+	var causes []protocol.CrashCause
+	for c, lost := range l.losses {
+		if len(lost.contents) == 0 && now.Sub(lost.changed) <= newsAge {
+			causes = append(causes, protocol.CrashCause{Server: c.server, Epoch: c.epoch, Age: now.Sub(lost.at)})
+		}
+	}
+	if len(causes) == 0 {
+		return nil
+	}
+	slices.SortFunc(causes, func(a, b protocol.CrashCause) int { return cmp.Compare(a.Server, b.Server) })
+	return []protocol.Suspicion{{Causes: causes[:min(len(causes), maxNews)]}}
+}
+
+// export describes contents for peers.
+func (l *Ledger) export(now time.Time, contents []content) []protocol.Suspicion {
+	slices.SortFunc(contents, compare)
+	news := make([]protocol.Suspicion, 0, len(contents))
+	for _, k := range slices.Compact(contents) {
+		s := l.contents[k]
+		if s == nil {
+			continue
+		}
+		n := protocol.Suspicion{
+			Workspace: k.workspace, Fingerprint: k.fingerprint,
+			Crashes: len(s.causes), Expiry: s.expiry.Sub(now), Alone: s.condemned,
+		}
+		for _, c := range s.causes {
+			if lost := l.losses[c.crash]; lost != nil {
+				n.Causes = append(n.Causes, protocol.CrashCause{
+					Server: c.crash.server, Epoch: c.crash.epoch,
+					Age: now.Sub(lost.at), Began: now.Sub(c.began), Ran: c.ran,
+				})
+			}
+		}
+		news = append(news, n)
+	}
+	return news
+}
+
+func compare(a, b content) int {
+	return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.fingerprint, b.fingerprint))
+}
