platform: add the client and a stand-in of the platform

Cause: claims, configuration and the controller need the key-value service, and tests need one with faults. Change: a client with token buckets by priority, backoff with jitter for reads, a circuit breaker and errors that say whether a write may have taken effect; a stand-in with leases, watches, counted calls and faults, which also runs without a socket so that tests use virtual time. Writes are repeated only after status 429: status 503 would be safe as well, but a caller with a deadline decides better.

--- /dev/null
+++ b/internal/platform/limits_test.go
@@ -0,0 +1,120 @@
+package platform
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "github.com/turmericshunt/turmericshunt/internal/standin/platform"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
+)
+
+func closedPort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func TestBucketPriorities(t *testing.T) {
+	now := time.Unix(0, 0)
+	tests := []struct {
+		name     string
+		priority Priority
+		want     int
+	}{
+		{"claim takes the whole burst", PriorityClaim, 100},
+		{"config leaves a quarter", PriorityConfig, 75},
+		{"rest leaves half", PriorityRest, 50},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBucket(100)
+			got := 0
+			for b.take(now, tt.priority) == 0 {
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("got %d calls, want %d", got, tt.want)
+			}
+			if wait := b.take(now, tt.priority); b.take(now.Add(wait), tt.priority) != 0 {
+				t.Errorf("no token after the stated wait of %v", wait)
+			}
+		})
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := &breaker{rnd: rand.New(rand.NewPCG(1, 1))}
+	for range breakerFailures {
+		if ok, _ := b.allow(now); !ok {
+			t.Fatal("opened too early")
+		}
+		b.failed(now)
+	}
+	ok, wait := b.allow(now)
+	if ok || wait < breakerMinOpen/2 || wait > breakerMinOpen {
+		t.Fatalf("allow: %v, wait %v", ok, wait)
+	}
+	now = now.Add(wait)
+	if ok, _ := b.allow(now); !ok {
+		t.Error("no probe after the open period")
+	}
+	if ok, _ := b.allow(now); ok {
+		t.Error("two probes at once")
+	}
+	b.failed(now)
+	if ok, longer := b.allow(now); ok || longer < breakerMinOpen {
+		t.Errorf("after a failed probe: %v, wait %v", ok, longer)
+	}
+	now = now.Add(breakerMaxOpen)
+	b.allow(now)
+	b.succeeded()
+	if ok, _ := b.allow(now); !ok {
+		t.Error("still open after a good probe")
+	}
+}
+
+// Counts the calls that reach the platform within a minute of an outage, in virtual time.
+func TestBreakerLimitsCallsInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &standin.Server{}
+		c := newClient(s)
+		s.SetFaults(platformapi.Faults{Down: true})
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			_, _ = c.Swap(t.Context(), "k", nil, 0, "")
+		}
+		if calls := s.Calls(); calls.Writes > 40 {
+			t.Errorf("%d calls in a minute of outage", calls.Writes)
+		}
+		s.SetFaults(platformapi.Faults{})
+		time.Sleep(breakerMaxOpen)
+		if _, err := c.Swap(t.Context(), "k", nil, 0, ""); err != nil {
+			t.Errorf("after the outage: %v", err)
+		}
+	})
+}
+
+func TestRateIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &standin.Server{}
+		c := newClient(s)
+		c.WritesPerSecond = 10
+		start := time.Now()
+		for range 40 {
+			if _, err := c.GrantLease(WithPriority(t.Context(), PriorityClaim), time.Minute); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(start); took < 3*time.Second || took > 4*time.Second {
+			t.Errorf("40 writes with a burst of 10 at 10/s took %v", took)
+		}
+	})
+}
--- a/pkg/platformapi/doc.go
+++ b/pkg/platformapi/doc.go
@@ -9,7 +9,10 @@
 //	DELETE /v1/leases/{id}         revokes, deleting the lease's keys
 //	GET    /v1/hosts?index=N&wait_ms=M  -> Hosts
 //	POST   /v1/faults              Faults (stand-in only)
+//	PUT    /v1/hosts               Hosts (stand-in only)
+//	GET    /v1/calls               -> Calls (stand-in only)
 //
+// A write under a lapsed lease answers 404. A deletion of a key that does not exist answers 404.
 // 429 means that the caller's rate is too high and nothing was done; 503 likewise; a broken connection
 // after a write says nothing about whether it took effect.
 package platformapi
--- a/pkg/platformapi/platformapi.go
+++ b/pkg/platformapi/platformapi.go
@@ -5,6 +5,12 @@
 // MaxValueBytes is the largest value that the key-value service holds.
 const MaxValueBytes = 1 << 20
 
+// Request headers that name the caller, so that calls can be counted and partitions can be simulated.
+const (
+	HeaderHost          = "Turmericshunt-Host"
+	HeaderFailureDomain = "Turmericshunt-Failure-Domain"
+)
+
 // Kinds of hosts in the platform's list.
 const (
 	KindEntry   = "entry"
@@ -56,6 +62,14 @@
 		Hosts []Host `json:"hosts"`
 	}
 
+	// Calls counts the calls that were made so far; a waiting watch counts as one.
+	Calls struct {
+		Reads   uint64            `json:"reads"`
+		Writes  uint64            `json:"writes"`
+		Watches uint64            `json:"watches"`
+		ByHost  map[string]uint64 `json:"by_host"`
+	}
+
 	// Faults switches misbehavior of the stand-in on and off.
 	Faults struct {
 		Down             bool  `json:"down"`               // each call answers 503
@@ -63,5 +77,9 @@
 		LateMS           int64 `json:"late_ms"`            // delay of each answer
 		LoseWriteAnswers int   `json:"lose_write_answers"` // this many writes take effect and their connection is cut
 		StaleReads       bool  `json:"stale_reads"`        // reads lag by some revisions
+
+		CutOffHosts          []string `json:"cut_off_hosts"`           // callers whose calls get no answer and no effect
+		CutOffFailureDomains []string `json:"cut_off_failure_domains"` // the same by the caller's failure domain
+		Throttle             int      `json:"throttle"`                // this many calls answer 429
 	}
 )
