--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -1,2 +1,5 @@
-// Package engine is a stand-in of a model engine for the demo and tests.
+// Package engine is a stand-in for a model engine: the HTTP interface of engineapi over the model of package batch.
+//
+// Answer gives the text that it sends for a prompt, so that tests can tell whether an answer is whole and belongs to
+// its own prompt. Faults are switched on and off by POST /v1/faults.
 package engine
