--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -204,6 +204,7 @@
 		Expiry      time.Duration `cbor:"4,keyasint"`
 		Alone       bool          `cbor:"5,keyasint"` // was the only suspect on a crashed backend server
 		Causes      []CrashCause  `cbor:"6,keyasint,omitempty"`
+		Cleared     time.Duration `cbor:"7,keyasint,omitempty"` // since the content last gave a whole answer; 0 when it has not
 	}
 
 	// CrashCause is one crash of a backend server in a Suspicion.
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -2,29 +2,31 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
 // resolve returns the crash that a report belongs to, since several hosts report each crash.
 func (l *Ledger) resolve(c crash, at time.Time) crash {
-	if _, ok := l.losses[c]; ok && c.epoch != 0 {
-		return c
-	}
+	found := false
+	nearest, distance := crash{}, sameCrash
 	for known, lost := range l.losses {
 		sameProcess := known.epoch == c.epoch || known.epoch == 0 || c.epoch == 0
-		if known.server == c.server && sameProcess && lost.at.Sub(at).Abs() <= sameCrash {
-			return known
+		if known.server != c.server || !sameProcess {
+			continue
+		}
+		d := lost.at.Sub(at).Abs()
+		if d < distance || d == distance && known.epoch < nearest.epoch {
+			found, nearest, distance = true, known, d
 		}
 	}
-	if lost := l.losses[c]; lost != nil {
-		return l.successor(c, at)
+	if found {
+		return nearest
+	}
+	if l.losses[c] != nil {
+		// The epoch is out of date: the backend server has started and crashed again since.
+		c.epoch = uint64(at.UnixNano())
 	}
-	return c
-}
-
-// successor names a later crash of a backend server whose epoch is not known to have changed.
-func (l *Ledger) successor(c crash, at time.Time) crash {
-	c.epoch = uint64(at.UnixNano())
 	return c
 }
 
@@ -43,29 +45,17 @@
 
 // blame adds a crash to what is known of a content.
 func (l *Ledger) blame(now time.Time, k content, lost *loss, c cause) {
-	s := l.contents[k]
-	if s == nil {
-		if len(l.contents) >= maxContents {
-			return
-		}
-		s = new(suspicion)
-		l.contents[k] = s
+	s := l.suspicion(k)
+	if s == nil || !lost.at.After(s.cleared) {
+		return
 	}
 	s.expiry = now.Add(cmp.Or(l.Expiry, DefaultExpiry))
 	lost.contents[k] = true
 	for i := range s.causes {
-		known := &s.causes[i]
-		if known.crash != c.crash {
-			continue
-		}
-		if c.ran && !known.ran {
-			known.ran = true
-			s.changed = now
-		}
-		if c.began.Before(known.began) {
-			known.began = c.began
+		if s.causes[i].crash == c.crash {
+			s.strengthen(now, &s.causes[i], c)
+			return
 		}
-		return
 	}
 	s.changed = now
 	if len(s.causes) == maxCauses {
@@ -74,24 +64,89 @@
 	s.causes = append(s.causes, c)
 }
 
+// suspicion returns the record of a content, or nil when there are too many.
+func (l *Ledger) suspicion(k content) *suspicion {
+	s := l.contents[k]
+	if s == nil && len(l.contents) < maxContents {
+		s = new(suspicion)
+		l.contents[k] = s
+	}
+	return s
+}
+
+// strengthen adds another host's evidence to a known cause.
+func (s *suspicion) strengthen(now time.Time, known *cause, c cause) {
+	if c.ran && !known.ran {
+		known.ran = true
+		s.changed = now
+	}
+	if c.began.Before(known.began) {
+		known.began = c.began
+	}
+}
+
+// clear drops the crashes that a content has outlived by giving a whole answer at the given time.
+func (l *Ledger) clear(now time.Time, k content, s *suspicion, at time.Time) {
+	if s.condemned || !at.After(s.cleared) {
+		return
+	}
+	s.cleared = at
+	s.changed = now
+	s.causes = slices.DeleteFunc(s.causes, func(c cause) bool {
+		lost := l.losses[c.crash]
+		if lost != nil && lost.at.After(at) {
+			return false
+		}
+		if lost != nil {
+			delete(lost.contents, k)
+		}
+		return true
+	})
+}
+
+// charge is a case against a content: two crashes that it alone explains.
+type charge struct {
+	content     content
+	first, last cause
+}
+
 // settle condemns the contents whose evidence has stood for long enough.
 func (l *Ledger) settle(now time.Time) {
+	charges := l.charges(now)
+	claims := make(map[crash]int, len(charges))
+	for _, c := range charges {
+		claims[c.first.crash]++
+	}
+	for i := range charges {
+		c := &charges[i]
+		if claims[c.first.crash] > 1 && !l.simple {
+			continue
+		}
+		s := l.contents[c.content]
+		s.condemned = true
+		s.changed = now
+		l.losses[c.first.crash].blamed = &c.content
+		l.losses[c.last.crash].blamed = &c.content
+	}
+}
+
+// charges lists the proven cases, at most one for each content.
+func (l *Ledger) charges(now time.Time) []charge {
+	var charges []charge
 	for k, s := range l.contents {
 		if s.condemned {
 			continue
 		}
 		for _, last := range s.causes {
 			first, ok := l.earlier(k, s, last)
-			if !ok || l.waiting(now, last) || !l.proven(k, first, last) {
-				continue
+			if ok && !l.waiting(now, last) && l.proven(k, first, last) {
+				charges = append(charges, charge{content: k, first: first, last: last})
+				break
 			}
-			s.condemned = true
-			s.changed = now
-			l.losses[first.crash].blamed = &k
-			l.losses[last.crash].blamed = &k
-			break
 		}
 	}
+	slices.SortFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
+	return charges
 }
 
 // unsettled reports whether a content's latest crash is too recent for a verdict.
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -76,6 +76,7 @@
 	suspicion struct {
 		causes    []cause
 		condemned bool
+		cleared   time.Time // when it last gave a whole answer; crashes before then don't count
 		changed   time.Time
 		expiry    time.Time
 	}
@@ -143,8 +144,8 @@
 	delete(l.runs, runKey{server, id})
 }
 
-// Completed records that an attempt gave its whole answer, which clears its content.
-func (l *Ledger) Completed(_ time.Time, server string, id protocol.AttemptID) {
+// Completed records that an attempt gave its whole answer, which clears its content of earlier crashes.
+func (l *Ledger) Completed(now time.Time, server string, id protocol.AttemptID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := runKey{server, id}
@@ -153,8 +154,8 @@
 		return
 	}
 	delete(l.runs, k)
-	if s := l.contents[r.content]; s != nil && !s.condemned {
-		l.forget(r.content)
+	if s := l.contents[r.content]; s != nil {
+		l.clear(now, r.content, s, now)
 	}
 }
 
@@ -195,6 +196,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prepare(now)
+	if len(l.contents) == 0 {
+		return Clear
+	}
 	l.settle(now)
 	return l.verdict(now, content{workspace, fingerprint})
 }
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -32,6 +32,9 @@
 	if s == nil {
 		return
 	}
+	if n.Cleared > 0 {
+		l.clear(now, k, s, now.Add(-n.Cleared))
+	}
 	expiry := now.Add(min(n.Expiry, cmp.Or(l.Expiry, DefaultExpiry)))
 	if n.Expiry > 0 {
 		s.expiry = expiry
@@ -106,6 +109,9 @@
 			Workspace: k.workspace, Fingerprint: k.fingerprint,
 			Crashes: len(s.causes), Expiry: s.expiry.Sub(now), Alone: s.condemned,
 		}
+		if !s.cleared.IsZero() {
+			n.Cleared = max(now.Sub(s.cleared), 1)
+		}
 		for _, c := range s.causes {
 			if lost := l.losses[c.crash]; lost != nil {
 				n.Causes = append(n.Causes, protocol.CrashCause{
