--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,65 @@
+package service
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
+)
+
+func post(t *testing.T, url, key, body string) (*http.Response, string, error) {
+	t.Helper()
+	req, _ := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	req.Header.Set(KeyHeader, key)
+	req.GetBody = nil // the transport sends requests with an idempotency key again otherwise
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return resp, string(data), nil
+}
+
+func TestOrderFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults string
+		broken bool
+		status int
+		notRun string
+		runs   string
+	}{
+		{"none", `{}`, false, http.StatusCreated, "", `{"runs":{"k":1}}`},
+		{"refuse", `{"refuse":true}`, false, http.StatusServiceUnavailable, "true", `{"runs":{}}`},
+		{"leaving", `{"leaving":true}`, false, http.StatusServiceUnavailable, "true", `{"runs":{}}`},
+		{"break after run", `{"break_after_run":1}`, true, 0, "", `{"runs":{"k":1}}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer((&Service{}).Handler())
+			defer server.Close()
+			if _, _, err := post(t, server.URL+"/faults", "", tt.faults); err != nil {
+				t.Fatal(err)
+			}
+			resp, _, err := post(t, server.URL+"/orders", "k", `{"item":"mold","quantity":1}`)
+			if tt.broken != (err != nil) {
+				t.Fatalf("answer %v, error %v", resp, err)
+			}
+			if err == nil && (resp.StatusCode != tt.status || resp.Header.Get(outcome.NotRunHeader) != tt.notRun) {
+				t.Errorf("answered %s with %v", resp.Status, resp.Header)
+			}
+			runs, err := http.Get(server.URL + "/runs")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer runs.Body.Close()
+			if got, _ := io.ReadAll(runs.Body); strings.TrimSpace(string(got)) != tt.runs {
+				t.Errorf("runs %s, want %s", got, tt.runs)
+			}
+		})
+	}
+}
