document: parse, check and diff the configuration, and manifest: acceptance and state

Cause: the admin API, the command line and the spread of configuration build on these. Measured: nothing yet.

--- /dev/null
+++ b/internal/document/diff.go
@@ -0,0 +1,28 @@
+package document
+
+import "github.com/pmezard/go-difflib/difflib"
+
+const diffContextLines = 3
+
+// Diff returns a unified diff of two bodies with one value a line; it is empty when they are equal.
+func Diff(before, after []byte) string {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A:        lines(before),
+		B:        lines(after),
+		FromFile: "before",
+		ToFile:   "after",
+		Context:  diffContextLines,
+	})
+	if err != nil {
+		return err.Error()
+	}
+	return text
+}
+
+func lines(body []byte) []string {
+	if len(body) == 0 {
+		return nil
+	}
+	split := difflib.SplitLines(string(Indent(body)))
+	return split[:len(split)-1] // SplitLines adds an empty line after the last line break
+}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,160 @@
+package manifest
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// Key is the key of the manifest in the platform's store.
+const Key = "config/manifest"
+
+// RecentChanges bounds how many change ids a manifest keeps for settling lost answers.
+const RecentChanges = 64
+
+type (
+	// Manifest names the accepted body of each section; a higher revision supersedes a lower one.
+	Manifest struct {
+		Revision uint64           `json:"revision"`
+		Sections []SectionVersion `json:"sections"`
+		Change   Change           `json:"change"`
+		Recent   []Recent         `json:"recent"` // latest last
+	}
+
+	// SectionVersion names the body of one section and the manifest revision that brought it.
+	SectionVersion struct {
+		Section  document.Section `json:"section"`
+		Revision uint64           `json:"revision"`
+		Digest   string           `json:"digest"`
+	}
+
+	// Change tells who made a manifest out of the one before, when and why.
+	Change struct {
+		ID      string           `json:"id"`
+		Author  string           `json:"author"`
+		Reason  string           `json:"reason"`
+		Time    time.Time        `json:"time"`
+		Section document.Section `json:"section"`
+		Before  string           `json:"before,omitempty"` // digest; empty when the section is new
+		After   string           `json:"after"`
+	}
+
+	// Recent is a change that was accepted lately.
+	Recent struct {
+		ID       string `json:"id"`
+		Revision uint64 `json:"revision"`
+	}
+
+	// Record is the audit record of one acceptance.
+	Record struct {
+		Revision uint64 `json:"revision"`
+		Change   Change `json:"change"`
+	}
+)
+
+// BodyKey returns the key of a section's body in the platform's store.
+func BodyKey(section document.Section, digest string) string {
+	return "config/body/" + string(section) + "/" + digest
+}
+
+// AuditKey returns the key of the audit record of a revision in the platform's store.
+func AuditKey(revision uint64) string {
+	return fmt.Sprintf("config/audit/%020d", revision)
+}
+
+// Parse reads an encoded manifest, or returns an *Error.
+func Parse(text []byte) (Manifest, error) {
+	var m Manifest
+	if err := json.Unmarshal(text, &m); err != nil {
+		return Manifest{}, &Error{Op: "parse manifest", Kind: KindInvalid, Err: errors.WithStack(err)}
+	}
+	for _, s := range m.Sections {
+		if s.Section == "" || s.Digest == "" || s.Revision > m.Revision {
+			return Manifest{}, &Error{Op: "parse manifest", Kind: KindInvalid, Err: errors.Errorf("section %q is faulty", s.Section)}
+		}
+	}
+	return m, nil
+}
+
+// Encode returns the manifest as JSON.
+func (m Manifest) Encode() []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // no field of a manifest can fail to encode
+	}
+	return text
+}
+
+// Version returns the revision and digest that hosts compare.
+func (m Manifest) Version() protocol.ManifestVersion {
+	if m.Revision == 0 {
+		return protocol.ManifestVersion{}
+	}
+	return protocol.ManifestVersion{Revision: m.Revision, Digest: document.Digest(m.Encode())}
+}
+
+// Section returns the version of a section; it is zero when the section is absent.
+func (m Manifest) Section(section document.Section) SectionVersion {
+	for _, s := range m.Sections {
+		if s.Section == section {
+			return s
+		}
+	}
+	return SectionVersion{Section: section}
+}
+
+// Accepted returns the revision at which a recent change was accepted, or 0.
+func (m Manifest) Accepted(id string) uint64 {
+	for _, r := range m.Recent {
+		if r.ID == id {
+			return r.Revision
+		}
+	}
+	return 0
+}
+
+// Record returns the audit record of the manifest's own change.
+func (m Manifest) Record() Record {
+	return Record{Revision: m.Revision, Change: m.Change}
+}
+
+// Encode returns the record as JSON.
+func (r Record) Encode() []byte {
+	text, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // no field of a record can fail to encode
+	}
+	return text
+}
+
+// ParseRecord reads an encoded audit record, or returns an *Error.
+func ParseRecord(text []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return Record{}, &Error{Op: "parse audit record", Kind: KindInvalid, Err: errors.WithStack(err)}
+	}
+	return r, nil
+}
+
+// Returns the manifest that a change makes of m.
+func (m Manifest) with(change Change) Manifest {
+	next := Manifest{Revision: m.Revision + 1, Change: change, Sections: slices.Clone(m.Sections)}
+	version := SectionVersion{Section: change.Section, Revision: next.Revision, Digest: change.After}
+	at := slices.IndexFunc(next.Sections, func(s SectionVersion) bool { return s.Section == change.Section })
+	if at < 0 {
+		next.Sections = append(next.Sections, version)
+	} else {
+		next.Sections[at] = version
+	}
+	next.Recent = append(slices.Clone(m.Recent), Recent{ID: change.ID, Revision: next.Revision})
+	if extra := len(next.Recent) - RecentChanges; extra > 0 {
+		next.Recent = next.Recent[extra:]
+	}
+	return next
+}
