--- /dev/null
+++ b/internal/spread/edges.go
@@ -0,0 +1,43 @@
+package spread
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// EdgesPerDomain is how many hosts of a failure domain watch the platform's store.
+const EdgesPerDomain = 2
+
+// Edges returns the hosts of a failure domain that watch the platform's store, chosen by rendezvous hashing.
+func Edges(failureDomain string, hosts []protocol.Host) []protocol.Host {
+	domain := ranked("config-edge", inDomain(failureDomain, hosts))
+	return domain[:min(EdgesPerDomain, len(domain))]
+}
+
+func inDomain(failureDomain string, hosts []protocol.Host) []protocol.Host {
+	var domain []protocol.Host
+	for _, h := range hosts {
+		if h.FailureDomain == failureDomain {
+			domain = append(domain, h)
+		}
+	}
+	return domain
+}
+
+// Returns hosts in descending order of their rendezvous weight for key.
+func ranked(key string, hosts []protocol.Host) []protocol.Host {
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(a, b protocol.Host) int {
+		if c := cmp.Compare(weight(key, b.Name), weight(key, a.Name)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return sorted
+}
+
+func weight(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
