order: run requests that must not be repeated under claims

Cause: an order must run at most once across hosts, resends and lost answers. Change: claim decides as a pure state machine; order carries its actions out over the store, the services and the owners of claims; service forwards calls to plain services. A claim is written under a lease that is never renewed and lives longer than the retention: its lapse deletes the claims, so that expiry costs no deletion per claim and no listing of them. Ruled out: net/http's own connection reuse for calls that must not be repeated, for it sends a POST with an idempotency key again when a kept connection breaks.

--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,230 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/platform"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/service"
+	standin "github.com/turmericshunt/turmericshunt/internal/standin/platform"
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
+)
+
+// services is a plain service that counts its runs.
+type services struct {
+	runs   atomic.Int32
+	answer func(runs int) (service.Answer, error) // nil answers 201 at once
+}
+
+func (s *services) Do(_ context.Context, call *service.Call) (service.Answer, error) {
+	runs := s.runs.Add(1)
+	if s.answer != nil {
+		return s.answer(int(runs))
+	}
+	return service.Answer{Status: http.StatusCreated, Body: append([]byte("done: "), call.Body...)}, nil
+}
+
+// owners asks the runners of the same test.
+type owners map[string]*Runner
+
+func (o owners) Running(_ context.Context, id protocol.AttemptID) (bool, error) {
+	if o[id.Host] == nil {
+		return false, errors.New("unreachable")
+	}
+	return o[id.Host].Running(id), nil
+}
+
+func newRunner(host string, p *standin.Server, s Services, o owners) *Runner {
+	r := &Runner{
+		Store: &platform.Client{
+			Endpoint: netip.MustParseAddrPort("127.0.0.1:1"), Host: host,
+			HTTP: &http.Client{Transport: &standin.InProcess{Server: p}},
+		},
+		Services: s, Owners: o, Host: protocol.Host{Name: host, Incarnation: 1},
+	}
+	o[host] = r
+	return r
+}
+
+func request(key, body string) *Request {
+	return &Request{
+		Workspace: "w", Key: key, Service: "orders", Method: http.MethodPost, Path: "/confirm",
+		Body: []byte(body), Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+// told is what a caller learns.
+func told(a Answer, err error) string {
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		return string(e.Kind) + " " + string(e.Outcome)
+	}
+	if a.Replayed {
+		return "replayed " + string(a.Body)
+	}
+	return "answered " + string(a.Body)
+}
+
+func broken(kind service.Kind) func(int) (service.Answer, error) {
+	return func(int) (service.Answer, error) { return service.Answer{}, &service.Error{Op: "call", Kind: kind} }
+}
+
+func TestDo(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults platformapi.Faults // from the first sending on
+		answer func(int) (service.Answer, error)
+		body   string // of the resend
+		first  string
+		resend string // at another host, after the faults ended
+		runs   int32
+	}{
+		{
+			name: "resend gets the recorded answer", body: "b",
+			first: "answered done: b", resend: "replayed done: b", runs: 1,
+		},
+		{
+			name: "same key with another body", body: "c",
+			first: "answered done: b", resend: "idempotency_key_reused not_run", runs: 1,
+		},
+		{
+			name: "lost answers of the store", faults: platformapi.Faults{LoseWriteAnswers: 3}, body: "b",
+			first: "answered done: b", resend: "replayed done: b", runs: 1,
+		},
+		{
+			name: "store down", faults: platformapi.Faults{Down: true}, body: "b",
+			first: "store_unavailable not_run", resend: "answered done: b", runs: 1,
+		},
+		{
+			name: "store silent", faults: platformapi.Faults{Hang: true}, body: "b",
+			first: "store_unavailable not_run", resend: "answered done: b", runs: 1,
+		},
+		{
+			name: "store late", faults: platformapi.Faults{LateMS: 3000}, body: "b",
+			first: "store_unavailable not_run", resend: "answered done: b", runs: 1,
+		},
+		{
+			name: "answer of the service lost", answer: broken(service.KindBroken), body: "b",
+			first: "outcome_unknown unknown", resend: "outcome_unknown unknown", runs: 1,
+		},
+		{
+			name: "refused by the service", answer: func(runs int) (service.Answer, error) {
+				if runs == 1 {
+					return service.Answer{}, &service.Error{Op: "call", Kind: service.KindRefused}
+				}
+				return service.Answer{Status: http.StatusOK, Body: []byte("second")}, nil
+			}, body: "b", first: "unavailable not_run", resend: "answered second", runs: 2,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, s, o := &standin.Server{}, &services{answer: tt.answer}, owners{}
+				r1, r2 := newRunner("e1", p, s, o), newRunner("e2", p, s, o)
+				p.SetFaults(tt.faults)
+				start := time.Now()
+				if got := told(r1.Do(t.Context(), request("k", "b"))); got != tt.first {
+					t.Errorf("first: got %q, want %q", got, tt.first)
+				}
+				if took := time.Since(start); took > 3*time.Second {
+					t.Errorf("answered after %v", took)
+				}
+				p.SetFaults(platformapi.Faults{})
+				time.Sleep(10 * time.Second)
+				if got := told(r2.Do(t.Context(), request("k", tt.body))); got != tt.resend {
+					t.Errorf("resend: got %q, want %q", got, tt.resend)
+				}
+				if got := s.runs.Load(); got != tt.runs {
+					t.Errorf("%d runs, want %d", got, tt.runs)
+				}
+			})
+		})
+	}
+}
+
+func TestResendWhileRunning(t *testing.T) {
+	tests := []struct {
+		name  string
+		takes time.Duration
+		dies  bool // the first host can't be asked
+		want  string
+	}{
+		{"waits for its owner", 4 * time.Second, false, "replayed late"},
+		{"owner works beyond the deadline", 15 * time.Second, false, "in_progress unknown"},
+		{"owner is gone", 15 * time.Second, true, "outcome_unknown unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &services{answer: func(int) (service.Answer, error) {
+					time.Sleep(tt.takes)
+					return service.Answer{Status: http.StatusOK, Body: []byte("late")}, nil
+				}}
+				p, o := &standin.Server{}, owners{}
+				r1, r2 := newRunner("e1", p, s, o), newRunner("e2", p, s, o)
+				go func() { _, _ = r1.Do(t.Context(), request("k", "b")) }()
+				time.Sleep(time.Second)
+				if tt.dies {
+					delete(o, "e1")
+				}
+				if got := told(r2.Do(t.Context(), request("k", "b"))); got != tt.want || s.runs.Load() != 1 {
+					t.Errorf("got %q, want %q; %d runs", got, tt.want, s.runs.Load())
+				}
+				if err := r1.Stop(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				if got := told(r2.Do(t.Context(), request("k", "b"))); got != "replayed late" {
+					t.Errorf("after the end: got %q", got)
+				}
+				if got := told(r1.Do(t.Context(), request("k2", "b"))); got != "host_stopping not_run" {
+					t.Errorf("while stopping: got %q", got)
+				}
+			})
+		})
+	}
+}
+
+// An earlier sending ran, so that a sending refused for the store's outage must not be told not_run.
+func TestStoreDownAfterRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, s, o := &standin.Server{}, &services{}, owners{}
+		r := newRunner("e1", p, s, o)
+		_, _ = r.Do(t.Context(), request("k", "b"))
+		time.Sleep(time.Second)
+		p.SetFaults(platformapi.Faults{Down: true})
+		if got := told(r.Do(t.Context(), request("k", "b"))); got != "store_unavailable unknown" {
+			t.Errorf("got %q", got)
+		}
+		_ = r.Stop(t.Context())
+	})
+}
+
+func TestRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, s, o := &standin.Server{}, &services{}, owners{}
+		r := newRunner("e1", p, s, o)
+		_, _ = r.Do(t.Context(), request("k", "b"))
+		for range 11 {
+			time.Sleep(time.Hour)
+			if got := told(r.Do(t.Context(), request("k", "b"))); got != "replayed done: b" {
+				t.Errorf("got %q", got)
+			}
+		}
+		time.Sleep(2 * time.Hour)
+		if _, err := r.Store.Get(t.Context(), "claims/"); platform.KindOf(err) != platform.KindNotFound {
+			t.Errorf("got %v", err)
+		}
+		list, err := r.Store.(*platform.Client).List(t.Context(), "claims/")
+		if err != nil || len(list.Entries) != 0 {
+			t.Errorf("%d claims after their retention, %v", len(list.Entries), err)
+		}
+	})
+}
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -104,6 +104,9 @@
 	if err := c.admit(ctx, b); err != nil {
 		return &Error{Op: call.op, Kind: KindThrottled, Err: err}
 	}
+	if err := ctx.Err(); err != nil {
+		return &Error{Op: call.op, Kind: KindUnavailable, Err: err}
+	}
 	if wait, ok := c.enter(); !ok {
 		return &Error{Op: call.op, Kind: KindUnavailable, Err: errors.Errorf("circuit breaker open for %v", wait)}
 	}
