--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,236 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	standin "github.com/turmericshunt/turmericshunt/internal/standin/engine"
+	"github.com/turmericshunt/turmericshunt/internal/standin/service"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+)
+
+// serve starts a fast stand-in.
+func serve(t *testing.T) protocol.Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	e := &standin.Engine{Models: []string{"m"}, Speed: 50, Heartbeat: 20 * time.Millisecond}
+	go func() { done <- e.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return protocol.Server{Name: "g1", Address: netip.MustParseAddrPort(l.Addr().String())}
+}
+
+func setFaults(t *testing.T, server protocol.Server, path, body string) {
+	t.Helper()
+	resp, err := http.Post("http://"+server.Address.String()+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
+func submission(tokens int64) engineapi.Submit {
+	return engineapi.Submit{
+		Owner: engineapi.Owner{Request: "r/1", Attempt: 2}, Model: "m", Prompt: "tender",
+		PromptTokens: 1000, MaxTokens: tokens, ExpiryMS: 60_000,
+	}
+}
+
+// collect reads frames up to the end marker.
+func collect(t *testing.T, s *Stream) (string, error) {
+	t.Helper()
+	defer s.Close()
+	var text strings.Builder
+	for {
+		event, f, err := s.Next(t.Context())
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(f.Text)
+		if event == engineapi.FrameEnd {
+			return text.String(), nil
+		}
+	}
+}
+
+func kind(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+func TestSubmit(t *testing.T) {
+	server := serve(t)
+	c := &Client{Host: protocol.Host{Name: "e1", Incarnation: 7}}
+	s := submission(30)
+	stream, err := c.Submit(t.Context(), server, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := collect(t, stream)
+	if want := standin.Answer(s.Prompt, s.MaxTokens); err != nil || text != want {
+		t.Errorf("got %q, %v; want %q", text, err, want)
+	}
+	status, err := c.Status(t.Context(), server, s.Owner)
+	if err != nil || status.State != "done" || status.Host != "e1" {
+		t.Errorf("status %+v, %v", status, err)
+	}
+}
+
+func TestErrorKinds(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	tests := []struct {
+		name   string
+		change func(*engineapi.Submit, *protocol.Server)
+		want   Kind
+		notRun bool
+	}{
+		{"unknown model", func(s *engineapi.Submit, _ *protocol.Server) { s.Model = "x" }, KindRefused, true},
+		{"larger than memory", func(s *engineapi.Submit, _ *protocol.Server) { s.PromptTokens = 1e6 }, KindRefused, true},
+		{"no request", func(s *engineapi.Submit, _ *protocol.Server) { s.Request = "" }, KindInvalid, true},
+		{"nobody listens", func(_ *engineapi.Submit, server *protocol.Server) {
+			server.Address = netip.MustParseAddrPort(gone.Addr().String())
+		}, KindConnect, true},
+	}
+	server := serve(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, at := submission(5), server
+			tt.change(&s, &at)
+			_, err := (&Client{}).Submit(t.Context(), at, s)
+			var e *Error
+			if !errors.As(err, &e) || e.Kind != tt.want || e.NotRun() != tt.notRun {
+				t.Errorf("got %v, want %s", err, tt.want)
+			}
+		})
+	}
+	if _, err := (&Client{}).Status(t.Context(), server, engineapi.Owner{Request: "x"}); kind(err) != KindNotFound {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestSilentStream resumes an answer over a new connection after its own went silent.
+func TestSilentStream(t *testing.T) {
+	server := serve(t)
+	c := &Client{GapTimeout: time.Second}
+	s := submission(3000)
+	stream, err := c.Submit(t.Context(), server, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	setFaults(t, server, "/v1/faults", `{"silent_connections":true}`)
+	text, err := collect(t, stream)
+	if kind(err) != KindSilent {
+		t.Fatalf("got %v", err)
+	}
+	offset := int64(len(strings.Fields(text)))
+	stream, err = c.Resume(t.Context(), server, s.Owner, offset)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest, err := collect(t, stream)
+	if err != nil || text+rest != standin.Answer(s.Prompt, s.MaxTokens) {
+		t.Errorf("resumed answer of %d bytes is not whole: %v", len(text+rest), err)
+	}
+}
+
+func TestBrokenStream(t *testing.T) {
+	server := serve(t)
+	c := &Client{}
+	setFaults(t, server, "/v1/faults", `{"drop_end_marker":true}`)
+	stream, err := c.Submit(t.Context(), server, submission(5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := collect(t, stream); kind(err) != KindBroken {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestRelease(t *testing.T) {
+	server := serve(t)
+	c := &Client{Host: protocol.Host{Name: "e1"}}
+	a, err := c.Reserve(t.Context(), server, engineapi.Reserve{
+		Owner: engineapi.Owner{Request: "r", Attempt: 1}, Bytes: 1 << 30, ExpiryMS: 60_000,
+	})
+	if err != nil || a.Host != "e1" {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	setFaults(t, server, "/v1/faults", `{"lose_releases":1}`)
+	if _, err := c.Release(t.Context(), server, a.ID, false); err == nil {
+		t.Error("a lost release was confirmed")
+	}
+	if r, err := c.Release(t.Context(), server, a.ID, true); err != nil || r.Bytes != 1<<30 {
+		t.Errorf("released %+v, %v", r, err)
+	}
+}
+
+// TestSendOnce breaks a reused connection under an order; the transport must not send it again by itself.
+func TestSendOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		send func(*Client, protocol.Server, *http.Request) (*http.Response, error)
+		runs string
+	}{
+		{"Send", func(c *Client, s protocol.Server, r *http.Request) (*http.Response, error) {
+			return c.Send(r.Context(), s, r)
+		}, `{"runs":{"k":1}}`},
+		{"plain transport", func(c *Client, s protocol.Server, r *http.Request) (*http.Response, error) {
+			return c.transport(&exchange{server: s}).RoundTrip(r)
+		}, `{"runs":{"k":2}}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			web := httptest.NewServer((&service.Service{}).Handler())
+			defer web.Close()
+			server := protocol.Server{Name: "s1", Address: netip.MustParseAddrPort(web.Listener.Addr().String())}
+			c := &Client{}
+			defer c.Close()
+			get, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, web.URL+"/stock/x", nil)
+			resp, err := c.Send(t.Context(), server, get)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			setFaults(t, server, "/faults", `{"break_after_run":1}`)
+			order, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, web.URL+"/orders",
+				strings.NewReader(`{"item":"mold"}`))
+			order.Header.Set("Idempotency-Key", "k")
+			if resp, err := tt.send(c, server, order); err == nil {
+				resp.Body.Close()
+			}
+			runs, err := http.Get(web.URL + "/runs")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer runs.Body.Close()
+			if got, _ := io.ReadAll(runs.Body); strings.TrimSpace(string(got)) != tt.runs {
+				t.Errorf("runs %s, want %s", got, tt.runs)
+			}
+		})
+	}
+}
