--- /dev/null
+++ b/internal/violation/violation.go
@@ -0,0 +1,41 @@
+// Package violation lets tests show that a property fails while one protection is switched off.
+package violation
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Fix makes rapid repeat the same cases in each run; test packages call it from TestMain.
+func Fix() error {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		return err
+	}
+	return flag.Set("rapid.nofailfile", "true")
+}
+
+// Found reports whether rapid finds a case that breaks property.
+func Found(t *testing.T, property func(*rapid.T)) bool {
+	t.Helper()
+	r := &recorder{T: t}
+	rapid.Check(r, property)
+	return r.failed
+}
+
+// recorder notes failures instead of failing the test.
+type recorder struct {
+	*testing.T
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Fatalf(string, ...any) { r.failed = true }
+func (r *recorder) Fatal(...any)          { r.failed = true }
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) FailNow()              { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Log(...any)            {}
