dispatch, scheduler, entry: run a prompt from its caller to an engine

Cause: the whole path must stand before its parts are deepened. Ruled out: a proxying entry host that hands streams to the scheduler's host, since the scheduler's death would then cut them. Change: shells around the pure decisions of admission, quota, routing, grants, retries, suspects, streams and long prompts; the callers' interface; a board of rows; copies of the platform's host list; repeated releases. Measured: nothing yet; not run end to end.

--- /dev/null
+++ b/internal/entry/complete.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"mime"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/chat"
+	"github.com/turmericshunt/turmericshunt/internal/dispatch"
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
+)
+
+const defaultBytesPerToken = 4
+
+func (s *Server) complete(c echo.Context) error {
+	job, err := s.readJob(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(c.Request().Context(), job.Deadline)
+	defer cancel()
+	if job.Streaming {
+		return s.stream(ctx, c, job)
+	}
+	return s.whole(ctx, c, job)
+}
+
+func (s *Server) readJob(c echo.Context) (*dispatch.Job, error) {
+	began := time.Now()
+	d := s.Configuration.Document()
+	if d == nil {
+		return nil, notConfigured("complete")
+	}
+	header := c.Request().Header
+	if kind, _, err := mime.ParseMediaType(header.Get(echo.HeaderContentType)); err != nil || kind != echo.MIMEApplicationJSON {
+		return nil, refuse("read request", outcome.KindBadRequest, "Content-Type must be application/json")
+	}
+	workspace, err := workspaceOf(d, header)
+	if err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	r, err := chat.Parse(body)
+	if err != nil {
+		return nil, err
+	}
+	job := &dispatch.Job{
+		RequestID: requestID(c), Workspace: workspace, Model: r.Model, Adapter: r.Adapter,
+		Prompt: r.Prompt(), OutputTokens: r.OutputTokens(), Streaming: r.Stream,
+	}
+	if err := size(job, d); err != nil {
+		return nil, err
+	}
+	if job.Class, err = classOf(header, job.PromptTokens); err != nil {
+		return nil, err
+	}
+	left, err := timeLeft(header, presetDeadline(d.Scheduling, job.Class))
+	if err != nil {
+		return nil, err
+	}
+	job.Deadline = began.Add(left)
+	return job, nil
+}
+
+// Estimates the prompt's tokens and compares the job with its model's limits.
+func size(job *dispatch.Job, d *document.Document) error {
+	m := findModel(d, job.Model)
+	if m == nil {
+		return refuse("find model", outcome.KindNotFound, "model: unknown model "+strconv.Quote(job.Model))
+	}
+	perToken := m.BytesPerToken
+	if perToken <= 0 {
+		perToken = defaultBytesPerToken
+	}
+	job.PromptTokens = int64(float64(len(job.Prompt))/perToken) + 1
+	if m.MaxPromptTokens > 0 && job.PromptTokens > m.MaxPromptTokens {
+		return refuse("check length", outcome.KindTooLong, "messages: about "+strconv.FormatInt(job.PromptTokens, 10)+
+			" tokens are over the model's "+strconv.FormatInt(m.MaxPromptTokens, 10))
+	}
+	if m.MaxOutputTokens > 0 && job.OutputTokens > m.MaxOutputTokens {
+		return refuse("check length", outcome.KindBadRequest, "max_tokens: over the model's "+strconv.FormatInt(m.MaxOutputTokens, 10))
+	}
+	return nil
+}
+
+func findModel(d *document.Document, name string) *document.Model {
+	for i := range d.Models {
+		if d.Models[i].Name == name {
+			return &d.Models[i]
+		}
+	}
+	return nil
+}
+
+func (s *Server) whole(ctx context.Context, c echo.Context, job *dispatch.Job) error {
+	var text collector
+	answer, err := s.Prompts.Run(ctx, job, &text)
+	if err != nil {
+		return err
+	}
+	header := c.Response().Header()
+	header.Set(outcome.Header, string(outcome.Completed))
+	header.Set(HeaderServer, answer.Server)
+	s.recordFirstToken(job, answer)
+	return c.JSON(http.StatusOK, chat.Completion{
+		ID: job.RequestID, Object: "chat.completion", Created: time.Now().Unix(), Model: job.Model,
+		Choices: []chat.Choice{{Message: chat.Text{Role: "assistant", Content: text.String()}, FinishReason: answer.FinishReason}},
+		Usage:   usage(job, answer),
+		Outcome: outcome.Completed,
+	})
+}
+
+func usage(job *dispatch.Job, answer dispatch.Answer) chat.Usage {
+	return chat.Usage{
+		PromptTokens:     job.PromptTokens,
+		CompletionTokens: answer.OutputTokens,
+		TotalTokens:      job.PromptTokens + answer.OutputTokens,
+		Details:          chat.PromptDetails{CachedTokens: answer.CachedTokens},
+	}
+}
+
+// Collects the pieces of an answer that is not streamed.
+type collector struct{ strings.Builder }
+
+// Deliver appends text.
+func (c *collector) Deliver(text string) error {
+	c.WriteString(text)
+	return nil
+}
+
+func (s *Server) stream(ctx context.Context, c echo.Context, job *dispatch.Job) error {
+	events := &eventWriter{response: c.Response(), job: job}
+	c.Response().Header().Set("Trailer", outcome.Header+", "+HeaderServer)
+	answer, err := s.Prompts.Run(ctx, job, events)
+	header := c.Response().Header()
+	if err != nil {
+		if !events.began {
+			header.Del("Trailer")
+			return err
+		}
+		failure, field := classify(err)
+		header.Set(outcome.Header, string(failure.Outcome))
+		_ = events.write(chat.NewFailure(failure, job.RequestID, field))
+		return err
+	}
+	header.Set(outcome.Header, string(outcome.Completed))
+	header.Set(HeaderServer, answer.Server)
+	s.recordFirstToken(job, answer)
+	return events.finish(answer)
+}
+
+// Writes a streamed answer as server-sent events; the status line goes out with the first piece.
+type eventWriter struct {
+	response *echo.Response
+	job      *dispatch.Job
+	began    bool
+}
+
+// Deliver sends one piece, or returns an error when the caller is gone.
+func (w *eventWriter) Deliver(text string) error {
+	piece := chat.Text{Content: text}
+	if !w.began {
+		w.start()
+		piece.Role = "assistant"
+	}
+	return w.write(w.chunk(chat.Delta{Delta: piece}))
+}
+
+func (w *eventWriter) start() {
+	w.began = true
+	header := w.response.Header()
+	header.Set(echo.HeaderContentType, "text/event-stream")
+	header.Set(echo.HeaderCacheControl, "no-store")
+	w.response.WriteHeader(http.StatusOK)
+}
+
+func (w *eventWriter) chunk(d chat.Delta) chat.Chunk {
+	return chat.Chunk{
+		ID: w.job.RequestID, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: w.job.Model,
+		Choices: []chat.Delta{d},
+	}
+}
+
+func (w *eventWriter) finish(answer dispatch.Answer) error {
+	if !w.began {
+		w.start()
+	}
+	last := w.chunk(chat.Delta{FinishReason: &answer.FinishReason})
+	u := usage(w.job, answer)
+	last.Usage = &u
+	last.Outcome = outcome.Completed
+	if err := w.write(last); err != nil {
+		return err
+	}
+	_, err := w.response.Write([]byte("data: [DONE]\n\n"))
+	return errors.WithStack(err)
+}
+
+func (w *eventWriter) write(event any) error {
+	body, err := json.Marshal(event)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	control := http.NewResponseController(w.response)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	line := append(append([]byte("data: "), body...), '\n', '\n')
+	if _, err := w.response.Write(line); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(control.Flush())
+}
+
+// Records the time to the first token by the class of prompt lengths.
+func (s *Server) recordFirstToken(job *dispatch.Job, answer dispatch.Answer) {
+	scope := s.Metrics.Tagged(map[string]string{"prompt_length": lengthClass(job.PromptTokens)})
+	scope.Timer("first_token").Record(answer.FirstToken)
+}
+
+func lengthClass(tokens int64) string {
+	switch {
+	case tokens <= 4_000:
+		return "up_to_4k"
+	case tokens <= 32_000:
+		return "up_to_32k"
+	case tokens <= 100_000:
+		return "up_to_100k"
+	default:
+		return "over_100k"
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
 // Classes of requests by how urgently they are scheduled.
@@ -152,6 +154,8 @@
 		DecodeRate    float64       `cbor:"14,keyasint"` // tokens per second and sequence
 		LongDemand    float64       `cbor:"15,keyasint"` // prompt tokens per second of long prompts asked for here
 		ShortDemand   float64       `cbor:"16,keyasint"` // prompt tokens per second of other prompts asked for here
+		Scheduler     string        `cbor:"17,keyasint"` // host that schedules the backend server
+		Age           time.Duration `cbor:"18,keyasint"` // since the scheduler made the row
 	}
 
 	// Aggregate summarizes a model's backend servers of one failure domain for the others.
@@ -197,6 +201,7 @@
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
 		Usage      []Usage         `cbor:"8,keyasint"`
+		HostsIndex uint64          `cbor:"9,keyasint"` // of the sender's copy of the platform's host list
 	}
 
 	// Ack answers a Probe with the receiver's own news.
@@ -209,6 +214,7 @@
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
 		Usage      []Usage         `cbor:"8,keyasint"`
+		HostsIndex uint64          `cbor:"9,keyasint"` // of the sender's copy of the platform's host list
 	}
 
 	// Suspicion spreads that a request content may crash backend servers.
@@ -243,6 +249,17 @@
 		Bodies   [][]byte        `cbor:"3,keyasint"`
 	}
 
+	// PullHosts asks a peer for its copy of the platform's host list when it is newer than Have.
+	PullHosts struct {
+		Have uint64 `cbor:"1,keyasint"`
+	}
+
+	// HostList is a copy of the platform's host list as of Index; empty when the peer has nothing newer.
+	HostList struct {
+		Index uint64             `cbor:"1,keyasint"`
+		Hosts []platformapi.Host `cbor:"2,keyasint"`
+	}
+
 	// OrderStatus asks the owner of a claim whether its dispatch still runs.
 	OrderStatus struct {
 		Attempt AttemptID `cbor:"1,keyasint"`
@@ -267,6 +284,8 @@
 		OrderStatus *OrderStatus `cbor:"10,keyasint,omitempty"`
 		OrderState  *OrderState  `cbor:"11,keyasint,omitempty"`
 		Done        *Done        `cbor:"12,keyasint,omitempty"`
+		PullHosts   *PullHosts   `cbor:"13,keyasint,omitempty"`
+		HostList    *HostList    `cbor:"14,keyasint,omitempty"`
 	}
 
 	// Done confirms a message that needs no other answer.
--- /dev/null
+++ b/internal/scheduler/poll.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/grant"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+)
+
+// Times of asking a backend server for its state.
+const (
+	loadInterval   = 500 * time.Millisecond
+	loadTimeout    = time.Second
+	memoryInterval = 3 * time.Second
+	cacheWait      = 10 * time.Second
+	cachePause     = time.Second
+)
+
+// A backend server is unhealthy after this many unanswered load reports in a row.
+const maxMissedReports = 2
+
+func (r *runner) pollLoad(ctx context.Context) {
+	missed := 0
+	every(ctx, loadInterval, func() {
+		call, cancel := context.WithTimeout(ctx, loadTimeout)
+		defer cancel()
+		load, err := r.set.Engines.Load(call, r.server)
+		if err != nil {
+			missed++
+			if missed == maxMissedReports {
+				r.setDown(true)
+			}
+			return
+		}
+		missed = 0
+		r.report(load)
+		r.setDown(false)
+	})
+}
+
+func (r *runner) report(load engineapi.Load) {
+	now := time.Now()
+	r.set.Suspects.Epoch(now, r.server.Name, load.Epoch)
+	r.mu.Lock()
+	restarted := r.epoch != 0 && r.epoch != load.Epoch
+	r.epoch = load.Epoch
+	r.mu.Unlock()
+	if restarted {
+		r.set.Log.Info("backend server restarted", "backend_server", r.server.Name)
+		r.set.Comparison.Forget(r.server.Name)
+	}
+	r.update(func(now time.Time) []grant.Decision { return r.decide.Report(now, load) })
+}
+
+func (r *runner) setDown(down bool) {
+	r.mu.Lock()
+	changed := r.down != down
+	r.down = down
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	r.set.Log.Info("backend server changed health", "backend_server", r.server.Name, "down", down)
+	r.update(func(now time.Time) []grant.Decision { return r.decide.Unhealthy(now, down) })
+}
+
+// Compares the memory that the engine lists with the grants and frees what nobody will use.
+func (r *runner) pollMemory(ctx context.Context) {
+	every(ctx, memoryInterval, func() {
+		call, cancel := context.WithTimeout(ctx, loadTimeout)
+		defer cancel()
+		listed, err := r.set.Engines.Allocations(call, r.server)
+		if err != nil {
+			return
+		}
+		now := time.Now()
+		r.mu.Lock()
+		held := r.decide.Held(now)
+		r.mu.Unlock()
+		for _, a := range r.set.Comparison.Compare(now, r.server.Name, listed.Allocations, held, r.set.Living()) {
+			r.set.Releaser.Free(a.Server, a.Allocation)
+		}
+	})
+}
+
+func (r *runner) followCache(ctx context.Context) {
+	var after, epoch uint64
+	for ctx.Err() == nil {
+		events, err := r.set.Engines.CacheEvents(ctx, r.server, after, cacheWait)
+		if err != nil {
+			pause(ctx, cachePause)
+			continue
+		}
+		if events.Epoch != epoch {
+			epoch, after = events.Epoch, 0
+		}
+		for _, e := range events.Events {
+			after = max(after, e.Sequence)
+		}
+		r.mu.Lock()
+		r.decide.Cached(time.Now(), events)
+		r.mu.Unlock()
+		pause(ctx, cachePause)
+	}
+}
+
+// Runs task at once and then at the interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, task func()) {
+	for ctx.Err() == nil {
+		task()
+		pause(ctx, interval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/summary/board_test.go
@@ -0,0 +1,52 @@
+package summary
+
+import (
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+func row(server, scheduler string, revision uint64, age time.Duration) protocol.Row {
+	return protocol.Row{Server: server, Scheduler: scheduler, Revision: revision, Age: age}
+}
+
+func TestPostKeepsNewest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name          string
+		first, second protocol.Row
+		want          uint64
+	}{
+		{"newer revision", row("g", "a", 1, 0), row("g", "a", 2, 0), 2},
+		{"older revision arrives late", row("g", "a", 2, 0), row("g", "a", 1, 0), 2},
+		{"new scheduler starts again", row("g", "a", 9, time.Second), row("g", "b", 1, 0), 1},
+		{"late row of the old scheduler", row("g", "b", 1, 0), row("g", "a", 9, time.Second), 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			b := &Board{Hosts: 2}
+			b.Post(now, []protocol.Row{tc.first})
+			b.Post(now, []protocol.Row{tc.second})
+			if got := b.Rows(now)[0].Revision; got != tc.want {
+				t.Errorf("kept revision %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestPickEndsAndTakesTurns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Board{Hosts: 7}
+	b.Post(now, []protocol.Row{row("g1", "a", 1, 0), row("g2", "a", 1, 0), row("g3", "a", 1, 0)})
+	sent := 0
+	for rows := b.Pick(now, 2); len(rows) > 0; rows = b.Pick(now, 2) {
+		sent += len(rows)
+	}
+	if want := 3 * repeatsPerDoubling * 3; sent != want {
+		t.Errorf("sent %d rows, want %d", sent, want)
+	}
+	if got := b.Rows(now.Add(2 * forgetAfter)); len(got) != 0 {
+		t.Errorf("%d rows are kept for good", len(got))
+	}
+}
--- a/pkg/engineapi/engineapi.go
+++ b/pkg/engineapi/engineapi.go
@@ -1,5 +1,8 @@
 package engineapi
 
+// BlockTokens is the number of prompt tokens that each of the Blocks of a Submit covers.
+const BlockTokens = 1024
+
 // Allocation kinds.
 const (
 	KindSequence    = "sequence"
