--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -173,6 +173,8 @@
 	Member struct {
 		Host  Host        `cbor:"1,keyasint"`
 		State MemberState `cbor:"2,keyasint"`
+		// Refutation counts how often this incarnation of the host has contradicted a wrong belief about itself.
+		Refutation uint32 `cbor:"3,keyasint,omitempty"`
 	}
 
 	// ManifestVersion names the configuration that a host has in force.
@@ -213,6 +215,7 @@
 		Rows       []Row           `cbor:"5,keyasint"`
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
+		Digest     uint64          `cbor:"8,keyasint,omitempty"` // of the sender's members
 		Usage      []Usage         `cbor:"8,keyasint"`
 		HostsIndex uint64          `cbor:"9,keyasint"` // of the sender's copy of the platform's host list
 	}
