--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -203,7 +203,9 @@
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
 		Usage      []Usage         `cbor:"8,keyasint"`
-		HostsIndex uint64          `cbor:"9,keyasint"` // of the sender's copy of the platform's host list
+		HostsIndex uint64          `cbor:"9,keyasint"`            // of the sender's copy of the platform's host list
+		Digest     uint64          `cbor:"10,keyasint,omitempty"` // of the sender's members
+		Join       bool            `cbor:"11,keyasint,omitempty"` // asks for all members that the receiver knows
 	}
 
 	// Ack answers a Probe with the receiver's own news.
@@ -215,9 +217,9 @@
 		Rows       []Row           `cbor:"5,keyasint"`
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
-		Digest     uint64          `cbor:"8,keyasint,omitempty"` // of the sender's members
 		Usage      []Usage         `cbor:"8,keyasint"`
-		HostsIndex uint64          `cbor:"9,keyasint"` // of the sender's copy of the platform's host list
+		HostsIndex uint64          `cbor:"9,keyasint"`            // of the sender's copy of the platform's host list
+		Digest     uint64          `cbor:"10,keyasint,omitempty"` // of the sender's members
 	}
 
 	// Suspicion spreads that a request content may crash backend servers.
