--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -211,7 +211,7 @@
 }
 
 func refuse(w http.ResponseWriter) {
-	w.Header().Set(outcome.NotRunHeader, "true")
+	w.Header().Set(outcome.Header, string(outcome.NotRun))
 	http.Error(w, "refused before running", http.StatusServiceUnavailable)
 }
 
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -8,9 +8,6 @@
 // Header is the response header or trailer that carries the outcome.
 const Header = "Turmericshunt-Outcome"
 
-// NotRunHeader is the response header by which a plain service says "true" when it refused before running anything.
-const NotRunHeader = "Turmericshunt-Not-Run"
-
 // Outcome states what happened to a request as far as the system knows.
 type Outcome string
 
