--- /dev/null
+++ b/internal/controller/hold.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/lease"
+	"github.com/turmericshunt/turmericshunt/internal/platform"
+)
+
+// holderRecord is the value of the key that names the holder of a failure domain's lease.
+type holderRecord struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+	Lease       string `json:"lease"`
+}
+
+// LeaseKey returns the key in the platform's store that names the controller of a failure domain.
+func LeaseKey(domain string) string { return "controller/" + domain }
+
+func (c *Controller) keepLease(ctx context.Context) {
+	action := c.holder.Next(time.Now())
+	switch action.Kind {
+	case lease.ActionAcquire:
+		c.acquire(ctx)
+	case lease.ActionRenew:
+		c.renew(ctx, action.ID)
+	}
+}
+
+func (c *Controller) renew(ctx context.Context, id string) {
+	sent := time.Now()
+	_, err := c.Store.RenewLease(ctx, id)
+	switch {
+	case err == nil:
+		c.holder.Renewed(sent)
+	case platform.KindOf(err) == platform.KindLapsed:
+		c.holder.Lapsed()
+		c.Log.Warn("controller lease lapsed", "failure_domain", c.Domain)
+	default:
+		c.Metrics.Counter("controller_renewal_errors").Inc(1)
+	}
+}
+
+// Takes the lease if nobody has it. A lost answer is settled by reading back which lease holds the key.
+func (c *Controller) acquire(ctx context.Context) {
+	if _, err := c.Store.Get(ctx, LeaseKey(c.Domain)); platform.KindOf(err) != platform.KindNotFound {
+		return // held, or the platform does not answer
+	}
+	sent := time.Now()
+	granted, err := c.Store.GrantLease(ctx, c.TTL)
+	if err != nil {
+		return // a lease that was granted all the same lapses with no key
+	}
+	fencing, err := c.take(ctx, granted.ID)
+	if err != nil {
+		c.Metrics.Counter("controller_acquire_errors").Inc(1)
+		_ = c.Store.RevokeLease(ctx, granted.ID) // otherwise it lapses
+		return
+	}
+	c.holder.Granted(sent, time.Now(), granted.ID, fencing)
+	c.converged, c.since = false, time.Now()
+	c.Log.Info("controller lease acquired", "failure_domain", c.Domain, "fencing", fencing)
+}
+
+// Creates the key under a lease and returns its revision, the fencing number, or an *Error.
+func (c *Controller) take(ctx context.Context, id string) (uint64, error) {
+	value, err := json.Marshal(holderRecord{Host: c.Host.Name, Incarnation: c.Host.Incarnation, Lease: id})
+	if err != nil {
+		return 0, &Error{Op: "take lease", Kind: KindUnavailable, Err: err}
+	}
+	fencing, err := c.Store.Swap(ctx, LeaseKey(c.Domain), value, 0, id)
+	if err == nil {
+		return fencing, nil
+	}
+	entry, readErr := c.Store.Get(ctx, LeaseKey(c.Domain))
+	if readErr == nil && entry.Lease == id {
+		return entry.Revision, nil
+	}
+	kind := KindUnavailable
+	if platform.KindOf(err) == platform.KindConflict {
+		kind = KindHeld
+	}
+	return 0, &Error{Op: "take lease", Kind: kind, Err: err}
+}
+
+func (c *Controller) release(ctx context.Context) {
+	c.holder.Stop()
+	action := c.holder.Next(time.Now())
+	if action.Kind != lease.ActionRelease {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Margin)
+	defer cancel()
+	if err := c.Store.RevokeLease(ctx, action.ID); err != nil {
+		c.Log.Warn("controller lease not released, it lapses", "failure_domain", c.Domain, "error", err)
+	}
+	c.holder.Released()
+}
