--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -1,6 +1,7 @@
 package manifest
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -25,6 +26,8 @@
 		Sections []SectionVersion `json:"sections"`
 		Change   Change           `json:"change"`
 		Recent   []Recent         `json:"recent"` // latest last
+
+		text []byte // as it was parsed, so that fields of a later version are passed on
 	}
 
 	// SectionVersion names the body of one section and the manifest revision that brought it.
@@ -79,11 +82,15 @@
 			return Manifest{}, &Error{Op: "parse manifest", Kind: KindInvalid, Err: errors.Errorf("section %q is faulty", s.Section)}
 		}
 	}
+	m.text = bytes.Clone(text)
 	return m, nil
 }
 
-// Encode returns the manifest as JSON.
+// Encode returns the manifest as JSON, as it was parsed if it was.
 func (m Manifest) Encode() []byte {
+	if m.text != nil {
+		return m.text
+	}
 	text, err := json.Marshal(m)
 	if err != nil {
 		panic(err) // no field of a manifest can fail to encode
--- a/internal/spread/read.go
+++ b/internal/spread/read.go
@@ -27,7 +27,7 @@
 	for ctx.Err() == nil {
 		entries, err := k.Store.Watch(ctx, manifest.Key, index, watchWait)
 		if err == nil && len(entries.Entries) > 0 {
-			err = k.take(ctx, entries.Entries[0].Value)
+			err = k.takeEncoded(ctx, entries.Entries[0].Value)
 		}
 		if err == nil && entries.Index > index {
 			index = entries.Index
@@ -42,13 +42,17 @@
 	return nil
 }
 
-// Brings an encoded manifest that was read from the platform into force.
-func (k *Keeper) take(ctx context.Context, text []byte) error {
+func (k *Keeper) takeEncoded(ctx context.Context, text []byte) error {
 	m, err := manifest.Parse(text)
 	if err != nil {
 		k.Metrics.Counter("config_offers_refused").Inc(1)
 		return err
 	}
+	return k.take(ctx, m)
+}
+
+// Brings a manifest that was read from the platform into force.
+func (k *Keeper) take(ctx context.Context, m manifest.Manifest) error {
 	if m.Revision <= k.Version().Revision {
 		return nil
 	}
--- /dev/null
+++ b/internal/spread/start.go
@@ -0,0 +1,109 @@
+package spread
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/manifest"
+	"github.com/turmericshunt/turmericshunt/internal/platform"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// StartTimeout bounds the wait for one source while a host starts.
+const StartTimeout = 2 * time.Second
+
+type (
+	// Peers asks other hosts for their configuration.
+	Peers interface {
+		PullConfig(ctx context.Context, host protocol.Host, have protocol.ManifestVersion) (*protocol.Config, error)
+	}
+
+	// sources tells which sources have answered a host that starts.
+	sources struct {
+		store, peers bool
+	}
+)
+
+// Start fetches the configuration before the host takes requests, again and again until it is certain or ctx ends.
+//
+// The host asks the platform and all given hosts, those of its failure domain, and takes the highest revision, so
+// that neither a stale read nor one peer that lags puts an older one in force. If no peer with a configuration
+// answers, the platform's answer has to be proved fresh by a write. It returns an *Error when ctx ends first.
+func (k *Keeper) Start(ctx context.Context, peers Peers, hosts func() []protocol.Host) error {
+	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
+	pause := newBackoff()
+	for {
+		got := k.ask(ctx, peers, hosts())
+		switch {
+		case got.peers:
+			return nil
+		case got.store && k.prove(ctx) == nil:
+			return nil
+		}
+		if ctx.Err() != nil {
+			return &Error{Op: "start", Kind: KindUnavailable, Err: errors.New("neither the platform nor a peer answered")}
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// Asks all sources at once and waits for each, so that the highest revision of those that answer is in force.
+func (k *Keeper) ask(ctx context.Context, peers Peers, hosts []protocol.Host) sources {
+	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
+	defer cancel()
+	var got sources
+	var mu sync.Mutex // guards got
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if k.readStore(ctx) == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			got.store = true
+		}
+	})
+	for _, host := range hosts {
+		wg.Go(func() {
+			if k.pull(ctx, peers, host) {
+				mu.Lock()
+				defer mu.Unlock()
+				got.peers = true
+			}
+		})
+	}
+	wg.Wait()
+	return got
+}
+
+func (k *Keeper) readStore(ctx context.Context) error {
+	m, _, err := k.readManifest(ctx)
+	if err != nil {
+		return err
+	}
+	return k.take(ctx, m)
+}
+
+// Offers a peer's configuration and reports whether the peer had one.
+func (k *Keeper) pull(ctx context.Context, peers Peers, host protocol.Host) bool {
+	c, err := peers.PullConfig(ctx, host, protocol.ManifestVersion{})
+	if err != nil || c.Version.Revision == 0 {
+		return false
+	}
+	_, err = k.Offer(c)
+	return err == nil
+}
+
+// Proves that the manifest is the latest one by swapping it for itself, which fails if it was a stale read.
+func (k *Keeper) prove(ctx context.Context) error {
+	m, revision, err := k.readManifest(ctx)
+	if err != nil {
+		return err
+	}
+	if err := k.take(ctx, m); err != nil {
+		return err
+	}
+	_, err = k.Store.Swap(ctx, manifest.Key, m.Encode(), revision, "")
+	return err
+}
