--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -14,7 +14,6 @@
 	storeDownRetry   = 2 * time.Second
 	confirmingReads  = 2 // of an open claim whose owner does not work on it
 	defaultSettle    = 2 * time.Second
-	defaultHold      = 30 * time.Second
 	defaultKeepTry   = 10 * time.Minute
 	settleShareOfAll = 2 // settling may use up to this part of the caller's time
 )
@@ -48,7 +47,7 @@
 	trustsLostSwap    bool // takes an unanswered swap for a created claim
 	dispatchesAgain   bool // repeats a dispatch that broke
 	closesDispatched  bool // closes a claim as not_run although the request may have run
-	ignoresHold       bool // dispatches however long ago the claim was created
+	ignoresDeadline   bool // dispatches however long ago the claim was created
 	ignoresBodyDigest bool
 }
 
@@ -56,9 +55,8 @@
 type Machine struct {
 	Owner      Owner
 	BodyDigest string
-	Deadline   time.Time     // of the caller; Deadline events come at that time
+	Deadline   time.Time     // of the caller, far within the retention of claims; nothing is dispatched later
 	Settle     time.Duration // that the store may take before the request is refused; 0 means 2 s
-	Hold       time.Duration // between the first Swap and Dispatch at most; 0 means 30 s
 	KeepTrying time.Duration // to write an outcome into the store; 0 means 10 min
 
 	off        protections
@@ -67,7 +65,6 @@
 	revision   uint64 // that the next Swap expects
 	record     *Record
 	heard      time.Time // when the request was started, or the owner of the claim answered last
-	claimed    time.Time // when the first Swap of the current claim was ordered
 	quit       time.Time // when writing is given up
 	pause      time.Duration
 	maybe      bool // a Swap that was not answered may have created the claim
@@ -115,12 +112,11 @@
 func (m *Machine) start(now time.Time) []Action {
 	m.heard = now
 	m.pause = minPause
-	return m.claim(now, 0)
+	return m.claim(0)
 }
 
 // claim orders the creation of the claim over a record of the given revision.
-func (m *Machine) claim(now time.Time, revision uint64) []Action {
-	m.claimed = now
+func (m *Machine) claim(revision uint64) []Action {
 	m.phase = phaseClaiming
 	m.revision = revision
 	m.record = &Record{BodyDigest: m.BodyDigest, Owner: m.Owner, State: StateOpen}
@@ -153,9 +149,8 @@
 func (m *Machine) held(now time.Time, revision uint64) []Action {
 	m.revision = revision
 	m.maybe = false
-	late := !now.Before(m.Deadline)
-	stale := now.Sub(m.claimed) >= limit(m.Hold, defaultHold) && !m.off.ignoresHold
-	if late || stale || m.replied {
+	late := !now.Before(m.Deadline) && !m.off.ignoresDeadline
+	if late || m.replied {
 		actions := m.refuse(outcome.KindDeadline, "no time was left when the claim stood", 0)
 		return append(actions, m.write(now, StateNotRun, nil)...)
 	}
--- a/internal/claim/other.go
+++ b/internal/claim/other.go
@@ -15,6 +15,7 @@
 		}
 		return m.found(now, ev.Record, ev.Revision)
 	case Missing:
+		m.phase = phaseClaiming
 		m.revision = 0
 		return m.retry(now, nextSwap) // the record expired, or the read was stale and the swap conflicts
 	case ReadFailed:
@@ -35,13 +36,13 @@
 	switch r.State {
 	case StateNotRun:
 		m.blocked = false
-		return m.claim(now, revision)
+		return m.claim(revision)
 	case StateCompleted:
 		return append(m.replay(r.Answer), m.finish()...)
 	case StateUnknown:
 		return m.lost()
 	default:
-		return m.open(now, r, revision)
+		return m.open(r, revision)
 	}
 }
 
@@ -62,10 +63,10 @@
 }
 
 // open asks the owner of an open claim, unless the owner was found not to work on it several times.
-func (m *Machine) open(now time.Time, r *Record, revision uint64) []Action {
+func (m *Machine) open(r *Record, revision uint64) []Action {
 	if m.confirmed >= confirmingReads {
 		if m.off.anyoneCloses {
-			return m.claim(now, revision)
+			return m.claim(revision)
 		}
 		return m.lost()
 	}
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -33,7 +33,11 @@
 }
 
 func (r *Runner) newTask(ctx context.Context, q *Request) *task {
-	caller, release := context.WithDeadline(ctx, q.Deadline)
+	deadline := q.Deadline
+	if last := r.Now().Add(r.Retention / 2); deadline.After(last) {
+		deadline = last // no claim may expire while its request can still be sent
+	}
+	caller, release := context.WithDeadline(ctx, deadline)
 	return &task{
 		request: q,
 		key:     claim.Key(q.Workspace, q.Key),
@@ -43,7 +47,7 @@
 				Request: strconv.FormatUint(r.requests.Add(1), 36),
 			},
 			BodyDigest: digest(q),
-			Deadline:   q.Deadline,
+			Deadline:   deadline,
 			Settle:     r.Settle,
 		},
 		reply:   make(chan claim.Reply, 1),
@@ -183,7 +187,7 @@
 
 func (r *Runner) call(t *task) claim.Event {
 	q := t.request
-	ctx, cancel := context.WithDeadline(t.work, q.Deadline.Add(r.LateAnswers))
+	ctx, cancel := context.WithDeadline(t.work, t.machine.Deadline.Add(r.LateAnswers))
 	defer cancel()
 	answer, err := r.Services.Do(ctx, &service.Call{
 		Service: q.Service, Method: q.Method, Path: q.Path, Query: q.Query, Header: q.Header, Body: q.Body,
