host: run the whole path as separate processes

Ruled out: a view of capacity that counts backend servers without a row as large enough: a prompt over one engine's memory was then sent to another failure domain and refused as too long. Change: host wiring by oklog/run, heartbeats, administration interface and its client, command line, stand-in programs, demo.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,14 @@
 // Command standin runs stand-ins of the systems around turmericshunt.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/turmericshunt/turmericshunt/internal/standin/program"
+)
+
+func main() {
+	p := &program.Program{Out: os.Stdout, Err: os.Stderr}
+	os.Exit(p.Run(context.Background(), os.Args[1:]))
+}
--- /dev/null
+++ b/internal/admin/config.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/spread"
+	"github.com/turmericshunt/turmericshunt/pkg/adminapi"
+)
+
+func (s *Server) manifest(c echo.Context) error {
+	current := s.Configuration.Current()
+	if current == nil {
+		return c.JSON(http.StatusOK, adminapi.Configuration{Sections: []adminapi.Section{}})
+	}
+	answer := adminapi.Configuration{Revision: current.Version.Revision, Digest: current.Version.Digest}
+	for _, v := range current.Manifest.Sections {
+		answer.Sections = append(answer.Sections, adminapi.Section{Section: string(v.Section), Revision: v.Revision, Digest: v.Digest})
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) section(c echo.Context) error {
+	name, err := sectionOf(c)
+	if err != nil {
+		return err
+	}
+	answer := adminapi.Section{Section: string(name)}
+	if current := s.Configuration.Current(); current != nil {
+		v := current.Manifest.Section(name)
+		answer.Revision, answer.Digest = v.Revision, v.Digest
+		for _, body := range current.Bodies {
+			if body.Section == name {
+				answer.Body = string(document.Indent(body.Text))
+			}
+		}
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) apply(c echo.Context) error {
+	name, err := sectionOf(c)
+	if err != nil {
+		return err
+	}
+	operator := c.Get(operatorKey).(Operator)
+	if !operator.mayChange(name) {
+		return &Error{Op: "apply", Kind: KindForbidden, Err: errors.Errorf("%s may not change section %s", operator.Name, name)}
+	}
+	var change adminapi.Change
+	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes))
+	if err == nil {
+		err = json.Unmarshal(text, &change)
+	}
+	if err != nil {
+		return &Error{Op: "read change", Kind: KindInvalid, Err: errors.WithStack(err)}
+	}
+	accepted, err := s.Configuration.Apply(c.Request().Context(), spread.Change{
+		ID: change.ID, Section: name, Body: []byte(change.Body), Base: change.Base,
+		Author: operator.Name, Reason: change.Reason,
+	})
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, adminapi.Accepted{ID: accepted.ID, Revision: accepted.Revision})
+}
+
+func sectionOf(c echo.Context) (document.Section, error) {
+	name := document.Section(c.Param("section"))
+	if !slices.Contains(document.Sections(), name) {
+		return "", &Error{Op: "find section", Kind: KindNotFound, Err: errors.Errorf("no section %q", name)}
+	}
+	return name, nil
+}
+
+func newRecord(r spread.Record) adminapi.Record {
+	change := r.Change
+	return adminapi.Record{
+		Revision: r.Revision, Section: string(change.Section), Author: change.Author, Time: change.Time,
+		Reason: change.Reason, ID: change.ID, Before: change.Before, After: change.After, Diff: r.Diff,
+	}
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericshunt/turmericshunt/pkg/adminclient"
+)
+
+const (
+	addressVariable = "TURMERICSHUNT_ADDRESS"
+	tokenVariable   = "TURMERICSHUNT_TOKEN"
+	defaultAddress  = "http://127.0.0.1:9000"
+	callTimeout     = 30 * time.Second
+)
+
+// Flags of all commands that call a host.
+type connection struct {
+	address  string
+	token    string
+	output   string
+	caFile   string
+	certFile string
+	keyFile  string
+}
+
+func (p *Program) connectionFlags(cmd *cobra.Command) *connection {
+	c := new(connection)
+	address := p.Getenv(addressVariable)
+	if address == "" {
+		address = defaultAddress
+	}
+	f := cmd.PersistentFlags()
+	f.StringVar(&c.address, "address", address, "operators' listener of any entry host ("+addressVariable+")")
+	f.StringVar(&c.token, "token", p.Getenv(tokenVariable), "operator's token ("+tokenVariable+")")
+	f.StringVarP(&c.output, "output", "o", "table", "json or table")
+	f.StringVar(&c.caFile, "ca-file", "", "authority that signs the host's certificate")
+	f.StringVar(&c.certFile, "cert-file", "", "operator's client certificate")
+	f.StringVar(&c.keyFile, "key-file", "", "key of the client certificate")
+	return c
+}
+
+func (c *connection) client() (*adminclient.Client, error) {
+	if c.output != "json" && c.output != "table" {
+		return nil, &Error{Op: "read flags", Kind: KindUsage, Err: errors.Errorf("--output must be json or table, not %q", c.output)}
+	}
+	keys, err := c.tls()
+	if err != nil {
+		return nil, &Error{Op: "read keys", Kind: KindUsage, Err: err}
+	}
+	transport := &http.Transport{TLSClientConfig: keys}
+	return &adminclient.Client{
+		Base: c.address, Token: c.token, HTTP: &http.Client{Timeout: callTimeout, Transport: transport},
+	}, nil
+}
+
+func (c *connection) tls() (*tls.Config, error) {
+	keys := &tls.Config{MinVersion: tls.VersionTLS13}
+	if c.caFile != "" {
+		text, err := os.ReadFile(c.caFile)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		keys.RootCAs = x509.NewCertPool()
+		if !keys.RootCAs.AppendCertsFromPEM(text) {
+			return nil, errors.Errorf("%s holds no certificate", c.caFile)
+		}
+	}
+	if c.certFile != "" {
+		pair, err := tls.LoadX509KeyPair(c.certFile, c.keyFile)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		keys.Certificates = []tls.Certificate{pair}
+	}
+	return keys, nil
+}
+
+// Prints value as JSON, or else calls table.
+func (c *connection) print(w io.Writer, value any, table func(io.Writer)) error {
+	if c.output == "json" {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return errors.WithStack(enc.Encode(value))
+	}
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	table(tab)
+	return errors.WithStack(tab.Flush())
+}
+
+func callError(op string, err error) error {
+	var refused *adminclient.Error
+	if !errors.As(err, &refused) || refused.Kind != adminclient.KindRefused {
+		return &Error{Op: op, Kind: KindFailed, Err: err}
+	}
+	cause := errors.New(refused.Failure.Kind + ": " + refused.Failure.Message)
+	if refused.Failure.Diff != "" {
+		cause = fmt.Errorf("%w\n%s", cause, refused.Failure.Diff)
+	}
+	kind := KindRefused
+	if refused.Failure.Kind == "invalid" {
+		kind = KindInvalid
+	}
+	if refused.Status >= http.StatusInternalServerError {
+		kind = KindFailed
+	}
+	return &Error{Op: op, Kind: kind, Err: cause}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,6 +22,11 @@
 	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
 
+// Router picks the backend servers to ask for a grant, the best first.
+type Router interface {
+	Candidates(now time.Time, view *fleet.View, ask protocol.Ask, exclude []string) []routing.Candidate
+}
+
 // Schedulers reaches the hosts that schedule backend servers.
 type Schedulers interface {
 	// Ask returns a grant or a refusal, or an error when the host does not answer.
@@ -48,7 +53,7 @@
 type Dispatcher struct {
 	Host       protocol.Host
 	Fleet      *fleet.Table
-	Router     *routing.Router
+	Router     Router
 	Schedulers Schedulers
 	Engines    Engines
 	Retry      *retry.Policy
--- a/internal/dispatch/obtain.go
+++ b/internal/dispatch/obtain.go
@@ -139,13 +139,15 @@
 	return &retry.Failure{Kind: retry.KindNoGrant, Grant: kind, RetryAfter: retryAfter}
 }
 
-// Reports whether any one backend server could hold the prompt and its output.
+// Reports whether a backend server whose capacity is known could hold the prompt and its output, or none is known.
 func fitsOne(view *fleet.View, ask protocol.Ask) bool {
+	known := false
 	for i := range view.Entries {
 		row := &view.Entries[i].Row
-		if row.CapacityBytes == 0 || (ask.PromptTokens+ask.OutputTokens)*row.BytesPerToken <= row.CapacityBytes {
+		if row.CapacityBytes > 0 && (ask.PromptTokens+ask.OutputTokens)*row.BytesPerToken <= row.CapacityBytes {
 			return true
 		}
+		known = known || row.CapacityBytes > 0
 	}
-	return len(view.Entries) == 0
+	return !known
 }
--- /dev/null
+++ b/internal/heartbeat/doc.go
@@ -0,0 +1,2 @@
+// Package heartbeat exchanges probes with other hosts and carries the news that hosts spread with them.
+package heartbeat
--- /dev/null
+++ b/internal/host/news.go
@@ -0,0 +1,123 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/summary"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
+)
+
+const (
+	maxRowsPerProbe = 24
+	pullTimeout     = 2 * time.Second
+)
+
+// Gathers what this host tells others and takes in what they tell.
+type news struct {
+	host *Host
+
+	mu      sync.Mutex
+	board   summary.Board
+	pulling bool // one pull at a time
+}
+
+// Fill adds this host's news to a probe.
+func (n *news) Fill(p *protocol.Probe, to protocol.Host) {
+	p.Manifest = n.host.keeper.Version()
+	p.HostsIndex = n.host.inventory.Index()
+	p.Suspicions = n.host.suspects.Recent(time.Now())
+	if to.FailureDomain != n.host.self.FailureDomain {
+		return
+	}
+	p.Rows = n.rows()
+	p.Usage = n.host.quota.Usage(time.Now())
+}
+
+// FillAck adds this host's news to an answer.
+func (n *news) FillAck(a *protocol.Ack, to protocol.Host) {
+	var p protocol.Probe
+	n.Fill(&p, to)
+	a.Manifest, a.HostsIndex, a.Suspicions, a.Rows, a.Usage = p.Manifest, p.HostsIndex, p.Suspicions, p.Rows, p.Usage
+}
+
+// Take takes in a peer's news.
+func (n *news) Take(p *protocol.Probe) {
+	now := time.Now()
+	h := n.host
+	h.suspects.Merge(now, p.Suspicions)
+	if p.From.FailureDomain == h.self.FailureDomain {
+		n.mu.Lock()
+		n.board.Post(now, p.Rows)
+		n.mu.Unlock()
+		h.quota.Merge(now, p.Usage)
+	}
+	h.spreading.heard(p.From.Name, p.Manifest)
+	if p.HostsIndex > h.inventory.Index() {
+		n.pull(p.From)
+	}
+}
+
+// TakeAck takes in the news of a peer's answer.
+func (n *news) TakeAck(a *protocol.Ack) {
+	n.Take(&protocol.Probe{
+		From: a.From, Manifest: a.Manifest, HostsIndex: a.HostsIndex, Suspicions: a.Suspicions, Rows: a.Rows, Usage: a.Usage,
+	})
+}
+
+func (n *news) rows() []protocol.Row {
+	own := n.host.schedulers.Rows()
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Post(now, own)
+	return n.board.Pick(now, maxRowsPerProbe)
+}
+
+// Returns all known rows of the failure domain.
+func (n *news) all() []protocol.Row {
+	own := n.host.schedulers.Rows()
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Post(now, own)
+	return n.board.Rows(now)
+}
+
+func (n *news) setHosts(count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Hosts = count
+}
+
+// Fetches a peer's newer copy of the host list.
+func (n *news) pull(from protocol.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.pulling {
+		return
+	}
+	n.pulling = true
+	go func() {
+		defer func() {
+			n.mu.Lock()
+			n.pulling = false
+			n.mu.Unlock()
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		n.pullHosts(ctx, from)
+	}()
+}
+
+func (n *news) pullHosts(ctx context.Context, from protocol.Host) {
+	have := n.host.inventory.Index()
+	answer, err := n.host.transport.Call(ctx, from.Address, &protocol.Message{PullHosts: &protocol.PullHosts{Have: have}})
+	if err != nil || answer.HostList == nil {
+		n.host.metrics.Scope.Counter("host_list_pulls_failed").Inc(1)
+		return
+	}
+	n.host.inventory.Offer(platformapi.Hosts{Index: answer.HostList.Index, Hosts: answer.HostList.Hosts})
+}
--- /dev/null
+++ b/internal/host/status.go
@@ -0,0 +1,106 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/fleet"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/pkg/adminapi"
+)
+
+const versionTimeout = time.Second
+
+// Status tells what this host believes.
+func (h *Host) Status() adminapi.Status {
+	s := adminapi.Status{
+		Host: h.self.Name, Incarnation: h.self.Incarnation, FailureDomain: h.self.FailureDomain, Region: h.self.Region,
+		Version: h.Version, Ready: h.Ready(), Stopping: h.stopping.Load(), Edge: h.duties.isEdge(),
+		ActiveRequests: h.entry.Active(), ReleasesLeft: h.reclaim.Pending(), Configuration: h.ownVersion(),
+		HostListIndex: h.inventory.Index(), Members: []adminapi.Member{}, BackendServers: []adminapi.BackendServer{},
+		Grants: []adminapi.Grant{},
+	}
+	for _, m := range h.members.All() {
+		s.Members = append(s.Members, adminapi.Member{
+			Host: m.Host.Name, Address: m.Host.Address.String(), FailureDomain: m.Host.FailureDomain,
+			Incarnation: m.Host.Incarnation, State: stateName(m.State),
+		})
+	}
+	now := time.Now()
+	for _, e := range h.fleet.View().Entries {
+		s.BackendServers = append(s.BackendServers, backendServer(now, e))
+	}
+	for _, r := range h.dispatcher.Refreshes() {
+		for _, held := range r.Held {
+			s.Grants = append(s.Grants, adminapi.Grant{
+				BackendServer: r.Server, Request: held.ID.Request, Attempt: held.ID.Attempt, Workspace: held.Workspace,
+				PromptTokens: held.PromptTokens, ExpiryMS: held.Expiry.Milliseconds(),
+			})
+		}
+	}
+	return s
+}
+
+func backendServer(now time.Time, e fleet.Entry) adminapi.BackendServer {
+	age := int64(-1)
+	if !e.Updated.IsZero() {
+		age = now.Sub(e.Updated).Milliseconds()
+	}
+	return adminapi.BackendServer{
+		Name: e.Server.Name, Address: e.Server.Address.String(), FailureDomain: e.Server.FailureDomain,
+		Scheduler: e.Scheduler.Name, Models: e.Row.Models, WaitMS: e.Row.Wait.Milliseconds(), FreeBytes: e.Row.FreeBytes,
+		Running: e.Row.Running, QueuedTokens: e.Row.QueuedTokens, Long: e.Row.Long, Leaving: e.Row.Leaving,
+		Unhealthy: e.Row.Unhealthy, AgeMS: age,
+	}
+}
+
+func stateName(s protocol.MemberState) string {
+	switch s {
+	case protocol.StateAlive:
+		return "alive"
+	case protocol.StateSuspect:
+		return "suspect"
+	case protocol.StateLeaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
+func (h *Host) ownVersion() adminapi.HostVersion {
+	v := h.keeper.Version()
+	return adminapi.HostVersion{Host: h.self.Name, FailureDomain: h.self.FailureDomain, Revision: v.Revision, Digest: v.Digest}
+}
+
+// Versions asks all live hosts for the configuration that they have in force.
+func (h *Host) Versions(ctx context.Context) []adminapi.HostVersion {
+	alive := h.members.Alive()
+	versions := make([]adminapi.HostVersion, len(alive))
+	var asking sync.WaitGroup
+	for i, x := range alive {
+		asking.Go(func() { versions[i] = h.versionOf(ctx, x) })
+	}
+	asking.Wait()
+	return versions
+}
+
+func (h *Host) versionOf(ctx context.Context, x protocol.Host) adminapi.HostVersion {
+	if x.Name == h.self.Name {
+		return h.ownVersion()
+	}
+	v := adminapi.HostVersion{Host: x.Name, FailureDomain: x.FailureDomain}
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	// A peer answers with its version whatever this host has.
+	answer, err := h.transport.Call(ctx, x.Address, &protocol.Message{PullConfig: &protocol.PullConfig{Have: h.keeper.Version()}})
+	switch {
+	case err != nil:
+		v.Error = err.Error()
+	case answer.Config == nil:
+		v.Error = "unexpected answer"
+	default:
+		v.Revision, v.Digest = answer.Config.Version.Revision, answer.Config.Version.Digest
+	}
+	return v
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -60,3 +60,10 @@
 		l.workspaces[w.Name] = u
 	}
 }
+
+// SetHosts tells how many entry hosts the failure domain has, this one included.
+func (l *Limiter) SetHosts(count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Hosts = count
+}
--- /dev/null
+++ b/internal/standin/program/doc.go
@@ -0,0 +1,2 @@
+// Package program is the command line of the stand-ins.
+package program
--- /dev/null
+++ b/pkg/adminclient/doc.go
@@ -0,0 +1,2 @@
+// Package adminclient calls the operators' interface of an entry host.
+package adminclient
