--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -7,6 +7,9 @@
 	"github.com/turmericshunt/turmericshunt/internal/queue"
 )
 
+// agingSteps is the number of classes by which an ask rises in its time.
+const agingSteps = 4
+
 // Ask decides on a request for a grant. Without ask.Queue it is decided at once; otherwise the Decision
 // may come out of a later call. A repeated ask has the same answer.
 func (s *Scheduler) Ask(now time.Time, ask protocol.Ask) []Decision {
@@ -37,7 +40,7 @@
 	if ask.Queue {
 		limit = orDefault(s.Lead, DefaultLead)
 	}
-	if wait <= limit && s.mayStart(now, w) {
+	if wait <= limit && s.mayStart(w) && s.hole(now).admits(now, s, w) {
 		return []Decision{s.give(now, w)}
 	}
 	if !ask.Queue || s.queue.Len() >= s.maxQueued() {
@@ -105,8 +108,8 @@
 
 func (s *Scheduler) item(w *waiter) queue.Item {
 	return queue.Item{
-		ID: w.ask.ID, Workspace: w.ask.Workspace, Class: w.ask.Class, Enqueued: w.enqueued,
-		Cost: w.ask.PromptTokens + w.ask.OutputTokens, Due: s.due(w),
+		ID: w.ask.ID, Workspace: w.ask.Workspace, Priority: s.basePriority(w.ask), Enqueued: w.enqueued,
+		Cost: w.ask.PromptTokens + w.ask.OutputTokens, Due: s.due(w), Aging: w.ask.TimeLeft / agingSteps,
 	}
 }
 
@@ -156,37 +159,16 @@
 	return decisions
 }
 
-// nextWaiter returns the ask that goes next. Asks that don't fit may be passed by others,
-// but not once they have waited for an aging period.
+// nextWaiter returns the ask that goes next.
 func (s *Scheduler) nextWaiter(now time.Time) (queue.Item, bool) {
 	lead := orDefault(s.Lead, DefaultLead)
-	oldest := s.starved(now)
+	gap := s.hole(now)
 	return s.queue.Next(now, func(it queue.Item) bool {
-		if oldest != nil && it.Enqueued.After(oldest.enqueued) {
-			return false
-		}
 		w := s.waiting[it.ID]
-		return s.mayStart(now, w) && s.ahead(now, s.priority(now, w)) <= lead
+		return s.mayStart(w) && gap.admits(now, s, w) && s.ahead(now, s.priority(now, w)) <= lead
 	})
 }
 
-// starved returns the ask that has waited longest for room, if that is an aging period or more.
-func (s *Scheduler) starved(now time.Time) *waiter {
-	items := s.queue.Items()
-	if len(items) == 0 || now.Sub(items[0].Enqueued) < s.aging() {
-		return nil
-	}
-	w := s.waiting[items[0].ID]
-	if s.mayStart(now, w) {
-		return nil
-	}
-	return w
-}
-
-func (s *Scheduler) aging() time.Duration {
-	return orDefault(s.queue.Aging, queue.DefaultAging)
-}
-
 func (s *Scheduler) drop(id protocol.AttemptID) {
 	s.queue.Remove(id)
 	delete(s.waiting, id)
--- a/internal/grant/finish.go
+++ b/internal/grant/finish.go
@@ -74,14 +74,22 @@
 }
 
 func (s *Scheduler) hold(r *reservation) {
+	s.grants++
+	r.number = s.grants
 	s.held[r.ask.ID] = r
 	s.reserved += r.bytes
+	if r.ask.PromptTokens > middleStep {
+		s.heldAbove += r.bytes
+	}
 }
 
 func (s *Scheduler) free(now time.Time, id protocol.AttemptID) {
 	r := s.held[id]
 	delete(s.held, id)
 	s.reserved -= r.bytes
+	if r.ask.PromptTokens > middleStep {
+		s.heldAbove -= r.bytes
+	}
 	s.freed = append(s.freed, release{at: now, bytes: r.bytes})
 	s.finished[id] = now
 	s.revision++
--- a/internal/grant/learn.go
+++ b/internal/grant/learn.go
@@ -22,6 +22,9 @@
 }
 
 func (s *Scheduler) cost(model string) *cost {
+	if model == "" && len(s.load.Models) > 0 {
+		model = s.load.Models[0]
+	}
 	c, ok := s.costs[model]
 	if !ok {
 		c = &cost{speed: 1, output: 1}
@@ -32,6 +35,9 @@
 
 // learnPrefill compares when the first token came with when it was expected.
 func (s *Scheduler) learnPrefill(now time.Time, r *reservation) {
+	if r.ask.Bytes > 0 {
+		return // a part of a spread prompt, which waits for the parts before it
+	}
 	expected := r.expected
 	if r.left > 0 {
 		expected = now.Add(seconds(r.left / s.rate(r.ask.Model)))
--- a/internal/grant/memory.go
+++ b/internal/grant/memory.go
@@ -16,6 +16,9 @@
 	runningCut    = 0.9
 )
 
+// headroomPercent is the part of the memory that long prompts leave to the others, unless one needs more.
+const headroomPercent = 25
+
 // Report takes in the engine's own report.
 func (s *Scheduler) Report(now time.Time, load engineapi.Load) []Decision {
 	s.advance(now)
@@ -73,16 +76,27 @@
 }
 
 // mayStart reports whether memory and the bound on concurrent grants allow an ask to start.
-func (s *Scheduler) mayStart(_ time.Time, w *waiter) bool {
+func (s *Scheduler) mayStart(w *waiter) bool {
 	if s.reported.IsZero() {
 		return false
 	}
 	if s.noMemory {
 		return true
 	}
-	return s.used()+w.bytes <= s.load.MemoryBytes && len(s.held) < s.maxRunning()
+	if len(s.held) >= s.maxRunning() || s.used()+w.bytes > s.load.MemoryBytes {
+		return false
+	}
+	return w.ask.PromptTokens <= middleStep || s.heldAbove+w.bytes <= s.load.MemoryBytes-s.headroom(w)
 }
 
+// headroom is the memory that prompts above middleStep leave to the others.
+func (s *Scheduler) headroom(w *waiter) int64 {
+	return min(s.load.MemoryBytes*headroomPercent/100, max(s.load.MemoryBytes-w.bytes, 0))
+}
+
+// heldBelow is the memory that prompts up to middleStep hold.
+func (s *Scheduler) heldBelow() int64 { return s.reserved - s.heldAbove }
+
 func (s *Scheduler) maxRunning() int {
 	if s.MaxRunning > 0 {
 		return s.MaxRunning
--- a/internal/grant/predict.go
+++ b/internal/grant/predict.go
@@ -1,7 +1,8 @@
 package grant
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
@@ -15,16 +16,10 @@
 )
 
 const (
-	classPriorities = 10
-	shortPriority   = 3
-	middlePriority  = 2
-	commonPriority  = 1
-	longPriority    = 0
-)
-
-// unknownWait is the wait while memory is held that no grant accounts for; the next report may show it free.
-const (
-	unknownWait = time.Second
+	shortPriority  = 3
+	middlePriority = 2
+	commonPriority = 1
+	longPriority   = 0
 )
 
 // progress moves the predicted prefill of the held prompts to now, the highest priority first.
@@ -57,27 +52,20 @@
 			list = append(list, r)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i], list[j]
-		if a.grant.Priority != b.grant.Priority {
-			return a.grant.Priority > b.grant.Priority
-		}
-		if !a.granted.Equal(b.granted) {
-			return a.granted.Before(b.granted)
-		}
-		return a.ask.ID.Request < b.ask.ID.Request
+	slices.SortFunc(list, func(a, b *reservation) int {
+		return cmp.Or(cmp.Compare(b.grant.Priority, a.grant.Priority), cmp.Compare(a.number, b.number))
 	})
 	return list
 }
 
 // priority is what the engine orders prefills by; it rises with each aging period.
 func (s *Scheduler) priority(now time.Time, w *waiter) int {
-	return s.basePriority(w.ask) + classPriorities*int(now.Sub(w.enqueued)/s.aging())
+	return s.basePriority(w.ask) + queue.AgingStep*s.item(w).Steps(now)
 }
 
 // basePriority puts the class first, then the shorter prompt.
 func (s *Scheduler) basePriority(ask protocol.Ask) int {
-	p := (int(protocol.ClassBatch) - int(min(ask.Class, protocol.ClassBatch))) * classPriorities
+	p := (int(protocol.ClassBatch) - int(min(ask.Class, protocol.ClassBatch))) * queue.AgingStep
 	switch tokens := ask.PromptTokens; {
 	case tokens <= shortStep:
 		return p + shortPriority
@@ -132,28 +120,6 @@
 	return max(wait, s.waitRoom(now, w))
 }
 
-// waitRoom is the predicted time until enough grants have ended for an ask to fit.
-func (s *Scheduler) waitRoom(now time.Time, w *waiter) time.Duration {
-	missing := s.used() + w.bytes - s.load.MemoryBytes
-	excess := len(s.held) + 1 - s.maxRunning()
-	if missing <= 0 && excess <= 0 {
-		return 0
-	}
-	ends := make([]*reservation, 0, len(s.held))
-	for _, r := range s.held {
-		ends = append(ends, r)
-	}
-	sort.Slice(ends, func(i, j int) bool { return s.end(now, ends[i]).Before(s.end(now, ends[j])) })
-	for _, r := range ends {
-		missing -= r.bytes
-		excess--
-		if missing <= 0 && excess <= 0 {
-			return max(s.end(now, r).Sub(now), 0)
-		}
-	}
-	return unknownWait
-}
-
 // end is the predicted end of a grant.
 func (s *Scheduler) end(now time.Time, r *reservation) time.Time {
 	first := now
--- a/internal/grant/row.go
+++ b/internal/grant/row.go
@@ -10,6 +10,9 @@
 // demandWindow is the time over which the demand for long and short prompts is averaged.
 const demandWindow = 30 * time.Second
 
+// shortOutput is the answer length of the short prompt whose wait a row tells.
+const shortOutput = 500
+
 type (
 	// demand averages the prompt tokens asked for.
 	demand struct {
@@ -17,11 +20,6 @@
 		long  float64 // tokens per second
 		short float64
 	}
-
-	// subset is whether this backend server is one of those for long prompts.
-	subset struct {
-		long bool
-	}
 )
 
 func (d *demand) add(now time.Time, tokens int64, long bool) {
@@ -43,8 +41,13 @@
 func (s *Scheduler) Row(now time.Time) protocol.Row {
 	s.advance(now)
 	s.demand.decay(now)
+	short := &waiter{
+		ask:      protocol.Ask{PromptTokens: shortStep, OutputTokens: shortOutput, Class: protocol.ClassInteractive},
+		enqueued: now, deadline: now.Add(DefaultTimeLimit),
+	}
+	short.bytes = s.bytes(short.ask)
 	row := protocol.Row{
-		Server: s.Server.Name, Revision: s.revision, Wait: s.ahead(now, math.MinInt),
+		Server: s.Server.Name, Revision: s.revision, Wait: s.wait(now, short), Backlog: s.ahead(now, math.MinInt),
 		FreeBytes: max(s.load.MemoryBytes-s.used(), 0), CapacityBytes: s.load.MemoryBytes,
 		BytesPerToken: s.load.KVBytesPerToken, Running: len(s.held), Long: s.subset.long,
 		Leaving: s.load.Leaving, Unhealthy: s.down, Models: s.load.Models,
@@ -53,7 +56,7 @@
 	}
 	for _, w := range s.waiting {
 		row.QueuedTokens += w.ask.PromptTokens
-		row.Wait += s.prefill(w.ask)
+		row.Backlog += s.prefill(w.ask)
 	}
 	return row
 }
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -1,6 +1,8 @@
 package grant
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/document"
@@ -41,27 +43,30 @@
 		MaxRunning int           // bound on concurrent grants; 0 follows TokenGap
 		MaxQueued  int           // bound on waiting asks; 0 means DefaultMaxQueued
 
-		started  time.Time
-		clock    time.Time // time up to which the prefill progress is worked out
-		nextTick time.Time
-		held     map[protocol.AttemptID]*reservation
-		reserved int64
-		queue    queue.Queue
-		waiting  map[protocol.AttemptID]*waiter
-		finished map[protocol.AttemptID]time.Time
-		freed    []release
-		load     engineapi.Load
-		reported time.Time // when the engine made the load report; zero before the first
-		down     bool
-		limit    float64 // concurrent grants that keep TokenGap
-		cache    cache
-		costs    map[string]*cost
-		demand   demand
-		subset   subset
-		revision uint64
+		started   time.Time
+		clock     time.Time // time up to which the prefill progress is worked out
+		nextTick  time.Time
+		held      map[protocol.AttemptID]*reservation
+		grants    uint64 // made so far
+		reserved  int64
+		heldAbove int64 // the part of reserved for prompts above middleStep
+		queue     queue.Queue
+		waiting   map[protocol.AttemptID]*waiter
+		finished  map[protocol.AttemptID]time.Time
+		freed     []release
+		load      engineapi.Load
+		reported  time.Time // when the engine made the load report; zero before the first
+		down      bool
+		limit     float64 // concurrent grants that keep TokenGap
+		cache     cache
+		costs     map[string]*cost
+		demand    demand
+		subset    subset
+		revision  uint64
 
 		noMemory   bool // tests turn the memory check off
 		noRefusal  bool // tests turn the refusals in the queue off
+		noBackfill bool // tests let any ask pass the one that waits for room
 		noIdentity bool // tests turn the check for repeated asks off
 	}
 
@@ -74,6 +79,7 @@
 
 	// reservation is what a grant holds.
 	reservation struct {
+		number     uint64 // in the order of the grants
 		ask        protocol.Ask
 		grant      protocol.Grant
 		bytes      int64
@@ -125,9 +131,9 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.advance(now)
 	s.nextTick = now.Add(tickInterval)
-	for id, r := range s.held {
+	for _, r := range s.ordered() {
 		if !r.expires.After(now) {
-			s.free(now, id)
+			s.free(now, r.ask.ID)
 		}
 	}
 	for id, at := range s.finished {
@@ -152,9 +158,9 @@
 // Held lists the grants in use.
 func (s *Scheduler) Held(now time.Time) []protocol.Held {
 	held := make([]protocol.Held, 0, len(s.held))
-	for id, r := range s.held {
+	for _, r := range s.ordered() {
 		held = append(held, protocol.Held{
-			ID: id, Workspace: r.ask.Workspace, Model: r.ask.Model, Bytes: r.bytes,
+			ID: r.ask.ID, Workspace: r.ask.Workspace, Model: r.ask.Model, Bytes: r.bytes,
 			PromptTokens: r.ask.PromptTokens, OutputTokens: r.ask.OutputTokens,
 			Expiry: r.expires.Sub(now), Prefilling: r.prefilling,
 		})
@@ -162,6 +168,16 @@
 	return held
 }
 
+// ordered lists the grants in the order in which they were made.
+func (s *Scheduler) ordered() []*reservation {
+	list := make([]*reservation, 0, len(s.held))
+	for _, r := range s.held {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *reservation) int { return cmp.Compare(a.number, b.number) })
+	return list
+}
+
 // advance starts the scheduler on the first call and moves the predicted prefill progress to now.
 func (s *Scheduler) advance(now time.Time) {
 	if s.started.IsZero() {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -138,7 +138,7 @@
 	Row struct {
 		Server        string        `cbor:"1,keyasint"`
 		Revision      uint64        `cbor:"2,keyasint"` // grows with each change by its scheduler
-		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before a prefill starts
+		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before the prefill of a short prompt starts
 		FreeBytes     int64         `cbor:"4,keyasint"`
 		CapacityBytes int64         `cbor:"5,keyasint"`
 		BytesPerToken int64         `cbor:"6,keyasint"`
@@ -152,6 +152,7 @@
 		DecodeRate    float64       `cbor:"14,keyasint"` // tokens per second and sequence
 		LongDemand    float64       `cbor:"15,keyasint"` // prompt tokens per second of long prompts asked for here
 		ShortDemand   float64       `cbor:"16,keyasint"` // prompt tokens per second of other prompts asked for here
+		Backlog       time.Duration `cbor:"17,keyasint"` // predicted time to prefill all that was granted or queued
 	}
 
 	// Aggregate summarizes a model's backend servers of one failure domain for the others.
@@ -163,6 +164,9 @@
 		BestWait      time.Duration `cbor:"5,keyasint"`
 		MaxFreeBytes  int64         `cbor:"6,keyasint"`
 		FreeBytes     int64         `cbor:"7,keyasint"`
+		Best          string        `cbor:"8,keyasint"`  // backend server with BestWait
+		BestBacklog   time.Duration `cbor:"9,keyasint"`  // least backlog of those for long prompts
+		BestLong      string        `cbor:"10,keyasint"` // backend server with BestBacklog
 	}
 
 	// Member is one row of the membership that probes spread.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -6,6 +6,9 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 )
 
+// AgingStep is what an aging period adds to the priority of an ask; it is more than any length step.
+const AgingStep = 10
+
 // Defaults of the exported fields of Queue.
 const (
 	DefaultAging         = 5 * time.Second
@@ -17,16 +20,16 @@
 	Item struct {
 		ID        protocol.AttemptID
 		Workspace string
-		Class     protocol.Class
-		Cost      int64     // tokens that the workspace is charged when the ask is taken
-		Enqueued  time.Time // start of aging
-		Due       time.Time // the ask with the earliest Due has the least slack
+		Priority  int           // higher goes first
+		Cost      int64         // tokens that the workspace is charged when the ask is taken
+		Enqueued  time.Time     // start of aging
+		Aging     time.Duration // waiting time that raises Priority by AgingStep; 0 means DefaultAging
+		Due       time.Time     // the ask with the earliest Due has the least slack
 	}
 
 	// Queue holds waiting asks; it is not safe for concurrent use.
 	Queue struct {
-		Aging         time.Duration // waiting time that raises an ask by one class; 0 means DefaultAging
-		QuantumTokens int64         // lead over the workspace with the least service that still counts as equal; 0 means DefaultQuantumTokens
+		QuantumTokens int64 // lead over the workspace with the least service that still counts as equal; 0 means DefaultQuantumTokens
 
 		items   []Item
 		shares  map[string]int
@@ -96,18 +99,18 @@
 
 // Rank reports whether an ask with the properties of a would go before the waiting ask b.
 func (q *Queue) Rank(now time.Time, a, b Item) bool {
-	ca, cb := q.class(now, a), q.class(now, b)
-	if ca != cb {
-		return ca < cb
+	pa, pb := q.priority(now, a), q.priority(now, b)
+	if pa != pb {
+		return pa > pb
 	}
 	return a.Due.Before(b.Due)
 }
 
 func (q *Queue) before(now time.Time, least float64, i, j int) bool {
 	a, b := q.items[i], q.items[j]
-	ca, cb := q.class(now, a), q.class(now, b)
-	if ca != cb {
-		return ca < cb
+	pa, pb := q.priority(now, a), q.priority(now, b)
+	if pa != pb {
+		return pa > pb
 	}
 	oa, ob := q.over(a.Workspace, least), q.over(b.Workspace, least)
 	if oa != ob {
@@ -116,16 +119,21 @@
 	return a.Due.Before(b.Due)
 }
 
-// class is the urgency class after aging; it may fall below the most urgent one.
-func (q *Queue) class(now time.Time, it Item) int {
+// priority is the priority after aging.
+func (q *Queue) priority(now time.Time, it Item) int {
 	if q.noAging {
-		return int(it.Class)
+		return it.Priority
 	}
-	aging := q.Aging
+	return it.Priority + AgingStep*it.Steps(now)
+}
+
+// Steps is the number of aging periods for which an ask has waited.
+func (it Item) Steps(now time.Time) int {
+	aging := it.Aging
 	if aging <= 0 {
 		aging = DefaultAging
 	}
-	return int(it.Class) - int(now.Sub(it.Enqueued)/aging)
+	return int(now.Sub(it.Enqueued) / aging)
 }
 
 // over reports whether a workspace has had more than its share.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,8 +1,9 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,16 @@
 	DefaultAffinityBlock = 1
 )
 
+// What speaks against a backend server, in seconds of wait.
+const (
+	spreadCost  = 0.05 // random, so that hosts with equal rows don't all choose the same
+	staleCost   = 2.0  // its row is old
+	outsideCost = 60.0 // a long prompt outside the subset for long prompts
+	borrowCost  = 0.1  // another prompt inside that subset
+	backlogCost = 0.1  // for each second of prompts of lower priority
+	memoryCost  = 1.0  // too little memory is free
+)
+
 type (
 	// Policy names a way to choose backend servers.
 	Policy uint8
@@ -62,7 +73,7 @@
 	call := r.calls.Add(1)
 	usable := r.usable(view, ask, exclude)
 	if len(usable) == 0 {
-		return nil
+		return r.elsewhere(view, ask, exclude)
 	}
 	random := rand.New(rand.NewPCG(r.Seed, call))
 	var chosen []scored
@@ -74,13 +85,17 @@
 	default:
 		chosen = r.scheduled(now, view, usable, ask, random)
 	}
-	candidates := make([]Candidate, len(chosen))
+	return candidates(chosen)
+}
+
+func candidates(chosen []scored) []Candidate {
+	list := make([]Candidate, len(chosen))
 	for i, c := range chosen {
-		candidates[i] = Candidate{
+		list[i] = Candidate{
 			Server: c.entry.Server.Name, Scheduler: c.entry.Scheduler, Direct: c.entry.Scheduler.Name == "",
 		}
 	}
-	return candidates
+	return list
 }
 
 // usable lists the entries that can run the ask.
@@ -88,7 +103,7 @@
 	usable := make([]scored, 0, len(view.Entries))
 	for i := range view.Entries {
 		e := &view.Entries[i]
-		if e.Row.Leaving || e.Row.Unhealthy || excluded(exclude, e.Server.Name) || !serves(e.Row, ask.Model) {
+		if e.Server.FailureDomain != view.FailureDomain || e.Row.Leaving || e.Row.Unhealthy || excluded(exclude, e.Server.Name) || !serves(e.Row, ask.Model) {
 			continue
 		}
 		if e.Row.CapacityBytes > 0 && need(e.Row, ask) > e.Row.CapacityBytes {
@@ -109,33 +124,55 @@
 
 func (r *Router) scheduled(now time.Time, view *fleet.View, usable []scored, ask protocol.Ask, random *rand.Rand) []scored {
 	for i := range usable {
-		usable[i].cost = r.cost(now, view, usable[i].entry, ask, random)
+		usable[i].cost = r.cost(now, usable[i].entry, ask, random)
 	}
-	sort.Slice(usable, func(i, j int) bool { return usable[i].cost < usable[j].cost })
+	slices.SortFunc(usable, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	limit := r.MaxCandidates
 	if limit <= 0 {
 		limit = DefaultMaxCandidates
 	}
-	return usable[:min(limit, len(usable))]
+	chosen := usable[:min(limit, len(usable))]
+	if e, ok := r.spill(view, chosen, ask); ok {
+		chosen = append(chosen[:min(limit-1, len(chosen))], scored{entry: e})
+	}
+	return chosen
 }
 
 // cost is the predicted wait in seconds with what speaks for or against a backend server.
-func (r *Router) cost(now time.Time, view *fleet.View, e *fleet.Entry, ask protocol.Ask, random *rand.Rand) float64 {
-	c := e.Row.Wait.Seconds()
-	stale := r.Stale
-	if stale <= 0 {
-		stale = DefaultStale
-	}
-	if e.Updated.IsZero() || now.Sub(e.Updated) > stale {
-		c++
+func (r *Router) cost(now time.Time, e *fleet.Entry, ask protocol.Ask, random *rand.Rand) float64 {
+	c := random.Float64() * spreadCost
+	if stale(now, e, r.staleAge()) {
+		return c + staleCost
+	}
+	if r.long(ask.PromptTokens) {
+		c += e.Row.Backlog.Seconds()
+		if !e.Row.Long {
+			c += outsideCost
+		}
+	} else {
+		c += e.Row.Wait.Seconds() + min(e.Row.Backlog.Seconds(), 1)*backlogCost
+		if e.Row.Long {
+			c += borrowCost
+		}
 	}
 	if e.Row.CapacityBytes > 0 && need(e.Row, ask) > e.Row.FreeBytes {
-		c++
+		c += memoryCost
 	}
-	if e.Server.FailureDomain != view.FailureDomain {
-		c += 0.05
+	return c
+}
+
+func (r *Router) long(tokens int64) bool {
+	if r.LongTokens > 0 {
+		return tokens > r.LongTokens
+	}
+	return tokens > DefaultLongTokens
+}
+
+func (r *Router) staleAge() time.Duration {
+	if r.Stale > 0 {
+		return r.Stale
 	}
-	return c + random.Float64()*0.02
+	return DefaultStale
 }
 
 // need is the memory that an ask takes on the backend server of a row.
