--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -140,7 +140,7 @@
 	Row struct {
 		Server        string        `cbor:"1,keyasint"`
 		Revision      uint64        `cbor:"2,keyasint"` // grows with each change by its scheduler
-		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before a prefill starts
+		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before the prefill of a short prompt starts
 		FreeBytes     int64         `cbor:"4,keyasint"`
 		CapacityBytes int64         `cbor:"5,keyasint"`
 		BytesPerToken int64         `cbor:"6,keyasint"`
@@ -156,6 +156,7 @@
 		ShortDemand   float64       `cbor:"16,keyasint"` // prompt tokens per second of other prompts asked for here
 		Scheduler     string        `cbor:"17,keyasint"` // host that schedules the backend server
 		Age           time.Duration `cbor:"18,keyasint"` // since the scheduler made the row
+		Backlog       time.Duration `cbor:"19,keyasint"` // predicted time to prefill all that was granted or queued
 	}
 
 	// Aggregate summarizes a model's backend servers of one failure domain for the others.
@@ -167,6 +168,9 @@
 		BestWait      time.Duration `cbor:"5,keyasint"`
 		MaxFreeBytes  int64         `cbor:"6,keyasint"`
 		FreeBytes     int64         `cbor:"7,keyasint"`
+		Best          string        `cbor:"8,keyasint"`  // backend server with BestWait
+		BestBacklog   time.Duration `cbor:"9,keyasint"`  // least backlog of those for long prompts
+		BestLong      string        `cbor:"10,keyasint"` // backend server with BestBacklog
 	}
 
 	// Member is one row of the membership that probes spread.
