--- /dev/null
+++ b/internal/bench/crash/world.go
@@ -0,0 +1,197 @@
+package crash
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/retry"
+	"github.com/turmericshunt/turmericshunt/internal/suspect"
+)
+
+const (
+	serverCount    = 16
+	hostCount      = 20
+	arrivals       = 26 * time.Second // then no request comes
+	duration       = 40 * time.Second
+	restart        = 12 * time.Second
+	gossipEvery    = 500 * time.Millisecond
+	broadcastTime  = 5 * time.Millisecond
+	gossipLoss     = 0.1
+	arrivalsPerSec = 20
+	requestTime    = 10 * time.Second // until a request's deadline
+	popular        = 5                // contents that many bystanders share
+	killSpread     = 200 * time.Millisecond
+)
+
+type (
+	// Scenario names the faults of a run.
+	Scenario struct {
+		Name      string
+		Crashers  int  // contents that crash each backend server that runs them
+		Resend    bool // their callers send them again before the final answer
+		Killed    int  // backend servers that die together of another cause
+		Kills     int  // how often; 0 means once if Killed is set
+		DeadHosts int  // entry hosts that die
+	}
+
+	// Result counts what happened in one run.
+	Result struct {
+		Crashers   int
+		Lost       int // servers lost to crashing contents
+		MostLost   int // by one content
+		Wrong      int // bystanders refused as crashing
+		Bystanders int // whose entry host lived
+		Answered   int
+	}
+
+	server struct {
+		name      string
+		scheduler int
+		epoch     uint64
+		dead      bool
+		attempts  map[protocol.AttemptID]*attempt
+	}
+
+	host struct {
+		name    string
+		dead    bool
+		ledger  *suspect.Ledger
+		policy  *retry.Policy
+		refused map[int]time.Time // servers that refused connections
+	}
+
+	world struct {
+		clock
+		Scenario
+		rand    *rand.Rand
+		hosts   []*host
+		servers []*server
+		names   uint64
+		last    time.Time      // of the bystanders' arrivals
+		lost    map[uint64]int // by crashing fingerprint
+		result  Result
+	}
+)
+
+// Simulate runs a scenario in virtual time; configure changes each host's ledger before the start.
+func Simulate(s Scenario, seed uint64, configure func(*suspect.Ledger)) Result {
+	w := &world{Scenario: s, rand: rand.New(rand.NewPCG(seed, seed)), lost: make(map[uint64]int)}
+	w.now = time.Unix(1_000_000, 0)
+	end := w.now.Add(duration)
+	w.build(configure)
+	w.schedule()
+	w.runUntil(end)
+	for _, n := range w.lost {
+		w.result.Lost += n
+		w.result.MostLost = max(w.result.MostLost, n)
+	}
+	w.result.Crashers = s.Crashers
+	return w.result
+}
+
+func (w *world) build(configure func(*suspect.Ledger)) {
+	for i := range hostCount {
+		h := &host{
+			name: fmt.Sprintf("host-%02d", i), refused: make(map[int]time.Time),
+			ledger: &suspect.Ledger{Host: fmt.Sprintf("host-%02d", i)},
+			policy: &retry.Policy{Rand: rand.New(rand.NewPCG(uint64(i), w.rand.Uint64()))},
+		}
+		configure(h.ledger)
+		w.hosts = append(w.hosts, h)
+	}
+	for i := range serverCount {
+		w.servers = append(w.servers, &server{
+			name: fmt.Sprintf("engine-%02d", i), scheduler: w.rand.IntN(hostCount),
+			attempts: make(map[protocol.AttemptID]*attempt),
+		})
+	}
+}
+
+func (w *world) schedule() {
+	for i := range w.hosts {
+		w.after(w.spread(gossipEvery), func() { w.gossip(i) })
+	}
+	for i := range w.servers {
+		w.start(i)
+	}
+	w.after(0, w.arrive)
+	w.last = w.now.Add(arrivals)
+	for i := range w.Crashers {
+		w.after(5*time.Second+w.spread(10*time.Second), func() { w.sendCrasher(uint64(1_000_000+i), 0) })
+	}
+	for range max(w.Kills, min(1, w.Killed)) {
+		w.after(3*time.Second+w.spread(20*time.Second), w.kill)
+	}
+	for range w.DeadHosts {
+		w.after(3*time.Second+w.spread(20*time.Second), func() { w.hosts[w.rand.IntN(hostCount)].dead = true })
+	}
+}
+
+// spread returns a random duration below d.
+func (w *world) spread(d time.Duration) time.Duration { return time.Duration(w.rand.Int64N(int64(d))) }
+
+// gossip exchanges news with one random peer, as probes do.
+func (w *world) gossip(i int) {
+	a, b := w.hosts[i], w.hosts[w.rand.IntN(hostCount)]
+	w.after(gossipEvery, func() { w.gossip(i) })
+	if a == b || a.dead || b.dead || w.rand.Float64() < gossipLoss {
+		return
+	}
+	b.ledger.Merge(w.now, a.ledger.Recent(w.now))
+	a.ledger.Merge(w.now, b.ledger.Recent(w.now))
+}
+
+// start brings a backend server up with a new epoch, which its scheduler reads from its load report.
+func (w *world) start(i int) {
+	s := w.servers[i]
+	s.dead = false
+	s.epoch = w.rand.Uint64()
+	w.hosts[s.scheduler].ledger.Epoch(w.now, s.name, s.epoch)
+}
+
+// crash ends a backend server and breaks its streams; hosts notice one after the other.
+func (w *world) crash(i int) {
+	s := w.servers[i]
+	if s.dead {
+		return
+	}
+	s.dead = true
+	w.after(restart+w.spread(restart), func() { w.start(i) })
+	w.after(w.spread(500*time.Millisecond), func() {
+		if h := w.hosts[s.scheduler]; !h.dead {
+			w.noticed(h, i)
+		}
+	})
+	broken := w.sorted(s)
+	clear(s.attempts)
+	for _, a := range broken {
+		w.after(w.spread(50*time.Millisecond), func() { a.broke() })
+	}
+}
+
+// noticed records a crash at one host, which tells all others at once.
+func (w *world) noticed(h *host, i int) {
+	h.refused[i] = w.now
+	h.ledger.Crashed(w.now, w.servers[i].name)
+	news := h.ledger.Recent(w.now)
+	for _, peer := range w.hosts {
+		if peer == h || w.rand.Float64() < gossipLoss {
+			continue
+		}
+		w.after(w.spread(broadcastTime), func() {
+			if !peer.dead {
+				peer.ledger.Merge(w.now, news)
+			}
+		})
+	}
+}
+
+// kill ends several backend servers within a moment, as the loss of their host does.
+func (w *world) kill() {
+	first := w.rand.IntN(serverCount)
+	for n := range w.Killed {
+		w.after(w.spread(killSpread), func() { w.crash((first + n) % serverCount) })
+	}
+}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -137,22 +137,33 @@
 		if s.condemned {
 			continue
 		}
-		for _, last := range s.causes {
-			first, ok := l.earlier(k, s, last)
-			if ok && !l.waiting(now, last) && l.proven(k, first, last) {
-				charges = append(charges, charge{content: k, first: first, last: last})
-				break
-			}
+		if c, ok := l.charge(now, k, s); ok {
+			charges = append(charges, c)
 		}
 	}
 	slices.SortFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
 	return charges
 }
 
+// charge finds two crashes that a content alone explains.
+func (l *Ledger) charge(now time.Time, k content, s *suspicion) (charge, bool) {
+	for _, last := range s.causes {
+		if l.waiting(now, last) {
+			continue
+		}
+		for _, first := range s.causes {
+			if l.follows(k, first, last) && l.proven(k, first, last) {
+				return charge{content: k, first: first, last: last}, true
+			}
+		}
+	}
+	return charge{}, false
+}
+
 // unsettled reports whether a content's latest crash is too recent for a verdict.
 func (l *Ledger) unsettled(now time.Time, k content, s *suspicion) bool {
 	for _, last := range s.causes {
-		if _, ok := l.earlier(k, s, last); ok && l.waiting(now, last) {
+		if l.waiting(now, last) && l.repeated(k, s, last) {
 			return true
 		}
 	}
@@ -167,22 +178,24 @@
 	return lost != nil && now.Before(lost.at.Add(cmp.Or(l.Hold, DefaultHold)))
 }
 
-// earlier finds a crash of the content that happened before its attempt in last began.
-func (l *Ledger) earlier(k content, s *suspicion, last cause) (cause, bool) {
-	if l.losses[last.crash] == nil {
-		return cause{}, false
-	}
+// repeated reports whether the content was in flight on a crash before its attempt in last began.
+func (l *Ledger) repeated(k content, s *suspicion, last cause) bool {
 	for _, first := range s.causes {
-		lost := l.losses[first.crash]
-		if first.crash == last.crash || lost == nil || !first.ran {
-			continue
-		}
-		others := lost.blamed != nil && *lost.blamed != k
-		if l.simple || !others && last.ran && !last.began.Before(lost.at) {
-			return first, true
+		if l.follows(k, first, last) {
+			return true
 		}
 	}
-	return cause{}, false
+	return false
+}
+
+// follows reports whether a content's attempt in last began after its attempt in first had ended in a crash.
+func (l *Ledger) follows(k content, first, last cause) bool {
+	a, b := l.losses[first.crash], l.losses[last.crash]
+	if a == nil || b == nil || first.crash == last.crash {
+		return false
+	}
+	others := a.blamed != nil && *a.blamed != k
+	return l.simple || !others && first.ran && last.ran && !last.began.Before(a.at)
 }
 
 // proven reports whether the content alone explains both crashes.
@@ -212,8 +225,7 @@
 		if last.crash != c {
 			continue
 		}
-		_, ok := l.earlier(k, s, last)
-		return ok
+		return l.repeated(k, s, last)
 	}
 	return false
 }
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	DefaultHold   = time.Second
 	DefaultWindow = time.Second
 	DefaultGrace  = 2 * time.Second
+	DefaultFirm   = 500 * time.Millisecond
+	DefaultTurn   = 2 * time.Second
 )
 
 // Bounds of what a Ledger remembers and spreads.
@@ -69,7 +72,15 @@
 	cause struct {
 		crash crash
 		began time.Time // of the content's attempt
-		ran   bool      // the host that dispatched the attempt says that it reached the backend server
+		ran   bool      // the attempt reached the backend server
+		own   bool      // it was dispatched by this host
+	}
+
+	// grant is the word of a scheduler alone that an attempt was on a crashed backend server.
+	grant struct {
+		content content
+		crash   crash
+		firm    time.Time // when it counts, unless the host that dispatched the attempt speaks up before
 	}
 
 	// suspicion is what is known of one content.
@@ -97,12 +108,15 @@
 	Hold   time.Duration // from a crash to the verdict on it; 0 means DefaultHold
 	Window time.Duration // crashes this close together have a common cause; 0 means DefaultWindow
 	Grace  time.Duration // attempts that ended this long before a crash was noticed belong to it; 0 means DefaultGrace
+	Firm   time.Duration // a grant counts as a run when its host is silent for this long; 0 means DefaultFirm
+	Turn   time.Duration // a content suspected elsewhere waits this long for its outcome there; 0 means DefaultTurn
 
 	mu       sync.Mutex
 	runs     map[runKey]*run
 	epochs   map[string]uint64
 	losses   map[crash]*loss
 	contents map[content]*suspicion
+	grants   map[runKey]grant
 	swept    time.Time
 	cursor   int
 
@@ -128,11 +142,16 @@
 	}
 }
 
-// Ended records that an attempt is over; a crash noticed shortly after still counts against it.
+// Ended records that an attempt is over; a crash noticed shortly after still counts against this host's own attempts.
 func (l *Ledger) Ended(now time.Time, server string, id protocol.AttemptID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.runs[runKey{server, id}]; r != nil && r.ended.IsZero() {
+	k := runKey{server, id}
+	r := l.runs[k]
+	switch {
+	case r == nil || !r.own:
+		l.withdraw(k)
+	case r.ended.IsZero():
 		r.ended = now
 	}
 }
@@ -141,7 +160,19 @@
 func (l *Ledger) Withdrawn(_ time.Time, server string, id protocol.AttemptID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.runs, runKey{server, id})
+	l.withdraw(runKey{server, id})
+}
+
+func (l *Ledger) withdraw(k runKey) {
+	delete(l.runs, k)
+	g, ok := l.grants[k]
+	if !ok {
+		return
+	}
+	delete(l.grants, k)
+	if s := l.contents[g.content]; s != nil {
+		s.causes = slices.DeleteFunc(s.causes, func(c cause) bool { return c.crash == g.crash && !c.ran })
+	}
 }
 
 // Completed records that an attempt gave its whole answer, which clears its content of earlier crashes.
@@ -185,13 +216,16 @@
 		if !r.ended.IsZero() && now.Sub(r.ended) > cmp.Or(l.Grace, DefaultGrace) {
 			continue
 		}
-		l.blame(now, r.content, lost, cause{crash: c, began: r.began, ran: r.own})
+		l.blame(now, r.content, lost, cause{crash: c, began: r.began, ran: r.own, own: r.own})
+		if !r.own {
+			l.grants[k] = grant{content: r.content, crash: c, firm: now.Add(cmp.Or(l.Firm, DefaultFirm))}
+		}
 		suspects = append(suspects, r.content)
 	}
 	return l.export(now, suspects)
 }
 
-// Check returns the verdict on a content.
+// Check returns the verdict on a content that this host is about to dispatch.
 func (l *Ledger) Check(now time.Time, workspace string, fingerprint uint64) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -200,7 +234,24 @@
 		return Clear
 	}
 	l.settle(now)
-	return l.verdict(now, content{workspace, fingerprint})
+	k := content{workspace, fingerprint}
+	v := l.verdict(now, k)
+	if v == Suspected && !l.simple && l.runsElsewhere(now, k) {
+		return Held
+	}
+	return v
+}
+
+// CheckAsk returns the verdict on a content for which another host asks a grant.
+func (l *Ledger) CheckAsk(now time.Time, a *protocol.Ask) Verdict {
+	if !a.Suspect {
+		return l.Check(now, a.Workspace, a.Fingerprint)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prepare(now)
+	l.settle(now)
+	return max(l.verdict(now, content{a.Workspace, a.Fingerprint}), Suspected)
 }
 
 func (l *Ledger) verdict(now time.Time, k content) Verdict {
@@ -224,6 +275,22 @@
 	return Clear
 }
 
+// runsElsewhere reports whether another copy of a suspected content runs now or is about to.
+func (l *Ledger) runsElsewhere(now time.Time, k content) bool {
+	for _, r := range l.runs {
+		if r.content == k && r.ended.IsZero() {
+			return true
+		}
+	}
+	s := l.contents[k]
+	for _, c := range s.causes {
+		if c.own {
+			return false
+		}
+	}
+	return now.Before(s.changed.Add(cmp.Or(l.Turn, DefaultTurn)))
+}
+
 // prepare makes the maps and drops what is too old.
 func (l *Ledger) prepare(now time.Time) {
 	if l.runs == nil {
@@ -231,7 +298,9 @@
 		l.epochs = make(map[string]uint64)
 		l.losses = make(map[crash]*loss)
 		l.contents = make(map[content]*suspicion)
+		l.grants = make(map[runKey]grant)
 	}
+	l.confirm(now)
 	if now.Sub(l.swept) < sweepEvery {
 		return
 	}
@@ -239,6 +308,26 @@
 	l.sweep(now)
 }
 
+// confirm lets grants count as runs whose hosts have kept silent, since they may have died too.
+func (l *Ledger) confirm(now time.Time) {
+	for k, g := range l.grants {
+		if now.Before(g.firm) {
+			continue
+		}
+		delete(l.grants, k)
+		s := l.contents[g.content]
+		if s == nil {
+			continue
+		}
+		for i := range s.causes {
+			if c := &s.causes[i]; c.crash == g.crash && !c.ran {
+				c.ran = true
+				s.changed = now
+			}
+		}
+	}
+}
+
 func (l *Ledger) sweep(now time.Time) {
 	grace := cmp.Or(l.Grace, DefaultGrace)
 	for k, r := range l.runs {
@@ -247,7 +336,7 @@
 		}
 	}
 	for k, s := range l.contents {
-		if !now.Before(s.expiry) {
+		if now.After(s.expiry) {
 			l.forget(k)
 		}
 	}
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -60,25 +60,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prepare(now)
+	if len(l.losses) == 0 {
+		return nil
+	}
 	l.settle(now)
 	var fresh, old []content
 	for k, s := range l.contents {
-		if now.Sub(s.changed) <= newsAge {
+		switch {
+		case now.Sub(s.changed) <= newsAge:
 			fresh = append(fresh, k)
-		} else {
+		case s.condemned || len(s.causes) > 0:
 			old = append(old, k)
 		}
 	}
-	slices.SortFunc(fresh, func(a, b content) int {
-		return cmp.Or(l.contents[b].changed.Compare(l.contents[a].changed), compare(a, b))
-	})
+	if len(fresh) > maxNews {
+		slices.SortFunc(fresh, func(a, b content) int {
+			return cmp.Or(l.contents[b].changed.Compare(l.contents[a].changed), compare(a, b))
+		})
+		fresh = fresh[:maxNews]
+	}
 	slices.SortFunc(old, compare)
-	news := l.export(now, fresh[:min(len(fresh), maxNews)])
-	for range min(len(old), maxNews-len(news)) {
+	for range min(len(old), maxNews-len(fresh)) {
 		l.cursor++
-		news = append(news, l.export(now, old[l.cursor%len(old):][:1])...)
+		fresh = append(fresh, old[l.cursor%len(old)])
 	}
-	return append(news, l.bare(now)...)
+	return append(l.export(now, fresh), l.bare(now)...)
 }
 
 // bare tells of recent crashes with nothing in flight, which show that several crashes have a common cause.
