--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -25,6 +25,7 @@
 	DefaultGrace  = 2 * time.Second
 	DefaultFirm   = 500 * time.Millisecond
 	DefaultTurn   = 2 * time.Second
+	DefaultSettle = 500 * time.Millisecond
 )
 
 // Bounds of what a Ledger remembers and spreads.
@@ -109,6 +110,7 @@
 	Window time.Duration // crashes this close together have a common cause; 0 means DefaultWindow
 	Grace  time.Duration // attempts that ended this long before a crash was noticed belong to it; 0 means DefaultGrace
 	Firm   time.Duration // a grant counts as a run when its host is silent for this long; 0 means DefaultFirm
+	Settle time.Duration // from a crash to the next attempts of its suspects; 0 means DefaultSettle
 	Turn   time.Duration // a content suspected elsewhere waits this long for its outcome there; 0 means DefaultTurn
 
 	mu       sync.Mutex
@@ -266,13 +268,18 @@
 	case l.simple:
 		return Suspected
 	}
+	v := Clear
 	for _, c := range s.causes {
 		lost := l.losses[c.crash]
-		if lost != nil && lost.blamed == nil && !l.external(lost, k) {
-			return Suspected
+		if lost == nil || lost.blamed != nil || l.external(lost, k) {
+			continue
+		}
+		if !l.hasty && now.Before(lost.at.Add(cmp.Or(l.Settle, DefaultSettle))) {
+			return Held
 		}
+		v = Suspected
 	}
-	return Clear
+	return v
 }
 
 // runsElsewhere reports whether another copy of a suspected content runs now or is about to.
