--- /dev/null
+++ b/internal/manifest/state_test.go
@@ -0,0 +1,107 @@
+package manifest
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/violation"
+)
+
+// Returns a chain of manifests and all bodies that they name.
+func chain() ([]Manifest, [][]byte) {
+	var manifests []Manifest
+	var bodies [][]byte
+	var m Manifest
+	for _, change := range changes[1:] {
+		body := []byte(change.body)
+		m = m.with(Change{ID: change.body, Section: change.section, After: document.Digest(body)})
+		manifests, bodies = append(manifests, m), append(bodies, body)
+	}
+	return manifests, bodies
+}
+
+// Offers of any manifest in any order, with or without its bodies, never bring back an older one.
+func neverReverts(allowOlder bool) func(*rapid.T) {
+	return func(t *rapid.T) {
+		manifests, bodies := chain()
+		s := &State{allowOlder: allowOlder}
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			before := s.Version().Revision
+			m := manifests[rapid.IntRange(0, len(manifests)-1).Draw(t, "manifest")]
+			given := bodies[rapid.IntRange(0, len(bodies)).Draw(t, "from"):]
+			changed, err := s.Offer(m, given...)
+			after := s.Version().Revision
+			if after < before {
+				t.Fatalf("revision %d came into force after %d", after, before)
+			}
+			if changed != (after != before) {
+				t.Fatalf("changed is %v from %d to %d", changed, before, after)
+			}
+			if err == nil && after < m.Revision {
+				t.Fatalf("revision %d was passed over for %d", m.Revision, after)
+			}
+			if _, _, d := s.InForce(); after > 0 && (d == nil || d.Check() != nil) {
+				t.Fatal("an invalid document is in force")
+			}
+		}
+	}
+}
+
+func TestNeverReverts(t *testing.T) { rapid.Check(t, neverReverts(false)) }
+
+func TestNeverRevertsFailsWithoutProtection(t *testing.T) {
+	if !violation.Found(t, neverReverts(true)) {
+		t.Error("no violation was found")
+	}
+}
+
+func TestOfferFaults(t *testing.T) {
+	manifests, bodies := chain()
+	last := manifests[len(manifests)-1]
+	other := last
+	other.Change.Author = "other"
+	invalid := Manifest{}.with(Change{ID: "x", Section: document.SectionNonIdempotent, After: document.Digest(bodies[2])})
+	tests := []struct {
+		name   string
+		drive  func(*State) error
+		want   Kind
+		inside uint64
+	}{
+		{"missing body", func(s *State) error { _, err := s.Offer(last); return err }, KindMissing, 0},
+		{"another body", func(s *State) error { _, err := s.Offer(manifests[0], []byte("[]")); return err }, KindMissing, 0},
+		{"invalid whole", func(s *State) error { _, err := s.Offer(invalid, bodies...); return err }, KindInvalid, 0},
+		{"two of one revision", func(s *State) error {
+			if _, err := s.Offer(last, bodies...); err != nil {
+				return err
+			}
+			_, err := s.Offer(other, bodies...)
+			return err
+		}, KindDiverged, last.Revision},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := new(State)
+			var e *Error
+			if err := test.drive(s); !errors.As(err, &e) || e.Kind != test.want {
+				t.Errorf("got %v, want %s", err, test.want)
+			}
+			if s.Version().Revision != test.inside {
+				t.Errorf("revision %d is in force", s.Version().Revision)
+			}
+		})
+	}
+}
+
+func TestParseKeepsFieldsOfLaterVersions(t *testing.T) {
+	text := []byte(`{"revision":3,"sections":[{"section":"colors","revision":3,"digest":"d","owner":"x"}],"quorum":2}`)
+	m, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(m.Encode()) != string(text) || m.Version().Digest != document.Digest(text) {
+		t.Errorf("got %s", m.Encode())
+	}
+}
--- a/internal/violation/violation.go
+++ b/internal/violation/violation.go
@@ -13,12 +13,21 @@
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		return err
 	}
+	if err := flag.Set("rapid.checks", "500"); err != nil {
+		return err
+	}
 	return flag.Set("rapid.nofailfile", "true")
 }
 
-// Found reports whether rapid finds a case that breaks property.
+// Found reports whether rapid finds a case that breaks property; it must not run beside other properties.
 func Found(t *testing.T, property func(*rapid.T)) bool {
 	t.Helper()
+	shrink := flag.Lookup("rapid.shrinktime").Value
+	before := shrink.String()
+	defer shrink.Set(before) //nolint:errcheck // it was valid before
+	if err := shrink.Set("0s"); err != nil {
+		t.Fatal(err)
+	}
 	r := &recorder{T: t}
 	rapid.Check(r, property)
 	return r.failed
