dispatch: let a long prompt wait its turn for room on several engines

Ruled out: a smaller headroom of the planner: the memory was really held. Change: plans for which there is no room are made again every 100 ms, in the order of arrival on the host, until the plan says that no time is left.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,6 +66,7 @@
 	Log        *slog.Logger
 
 	holdings holdings
+	long     turns // of prompts that need several engines
 }
 
 // Run admits and runs a prompt, and returns an *outcome.Error when there is no whole answer.
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -20,6 +20,9 @@
 // Events of one chain that may wait to be taken in.
 const chainEvents = 64
 
+// A plan for which there is no room is made again after this time.
+const planInterval = 100 * time.Millisecond
+
 const (
 	reserveTimeout = 2 * time.Second
 	exportTimeout  = 5 * time.Second
@@ -43,9 +46,7 @@
 type chainEvent func(now time.Time) []longprompt.Action
 
 func (r *run) runLong(ctx context.Context) (Answer, *setback) {
-	ask := r.ask
-	ask.TimeLeft = time.Until(r.job.Deadline)
-	members, err := r.d.Planner.Plan(time.Now(), r.d.Fleet.View(), ask)
+	members, err := r.plan(ctx)
 	if err != nil {
 		return Answer{}, r.setback(planFailure(err))
 	}
@@ -75,6 +76,27 @@
 	}, nil
 }
 
+// Waits in the order of arrival until the engines have room, or the plan says that there is no time left.
+func (r *run) plan(ctx context.Context) ([]longprompt.Member, error) {
+	if err := r.d.long.wait(ctx); err != nil {
+		return nil, err
+	}
+	defer r.d.long.pass()
+	for {
+		ask := r.ask
+		ask.TimeLeft = time.Until(r.job.Deadline)
+		members, err := r.d.Planner.Plan(time.Now(), r.d.Fleet.View(), ask)
+		var failure *longprompt.Error
+		if !errors.As(err, &failure) || failure.Kind != longprompt.KindNow {
+			return members, err
+		}
+		pause(ctx, planInterval)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
 func planFailure(err error) retry.Failure {
 	f := retry.Failure{Kind: retry.KindNoGrant, Grant: protocol.RefusalBusy}
 	var failure *longprompt.Error
