summary: sum rows up for the hosts of other failure domains

Cause: a host learns rows of its own failure domain only, and spill needs to know what the others have. Ruled out: rows of all failure domains on each host, whose bytes grow with the fleet. Change: one aggregate a failure domain and model, carried between edge hosts and passed on inside a failure domain; the newest by age is kept. Measured: nothing yet.

--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,11 @@
 	p.HostsIndex = n.host.inventory.Index()
 	p.Suspicions = n.host.suspects.Recent(time.Now())
 	if to.FailureDomain != n.host.self.FailureDomain {
+		p.Aggregates = summary.Aggregates(n.host.self.FailureDomain, n.host.self.Region, n.all())
 		return
 	}
 	p.Rows = n.rows()
+	p.Aggregates = n.aggregates()
 	p.Usage = n.host.quota.Usage(time.Now())
 }
 
@@ -40,7 +43,8 @@
 func (n *news) FillAck(a *protocol.Ack, to protocol.Host) {
 	var p protocol.Probe
 	n.Fill(&p, to)
-	a.Manifest, a.HostsIndex, a.Suspicions, a.Rows, a.Usage = p.Manifest, p.HostsIndex, p.Suspicions, p.Rows, p.Usage
+	a.Manifest, a.HostsIndex, a.Suspicions = p.Manifest, p.HostsIndex, p.Suspicions
+	a.Rows, a.Aggregates, a.Usage = p.Rows, p.Aggregates, p.Usage
 }
 
 // Take takes in a peer's news.
@@ -48,6 +52,9 @@
 	now := time.Now()
 	h := n.host
 	h.suspects.Merge(now, p.Suspicions)
+	n.mu.Lock()
+	n.board.PostAggregates(now, n.foreign(p.Aggregates))
+	n.mu.Unlock()
 	if p.From.FailureDomain == h.self.FailureDomain {
 		n.mu.Lock()
 		n.board.Post(now, p.Rows)
@@ -63,7 +70,8 @@
 // TakeAck takes in the news of a peer's answer.
 func (n *news) TakeAck(a *protocol.Ack) {
 	n.Take(&protocol.Probe{
-		From: a.From, Manifest: a.Manifest, HostsIndex: a.HostsIndex, Suspicions: a.Suspicions, Rows: a.Rows, Usage: a.Usage,
+		From: a.From, Manifest: a.Manifest, HostsIndex: a.HostsIndex, Suspicions: a.Suspicions,
+		Rows: a.Rows, Aggregates: a.Aggregates, Usage: a.Usage,
 	})
 }
 
@@ -86,6 +94,19 @@
 	return n.board.Rows(now)
 }
 
+// Returns the aggregates of other failure domains.
+func (n *news) aggregates() []protocol.Aggregate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.board.RemoteAggregates(time.Now())
+}
+
+func (n *news) foreign(aggregates []protocol.Aggregate) []protocol.Aggregate {
+	return slices.DeleteFunc(aggregates, func(a protocol.Aggregate) bool {
+		return a.FailureDomain == n.host.self.FailureDomain
+	})
+}
+
 func (n *news) setHosts(count int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/host/views.go
+++ b/internal/host/views.go
@@ -87,7 +87,7 @@
 	rows := h.news.all()
 	alive := h.members.Alive()
 	hosts := h.inventory.Hosts()
-	view := &fleet.View{FailureDomain: h.self.FailureDomain}
+	view := &fleet.View{FailureDomain: h.self.FailureDomain, Aggregates: h.news.aggregates()}
 	for _, x := range hosts {
 		if x.Kind != platformapi.KindEngine {
 			continue
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -171,6 +171,7 @@
 		Best          string        `cbor:"8,keyasint"`  // backend server with BestWait
 		BestBacklog   time.Duration `cbor:"9,keyasint"`  // least backlog of those for long prompts
 		BestLong      string        `cbor:"10,keyasint"` // backend server with BestBacklog
+		Age           time.Duration `cbor:"20,keyasint"` // since it was summed up
 	}
 
 	// Member is one row of the membership that probes spread.
--- a/internal/summary/board.go
+++ b/internal/summary/board.go
@@ -19,7 +19,8 @@
 type Board struct {
 	Hosts int // entry hosts of the failure domain
 
-	notes []*note // ascending by backend server
+	notes  []*note // ascending by backend server
+	remote []remote
 }
 
 type note struct {
--- a/internal/summary/board_test.go
+++ b/internal/summary/board_test.go
@@ -50,3 +50,27 @@
 		t.Errorf("%d rows are kept for good", len(got))
 	}
 }
+
+func TestAggregates(t *testing.T) {
+	rows := []protocol.Row{
+		{Server: "g1", Models: []string{"m"}, Wait: 3 * time.Second, FreeBytes: 5},
+		{Server: "g2", Models: []string{"m", "n"}, Wait: time.Second, FreeBytes: 2},
+		{Server: "g3", Models: []string{"m"}, FreeBytes: 100, Unhealthy: true},
+	}
+	got := Aggregates("d", "r", rows)
+	want := protocol.Aggregate{
+		FailureDomain: "d", Region: "r", Model: "m", Servers: 2, BestWait: time.Second, MaxFreeBytes: 5, FreeBytes: 7,
+	}
+	if len(got) != 2 || got[0] != want {
+		t.Errorf("got %+v, want first %+v", got, want)
+	}
+	now := time.Unix(1000, 0)
+	var b Board
+	late := want
+	late.Servers, late.Age = 9, time.Minute
+	b.PostAggregates(now, got)
+	b.PostAggregates(now, []protocol.Aggregate{late})
+	if kept := b.RemoteAggregates(now); len(kept) != 2 || kept[0].Servers != 2 {
+		t.Errorf("an older aggregate replaced a newer one: %+v", kept)
+	}
+}
