--- a/internal/bench/drive/drive.go
+++ b/internal/bench/drive/drive.go
@@ -147,11 +147,7 @@
 		e := &engine{
 			name: name, domain: i % domains,
 			scheduler: &grant.Scheduler{Server: server, Weight: r.Weight},
-			batch: &batch.Engine{
-				PrefillPerSecond: prefillPerSecond, StepTime: stepTime, SequenceTime: sequenceTime,
-				ContextTime: contextTime, ChunkTokens: chunkTokens, BlockTokens: blockTokens,
-				KVBytesPerToken: kvBytesPerToken, MemoryBytes: memoryTokens * kvBytesPerToken,
-			},
+			batch:     newBatch(),
 		}
 		if r.Tune != nil {
 			r.Tune(e.scheduler, nil)
--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	duration = 150 * time.Second
+	duration = 200 * time.Second
 	warmup   = 20 * time.Second
 	seed     = 7
+	alone    = 2000 // prompts of the lower bound
 )
 
 // policy is a way to schedule under measurement.
@@ -44,6 +45,7 @@
 			add(r, fmt.Sprintf("%s %.0f%%", p.name, load*100), res, p.policy == routing.PolicyScheduled && load == targetLoad)
 		}
 	}
+	add(r, "one_idle_engine", drive.Bound(seed, drive.DefaultMix(), alone), false)
 	slowdown(r)
 }
 
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -18,6 +18,11 @@
 	WeightShortSlowdown Weight = "short_slowdown"
 )
 
+const (
+	shortSlowdownLongTokens = 16_000
+	firstTokenLongTokens    = 100_000
+)
+
 type (
 	// Section names a part of the document.
 	Section string
@@ -88,6 +93,14 @@
 	Duration time.Duration
 )
 
+// LongTokens is the prompt length in tokens above which prompts are confined to the engines for long prompts.
+func (w Weight) LongTokens() int64 {
+	if w == WeightShortSlowdown {
+		return shortSlowdownLongTokens
+	}
+	return firstTokenLongTokens
+}
+
 // MarshalText writes d in the form of time.Duration.String.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
--- a/internal/grant/memory.go
+++ b/internal/grant/memory.go
@@ -17,7 +17,7 @@
 )
 
 // headroomPercent is the part of the memory that long prompts leave to the others, unless one needs more.
-const headroomPercent = 25
+const headroomPercent = 15
 
 // Report takes in the engine's own report.
 func (s *Scheduler) Report(now time.Time, load engineapi.Load) []Decision {
--- a/internal/grant/predict.go
+++ b/internal/grant/predict.go
@@ -82,7 +82,7 @@
 	if s.LongTokens > 0 {
 		return tokens > s.LongTokens
 	}
-	return tokens > DefaultLongTokens
+	return tokens > s.Weight.LongTokens()
 }
 
 // ahead is the predicted time that the engine spends on held prompts before one of the given priority.
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -13,13 +13,12 @@
 
 // Defaults of the exported fields of Scheduler.
 const (
-	DefaultTokenGap   = 28 * time.Millisecond
-	DefaultLead       = 25 * time.Millisecond
-	DefaultIdle       = 5 * time.Millisecond
-	DefaultRebuild    = 2 * time.Second
-	DefaultTimeLimit  = time.Minute
-	DefaultLongTokens = 100_000
-	DefaultMaxQueued  = 2000
+	DefaultTokenGap  = 28 * time.Millisecond
+	DefaultLead      = 25 * time.Millisecond
+	DefaultIdle      = 5 * time.Millisecond
+	DefaultRebuild   = 2 * time.Second
+	DefaultTimeLimit = time.Minute
+	DefaultMaxQueued = 2000
 )
 
 const (
@@ -39,7 +38,7 @@
 		Lead       time.Duration // prefill work that the engine gets ahead of time; 0 means DefaultLead
 		Idle       time.Duration // predicted wait up to which an ask that does not queue is granted; 0 means DefaultIdle
 		Rebuild    time.Duration // after the start, reports of held memory go before own knowledge; 0 means DefaultRebuild
-		LongTokens int64         // prompts above this are long; 0 means DefaultLongTokens
+		LongTokens int64         // prompts above this are long; 0 follows Weight
 		MaxRunning int           // bound on concurrent grants; 0 follows TokenGap
 		MaxQueued  int           // bound on waiting asks; 0 means DefaultMaxQueued
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -23,7 +23,6 @@
 const (
 	DefaultMaxCandidates = 3
 	DefaultStale         = 3 * time.Second
-	DefaultLongTokens    = 100_000
 	DefaultAffinityBlock = 1
 )
 
@@ -54,7 +53,7 @@
 		Weight        document.Weight
 		MaxCandidates int           // 0 means DefaultMaxCandidates
 		Stale         time.Duration // age from which a row counts for less; 0 means DefaultStale
-		LongTokens    int64         // prompts above this are long; 0 means DefaultLongTokens
+		LongTokens    int64         // prompts above this are long; 0 follows Weight
 		Affinity      time.Duration // longer wait that is accepted for a cached prefix
 		Seed          uint64
 
@@ -165,7 +164,7 @@
 	if r.LongTokens > 0 {
 		return tokens > r.LongTokens
 	}
-	return tokens > DefaultLongTokens
+	return tokens > r.Weight.LongTokens()
 }
 
 func (r *Router) staleAge() time.Duration {
