--- a/internal/bench/crash/request.go
+++ b/internal/bench/crash/request.go
@@ -57,7 +57,7 @@
 func (w *world) sendCrasher(content uint64, resends int) {
 	w.send(&request{content: content, crashes: true, resends: resends})
 	if w.Resend && resends < maxResends {
-		w.after(200*time.Millisecond+w.spread(2*time.Second), func() { w.sendCrasher(content, resends+1) })
+		w.after(time.Second+w.spread(3*time.Second), func() { w.sendCrasher(content, resends+1) })
 	}
 }
 
@@ -110,24 +110,17 @@
 			r.decide(retry.Failure{Kind: retry.KindNoGrant, Grant: protocol.RefusalCrashing, Verdict: verdict})
 			return
 		}
-		if verdict == suspect.Held || verdict == suspect.Suspected && r.crowded(s) {
+		if verdict == suspect.Held || verdict == suspect.Suspected && s.suspects > 0 {
 			w.after(recheck, r.try)
 			return
 		}
 		scheduler.ledger.Started(w.now, s.name, a.id, workspace, r.content, verdict == suspect.Suspected)
 	}
 	a.apart = verdict == suspect.Suspected
-	w.after(time.Millisecond, a.run)
-}
-
-// crowded reports whether another suspect runs on the backend server.
-func (r *request) crowded(s *server) bool {
-	for _, other := range s.attempts {
-		if other.apart {
-			return true
-		}
+	if a.apart {
+		s.suspects++
 	}
-	return false
+	w.after(time.Millisecond, a.run)
 }
 
 // choose picks a backend server that is not known to be dead and, for a suspect, runs no other one.
@@ -139,7 +132,7 @@
 		if refused && w.now.Sub(at) < avoidRefused {
 			continue
 		}
-		if verdict == suspect.Suspected && r.crowded(s) {
+		if verdict == suspect.Suspected && s.suspects > 0 {
 			continue
 		}
 		free = append(free, i)
@@ -150,14 +143,23 @@
 	return free[w.rand.IntN(len(free))], true
 }
 
+// leave gives the place of a suspect on a backend server free.
+func (a *attempt) leave() {
+	if a.apart {
+		a.w.servers[a.server].suspects--
+	}
+}
+
 // run reaches the backend server, which refuses connections when it is dead.
 func (a *attempt) run() {
 	w, s := a.w, a.w.servers[a.server]
 	if a.entry.dead {
+		a.leave()
 		a.orphaned()
 		return
 	}
 	if s.dead {
+		a.leave()
 		a.entry.refused[a.server] = w.now
 		a.entry.ledger.Withdrawn(w.now, s.name, a.id)
 		w.hosts[s.scheduler].ledger.Withdrawn(w.now, s.name, a.id)
@@ -188,6 +190,7 @@
 		return
 	}
 	delete(s.attempts, a.id)
+	a.leave()
 	if a.entry.dead {
 		a.orphaned()
 		return
--- a/internal/bench/crash/world.go
+++ b/internal/bench/crash/world.go
@@ -51,6 +51,7 @@
 		scheduler int
 		epoch     uint64
 		dead      bool
+		suspects  int // granted and not over
 		attempts  map[protocol.AttemptID]*attempt
 	}
 
@@ -167,6 +168,7 @@
 	broken := w.sorted(s)
 	clear(s.attempts)
 	for _, a := range broken {
+		a.leave()
 		w.after(w.spread(50*time.Millisecond), func() { a.broke() })
 	}
 }
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -160,16 +160,28 @@
 	return charge{}, false
 }
 
-// unsettled reports whether a content's latest crash is too recent for a verdict.
+// unsettled reports whether the verdict on a content's latest crash may still change with the news to come.
 func (l *Ledger) unsettled(now time.Time, k content, s *suspicion) bool {
 	for _, last := range s.causes {
-		if l.waiting(now, last) && l.repeated(k, s, last) {
+		if !l.repeated(k, s, last) {
+			continue
+		}
+		if l.waiting(now, last) || l.doubtful(now, k, last) {
 			return true
 		}
 	}
 	return false
 }
 
+// doubtful reports whether a crash may yet be explained by another content; a loss of many is not waited for.
+func (l *Ledger) doubtful(now time.Time, k content, last cause) bool {
+	lost := l.losses[last.crash]
+	if l.hasty || !now.Before(lost.at.Add(cmp.Or(l.Doubt, DefaultDoubt))) {
+		return false
+	}
+	return l.unexplained(lost, k) < manyLosses
+}
+
 func (l *Ledger) waiting(now time.Time, c cause) bool {
 	if l.hasty {
 		return false
@@ -231,17 +243,18 @@
 }
 
 // external reports whether a crash of k came together with one that k's history does not explain.
-func (l *Ledger) external(lost *loss, k content) bool {
+func (l *Ledger) external(lost *loss, k content) bool { return l.unexplained(lost, k) > 0 }
+
+// unexplained counts the crashes that came together with a crash of k and that no content accounts for.
+func (l *Ledger) unexplained(lost *loss, k content) int {
+	n := 0
 	for c, other := range l.losses {
 		near := other.at.Sub(lost.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
-		if other == lost || !near || other.contents[k] {
-			continue
-		}
-		if !l.explained(c, other, k) {
-			return true
+		if other != lost && near && !other.contents[k] && !l.explained(c, other, k) {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // explained reports whether a content that shares no crash with k accounts for the crash c.
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -26,6 +26,7 @@
 	DefaultFirm   = 500 * time.Millisecond
 	DefaultTurn   = 2 * time.Second
 	DefaultSettle = 500 * time.Millisecond
+	DefaultDoubt  = 3 * time.Second
 )
 
 // Bounds of what a Ledger remembers and spreads.
@@ -38,6 +39,7 @@
 	newsAge          = 15 * time.Second // how long a change is sent before older ones
 	sweepEvery       = 10 * time.Second
 	crashesToCondemn = 2
+	manyLosses       = 2 // further crashes at once that show a common cause
 )
 
 type (
@@ -110,6 +112,7 @@
 	Window time.Duration // crashes this close together have a common cause; 0 means DefaultWindow
 	Grace  time.Duration // attempts that ended this long before a crash was noticed belong to it; 0 means DefaultGrace
 	Firm   time.Duration // a grant counts as a run when its host is silent for this long; 0 means DefaultFirm
+	Doubt  time.Duration // from a crash to the next attempt while its cause is in doubt; 0 means DefaultDoubt
 	Settle time.Duration // from a crash to the next attempts of its suspects; 0 means DefaultSettle
 	Turn   time.Duration // a content suspected elsewhere waits this long for its outcome there; 0 means DefaultTurn
 
