--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -242,15 +242,14 @@
 	return false
 }
 
-// external reports whether a crash of k came together with one that k's history does not explain.
-func (l *Ledger) external(lost *loss, k content) bool { return l.unexplained(lost, k) > 0 }
+// external reports whether a crash of k came together with several that no content accounts for.
+func (l *Ledger) external(lost *loss, k content) bool { return l.unexplained(lost, k) >= manyLosses }
 
 // unexplained counts the crashes that came together with a crash of k and that no content accounts for.
 func (l *Ledger) unexplained(lost *loss, k content) int {
 	n := 0
 	for c, other := range l.losses {
-		near := other.at.Sub(lost.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
-		if other != lost && near && !other.contents[k] && !l.explained(c, other, k) {
+		if other != lost && l.near(other, lost) && !other.contents[k] && !l.explained(c, other, k) {
 			n++
 		}
 	}
@@ -267,9 +266,10 @@
 	return false
 }
 
+// independent reports whether a content ran in c and in another crash, neither of them shared with k or one of many.
 func (l *Ledger) independent(other content, c crash, k content) bool {
 	s := l.contents[other]
-	if s == nil {
+	if s == nil || l.neighbors(l.losses[c], other, k) >= manyLosses {
 		return false
 	}
 	repeated := false
@@ -281,7 +281,22 @@
 		if lost.contents[k] {
 			return false
 		}
-		repeated = true
+		repeated = repeated || l.neighbors(lost, other, k) < manyLosses
 	}
 	return repeated
 }
+
+// neighbors counts the crashes that came together with one and involved neither content.
+func (l *Ledger) neighbors(lost *loss, a, b content) int {
+	n := 0
+	for _, other := range l.losses {
+		if other != lost && l.near(other, lost) && !other.contents[a] && !other.contents[b] {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) near(a, b *loss) bool {
+	return a.at.Sub(b.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
+}
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -274,13 +274,15 @@
 	v := Clear
 	for _, c := range s.causes {
 		lost := l.losses[c.crash]
-		if lost == nil || lost.blamed != nil || l.external(lost, k) {
+		if lost == nil || lost.blamed != nil {
 			continue
 		}
 		if !l.hasty && now.Before(lost.at.Add(cmp.Or(l.Settle, DefaultSettle))) {
 			return Held
 		}
-		v = Suspected
+		if !l.external(lost, k) {
+			v = Suspected
+		}
 	}
 	return v
 }
