--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -80,6 +80,7 @@
 		known.ran = true
 		s.changed = now
 	}
+	known.own = known.own || c.own
 	if c.began.Before(known.began) {
 		known.began = c.began
 	}
