--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,205 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/fleet"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// Policies of choice.
+const (
+	PolicyScheduled  Policy = iota // candidates for the schedulers to decide between
+	PolicyPowerOfTwo               // the better of two random backend servers by their last rows
+	PolicyRoundRobin               // one after the other
+)
+
+// Defaults of the exported fields of Router.
+const (
+	DefaultMaxCandidates = 3
+	DefaultStale         = 3 * time.Second
+	DefaultLongTokens    = 100_000
+	DefaultAffinityBlock = 1
+)
+
+// What speaks against a backend server, in seconds of wait.
+const (
+	spreadCost  = 0.05 // random, so that hosts with equal rows don't all choose the same
+	staleCost   = 2.0  // its row is old
+	outsideCost = 60.0 // a long prompt outside the subset for long prompts
+	borrowCost  = 0.1  // another prompt inside that subset
+	backlogCost = 0.1  // for each second of prompts of lower priority
+	memoryCost  = 1.0  // too little memory is free
+)
+
+type (
+	// Policy names a way to choose backend servers.
+	Policy uint8
+
+	// Candidate is a backend server to ask for a grant.
+	Candidate struct {
+		Server    string
+		Scheduler protocol.Host
+		Direct    bool // no scheduler lives; the request goes to the backend server without a grant
+	}
+
+	// Router chooses candidates; it is safe for concurrent use after its fields are set.
+	Router struct {
+		Policy        Policy
+		Weight        document.Weight
+		MaxCandidates int           // 0 means DefaultMaxCandidates
+		Stale         time.Duration // age from which a row counts for less; 0 means DefaultStale
+		LongTokens    int64         // prompts above this are long; 0 means DefaultLongTokens
+		Affinity      time.Duration // longer wait that is accepted for a cached prefix
+		Seed          uint64
+
+		calls atomic.Uint64
+	}
+
+	// scored is a backend server with the cost of sending the request there.
+	scored struct {
+		entry *fleet.Entry
+		cost  float64
+	}
+)
+
+// Candidates returns the backend servers to ask, the best first, without those named in exclude.
+func (r *Router) Candidates(now time.Time, view *fleet.View, ask protocol.Ask, exclude []string) []Candidate {
+	call := r.calls.Add(1)
+	usable := r.usable(view, ask, exclude)
+	if len(usable) == 0 {
+		return r.elsewhere(view, ask, exclude)
+	}
+	random := rand.New(rand.NewPCG(r.Seed, call))
+	var chosen []scored
+	switch r.Policy {
+	case PolicyRoundRobin:
+		chosen = []scored{usable[call%uint64(len(usable))]}
+	case PolicyPowerOfTwo:
+		chosen = r.powerOfTwo(usable, random)
+	default:
+		chosen = r.scheduled(now, view, usable, ask, random)
+	}
+	return candidates(chosen)
+}
+
+func candidates(chosen []scored) []Candidate {
+	list := make([]Candidate, len(chosen))
+	for i, c := range chosen {
+		list[i] = Candidate{
+			Server: c.entry.Server.Name, Scheduler: c.entry.Scheduler, Direct: c.entry.Scheduler.Name == "",
+		}
+	}
+	return list
+}
+
+// usable lists the entries that can run the ask.
+func (r *Router) usable(view *fleet.View, ask protocol.Ask, exclude []string) []scored {
+	usable := make([]scored, 0, len(view.Entries))
+	for i := range view.Entries {
+		e := &view.Entries[i]
+		if e.Server.FailureDomain != view.FailureDomain || e.Row.Leaving || e.Row.Unhealthy || excluded(exclude, e.Server.Name) || !serves(e.Row, ask.Model) {
+			continue
+		}
+		if e.Row.CapacityBytes > 0 && need(e.Row, ask) > e.Row.CapacityBytes {
+			continue
+		}
+		usable = append(usable, scored{entry: e})
+	}
+	return usable
+}
+
+func (r *Router) powerOfTwo(usable []scored, random *rand.Rand) []scored {
+	a, b := usable[random.IntN(len(usable))], usable[random.IntN(len(usable))]
+	if b.entry.Row.Wait < a.entry.Row.Wait {
+		a = b
+	}
+	return []scored{a}
+}
+
+func (r *Router) scheduled(now time.Time, view *fleet.View, usable []scored, ask protocol.Ask, random *rand.Rand) []scored {
+	for i := range usable {
+		usable[i].cost = r.cost(now, usable[i].entry, ask, random)
+	}
+	slices.SortFunc(usable, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+	limit := r.MaxCandidates
+	if limit <= 0 {
+		limit = DefaultMaxCandidates
+	}
+	chosen := usable[:min(limit, len(usable))]
+	if e, ok := r.spill(view, chosen, ask); ok {
+		chosen = append(chosen[:min(limit-1, len(chosen))], scored{entry: e})
+	}
+	return chosen
+}
+
+// cost is the predicted wait in seconds with what speaks for or against a backend server.
+func (r *Router) cost(now time.Time, e *fleet.Entry, ask protocol.Ask, random *rand.Rand) float64 {
+	c := random.Float64() * spreadCost
+	if stale(now, e, r.staleAge()) {
+		return c + staleCost
+	}
+	if r.long(ask.PromptTokens) {
+		c += e.Row.Backlog.Seconds()
+		if !e.Row.Long {
+			c += outsideCost
+		}
+	} else {
+		c += e.Row.Wait.Seconds() + min(e.Row.Backlog.Seconds(), 1)*backlogCost
+		if e.Row.Long {
+			c += borrowCost
+		}
+	}
+	if e.Row.CapacityBytes > 0 && need(e.Row, ask) > e.Row.FreeBytes {
+		c += memoryCost
+	}
+	return c
+}
+
+func (r *Router) long(tokens int64) bool {
+	if r.LongTokens > 0 {
+		return tokens > r.LongTokens
+	}
+	return tokens > DefaultLongTokens
+}
+
+func (r *Router) staleAge() time.Duration {
+	if r.Stale > 0 {
+		return r.Stale
+	}
+	return DefaultStale
+}
+
+// need is the memory that an ask takes on the backend server of a row.
+func need(row protocol.Row, ask protocol.Ask) int64 {
+	if ask.Bytes > 0 {
+		return ask.Bytes
+	}
+	return (ask.PromptTokens + ask.OutputTokens) * row.BytesPerToken
+}
+
+func serves(row protocol.Row, model string) bool {
+	if len(row.Models) == 0 || model == "" {
+		return true
+	}
+	for _, m := range row.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+func excluded(exclude []string, name string) bool {
+	for _, x := range exclude {
+		if x == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/suspect/evidence.go
@@ -0,0 +1,274 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// resolve returns the crash that a report belongs to, since several hosts report each crash.
+func (l *Ledger) resolve(c crash, at time.Time) crash {
+	found := false
+	nearest, distance := crash{}, sameCrash
+	for known, lost := range l.losses {
+		sameProcess := known.epoch == c.epoch || known.epoch == 0 || c.epoch == 0
+		if known.server != c.server || !sameProcess {
+			continue
+		}
+		d := lost.at.Sub(at).Abs()
+		if d < distance || d == distance && known.epoch < nearest.epoch {
+			found, nearest, distance = true, known, d
+		}
+	}
+	if found {
+		return nearest
+	}
+	if l.losses[c] != nil {
+		// The epoch is out of date: the backend server has started and crashed again since.
+		c.epoch = uint64(at.UnixNano())
+	}
+	return c
+}
+
+// lose returns the record of a crash and moves its time to the earliest report.
+func (l *Ledger) lose(c crash, at, now time.Time) *loss {
+	lost := l.losses[c]
+	if lost == nil {
+		lost = &loss{at: at, changed: now, contents: make(map[content]bool)}
+		l.losses[c] = lost
+	}
+	if at.Before(lost.at) {
+		lost.at = at
+	}
+	return lost
+}
+
+// blame adds a crash to what is known of a content.
+func (l *Ledger) blame(now time.Time, k content, lost *loss, c cause) {
+	s := l.suspicion(k)
+	if s == nil || !lost.at.After(s.cleared) {
+		return
+	}
+	s.expiry = now.Add(cmp.Or(l.Expiry, DefaultExpiry))
+	lost.contents[k] = true
+	for i := range s.causes {
+		if s.causes[i].crash == c.crash {
+			s.strengthen(now, &s.causes[i], c)
+			return
+		}
+	}
+	s.changed = now
+	if len(s.causes) == maxCauses {
+		s.causes = s.causes[1:]
+	}
+	s.causes = append(s.causes, c)
+}
+
+// suspicion returns the record of a content, or nil when there are too many.
+func (l *Ledger) suspicion(k content) *suspicion {
+	s := l.contents[k]
+	if s == nil && len(l.contents) < maxContents {
+		s = new(suspicion)
+		l.contents[k] = s
+	}
+	return s
+}
+
+// strengthen adds another host's evidence to a known cause.
+func (s *suspicion) strengthen(now time.Time, known *cause, c cause) {
+	if c.ran && !known.ran {
+		known.ran = true
+		s.changed = now
+	}
+	if c.began.Before(known.began) {
+		known.began = c.began
+	}
+}
+
+// clear drops the crashes that a content has outlived by giving a whole answer at the given time.
+func (l *Ledger) clear(now time.Time, k content, s *suspicion, at time.Time) {
+	if s.condemned || !at.After(s.cleared) {
+		return
+	}
+	s.cleared = at
+	s.changed = now
+	s.causes = slices.DeleteFunc(s.causes, func(c cause) bool {
+		lost := l.losses[c.crash]
+		if lost != nil && lost.at.After(at) {
+			return false
+		}
+		if lost != nil {
+			delete(lost.contents, k)
+		}
+		return true
+	})
+}
+
+// charge is a case against a content: two crashes that it alone explains.
+type charge struct {
+	content     content
+	first, last cause
+}
+
+// settle condemns the contents whose evidence has stood for long enough.
+func (l *Ledger) settle(now time.Time) {
+	charges := l.charges(now)
+	claims := make(map[crash]int, len(charges))
+	for _, c := range charges {
+		claims[c.first.crash]++
+	}
+	for i := range charges {
+		c := &charges[i]
+		if claims[c.first.crash] > 1 && !l.simple {
+			continue
+		}
+		s := l.contents[c.content]
+		s.condemned = true
+		s.changed = now
+		l.losses[c.first.crash].blamed = &c.content
+		l.losses[c.last.crash].blamed = &c.content
+	}
+}
+
+// charges lists the proven cases, at most one for each content.
+func (l *Ledger) charges(now time.Time) []charge {
+	var charges []charge
+	for k, s := range l.contents {
+		if s.condemned {
+			continue
+		}
+		if c, ok := l.charge(now, k, s); ok {
+			charges = append(charges, c)
+		}
+	}
+	slices.SortFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
+	return charges
+}
+
+// charge finds two crashes that a content alone explains.
+func (l *Ledger) charge(now time.Time, k content, s *suspicion) (charge, bool) {
+	for _, last := range s.causes {
+		if l.waiting(now, last) {
+			continue
+		}
+		for _, first := range s.causes {
+			if l.follows(k, first, last) && l.proven(k, first, last) {
+				return charge{content: k, first: first, last: last}, true
+			}
+		}
+	}
+	return charge{}, false
+}
+
+// unsettled reports whether a content's latest crash is too recent for a verdict.
+func (l *Ledger) unsettled(now time.Time, k content, s *suspicion) bool {
+	for _, last := range s.causes {
+		if l.waiting(now, last) && l.repeated(k, s, last) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) waiting(now time.Time, c cause) bool {
+	if l.hasty {
+		return false
+	}
+	lost := l.losses[c.crash]
+	return lost != nil && now.Before(lost.at.Add(cmp.Or(l.Hold, DefaultHold)))
+}
+
+// repeated reports whether the content was in flight on a crash before its attempt in last began.
+func (l *Ledger) repeated(k content, s *suspicion, last cause) bool {
+	for _, first := range s.causes {
+		if l.follows(k, first, last) {
+			return true
+		}
+	}
+	return false
+}
+
+// follows reports whether a content's attempt in last began after its attempt in first had ended in a crash.
+func (l *Ledger) follows(k content, first, last cause) bool {
+	a, b := l.losses[first.crash], l.losses[last.crash]
+	if a == nil || b == nil || first.crash == last.crash {
+		return false
+	}
+	others := a.blamed != nil && *a.blamed != k
+	return l.simple || !others && first.ran && last.ran && !last.began.Before(a.at)
+}
+
+// proven reports whether the content alone explains both crashes.
+func (l *Ledger) proven(k content, first, last cause) bool {
+	if l.simple {
+		return true
+	}
+	a, b := l.losses[first.crash], l.losses[last.crash]
+	if b.blamed != nil && *b.blamed != k || l.external(a, k) || l.external(b, k) {
+		return false
+	}
+	for other := range b.contents {
+		if other != k && l.candidate(other, last.crash) {
+			return false
+		}
+	}
+	return true
+}
+
+// candidate reports whether a content had crashed a backend server before it ran in the crash c.
+func (l *Ledger) candidate(k content, c crash) bool {
+	s := l.contents[k]
+	if s == nil {
+		return false
+	}
+	for _, last := range s.causes {
+		if last.crash != c {
+			continue
+		}
+		return l.repeated(k, s, last)
+	}
+	return false
+}
+
+// external reports whether a crash of k came together with one that k's history does not explain.
+func (l *Ledger) external(lost *loss, k content) bool {
+	for c, other := range l.losses {
+		near := other.at.Sub(lost.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
+		if other == lost || !near || other.contents[k] {
+			continue
+		}
+		if !l.explained(c, other, k) {
+			return true
+		}
+	}
+	return false
+}
+
+// explained reports whether a content that shares no crash with k accounts for the crash c.
+func (l *Ledger) explained(c crash, lost *loss, k content) bool {
+	for other := range lost.contents {
+		if l.independent(other, c, k) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) independent(other content, c crash, k content) bool {
+	s := l.contents[other]
+	if s == nil {
+		return false
+	}
+	repeated := false
+	for _, known := range s.causes {
+		lost := l.losses[known.crash]
+		if known.crash == c || lost == nil {
+			continue
+		}
+		if lost.contents[k] {
+			return false
+		}
+		repeated = true
+	}
+	return repeated
+}
