--- a/internal/spread/start.go
+++ b/internal/spread/start.go
@@ -30,17 +30,18 @@
 // Start fetches the configuration before the host takes requests, again and again until it is certain or ctx ends.
 //
 // The host asks the platform and all given hosts, those of its failure domain, and takes the highest revision, so
-// that neither a stale read nor one peer that lags puts an older one in force. If no peer with a configuration
-// answers, the platform's answer has to be proved fresh by a write. It returns an *Error when ctx ends first.
+// that one peer that lags puts no older one in force. The platform's answer may be a stale read and has to be proved
+// by a write; only while the platform does not answer do peers suffice. It returns an *Error when ctx ends first.
 func (k *Keeper) Start(ctx context.Context, peers Peers, hosts func() []protocol.Host) error {
 	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
 	pause := newBackoff()
 	for {
 		got := k.ask(ctx, peers, hosts())
-		switch {
-		case got.peers:
-			return nil
-		case got.store && k.prove(ctx) == nil:
+		var err error
+		if got.store {
+			err = k.prove(ctx)
+		}
+		if got.store && err == nil || got.peers && unreachable(got, err) {
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -50,6 +51,12 @@
 	}
 }
 
+// A proof that another write forestalled is tried again; peers stand in only for a platform that does not answer.
+func unreachable(got sources, proof error) bool {
+	kind := platform.KindOf(proof)
+	return !got.store || kind == platform.KindUnavailable || kind == platform.KindThrottled
+}
+
 // Asks all sources at once and waits for each, so that the highest revision of those that answer is in force.
 func (k *Keeper) ask(ctx context.Context, peers Peers, hosts []protocol.Host) sources {
 	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
