spread: test the keeper over the stand-in of the platform

Cause: a stale read whose bodies were not to be had counted as an outage, so a host started from a peer that lagged; the test of starts found it. Change: only a platform that gives no answer lets peers suffice; refusals tell the platform's error.

--- a/internal/manifest/acceptance.go
+++ b/internal/manifest/acceptance.go
@@ -57,6 +57,7 @@
 		Manifest      Manifest // zero when the store has none
 		StoreRevision uint64   // of the manifest's key; 0 when the store has none
 		Bodies        []document.Body
+		Err           error // what made an action unavailable
 	}
 
 	// Proposal is a change that an author wants accepted.
@@ -80,6 +81,7 @@
 		pending       uint64   // revision that a swap without an answer would have written; 0 for none
 		freshRevision uint64   // store revision that a read must show
 		staleReads    int
+		cause         error // why the last action could not be done
 
 		off protections
 	}
@@ -107,6 +109,7 @@
 	case EventStop:
 		return a.stop()
 	case EventUnavailable:
+		a.cause = e.Err
 		return a.repeat()
 	case EventUnknown:
 		return a.unknown()
@@ -150,6 +153,9 @@
 	if a.pending != 0 {
 		return a.refuse(KindUnknown, errors.Errorf("change %s may have been accepted", a.Proposal.Change.ID), "")
 	}
+	if a.cause != nil {
+		return a.refuse(KindUnavailable, a.cause, "")
+	}
 	return a.refuse(KindUnavailable, errors.New("the store did not answer in time"), "")
 }
 
--- a/internal/spread/apply.go
+++ b/internal/spread/apply.go
@@ -125,7 +125,7 @@
 	case platform.KindOf(err) == platform.KindUnknown:
 		return manifest.Event{Kind: manifest.EventUnknown}
 	default:
-		return manifest.Event{Kind: manifest.EventUnavailable}
+		return manifest.Event{Kind: manifest.EventUnavailable, Err: err}
 	}
 }
 
--- /dev/null
+++ b/internal/spread/keeper_test.go
@@ -0,0 +1,258 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/manifest"
+	"github.com/turmericshunt/turmericshunt/internal/platform"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	standin "github.com/turmericshunt/turmericshunt/internal/standin/platform"
+	"github.com/turmericshunt/turmericshunt/internal/violation"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
+)
+
+func TestMain(m *testing.M) {
+	if err := violation.Fix(); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+// fleet is a set of keepers over one stand-in of the platform.
+type fleet struct {
+	server  *standin.Server
+	keepers map[string]*Keeper
+	cut     map[string]bool // hosts that no peer reaches
+}
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{server: &standin.Server{}, keepers: map[string]*Keeper{}, cut: map[string]bool{}}
+	for _, name := range names {
+		f.restart(name)
+	}
+	return f
+}
+
+// Replaces a host's keeper by an empty one.
+func (f *fleet) restart(name string) *Keeper {
+	f.keepers[name] = &Keeper{Store: f.client(name), Now: time.Now, Metrics: tally.NoopScope, Log: slog.New(slog.DiscardHandler)}
+	return f.keepers[name]
+}
+
+func (f *fleet) client(name string) *platform.Client {
+	return &platform.Client{Endpoint: netip.MustParseAddrPort("127.0.0.1:1"), Host: name, HTTP: &http.Client{Transport: &standin.InProcess{Server: f.server}}}
+}
+
+// PullConfig answers for the named host as its peer interface would.
+func (f *fleet) PullConfig(_ context.Context, host protocol.Host, have protocol.ManifestVersion) (*protocol.Config, error) {
+	if f.cut[host.Name] || f.keepers[host.Name] == nil {
+		return nil, errors.New("no answer")
+	}
+	return f.keepers[host.Name].Pull(have), nil
+}
+
+func services(n int) []byte { return []byte(fmt.Sprintf(`[{"name": "s", "deadline": "%ds"}]`, n)) }
+
+func apply(t *testing.T, k *Keeper, body []byte, base uint64) Accepted {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	a, err := k.Apply(ctx, Change{Section: document.SectionServices, Body: body, Base: base, Author: "ana", Reason: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func wantRevision(t *testing.T, k *Keeper, revision uint64) {
+	t.Helper()
+	if got := k.Version().Revision; got != revision {
+		t.Errorf("revision %d is in force, want %d", got, revision)
+	}
+}
+
+func hosts(names ...string) func() []protocol.Host {
+	return func() []protocol.Host {
+		var hosts []protocol.Host
+		for _, name := range names {
+			hosts = append(hosts, protocol.Host{Name: name, FailureDomain: "a"})
+		}
+		return hosts
+	}
+}
+
+func TestApplyWatchAndPull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.keepers["b"].Watch(ctx)
+		apply(t, f.keepers["a"], services(1), 0)
+		apply(t, f.keepers["a"], services(2), 1)
+		time.Sleep(time.Second)
+		wantRevision(t, f.keepers["a"], 2)
+		wantRevision(t, f.keepers["b"], 2)
+		changed, err := f.keepers["c"].Offer(f.keepers["b"].Pull(protocol.ManifestVersion{}))
+		if !changed || err != nil {
+			t.Errorf("offer: %v, %v", changed, err)
+		}
+		if got := f.keepers["c"].Current().Document.Services[0].Deadline; got != document.Duration(2*time.Second) {
+			t.Errorf("deadline %v is in force", got)
+		}
+		if c := f.keepers["b"].Pull(f.keepers["c"].Version()); c.Manifest != nil || c.Version.Revision != 2 {
+			t.Errorf("a peer that lacks nothing got %+v", c)
+		}
+	})
+}
+
+func TestPullLeavesOutWhatThePeerHas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b")
+		apply(t, f.keepers["a"], services(1), 0)
+		first := f.keepers["a"].Pull(protocol.ManifestVersion{})
+		have := f.keepers["a"].Version()
+		change := Change{Section: document.SectionEngines, Body: []byte(`{}`)}
+		if _, err := f.keepers["a"].Apply(t.Context(), change); err != nil {
+			t.Fatal(err)
+		}
+		second := f.keepers["a"].Pull(have)
+		if len(second.Bodies) != 1 {
+			t.Errorf("%d bodies are sent, want 1", len(second.Bodies))
+		}
+		_, err := f.keepers["b"].Offer(second)
+		var e *Error
+		if !errors.As(err, &e) || e.Kind != KindMissing {
+			t.Errorf("got %v, want a missing body", err)
+		}
+		f.keepers["b"].Offer(first)
+		f.keepers["b"].Offer(second)
+		wantRevision(t, f.keepers["b"], 2)
+	})
+}
+
+func TestApplySettlesLostAnswers(t *testing.T) {
+	for lost := range 6 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("a")
+				f.server.SetFaults(platformapi.Faults{LoseWriteAnswers: lost})
+				if a := apply(t, f.keepers["a"], services(1), 0); a.Revision != 1 {
+					t.Errorf("accepted at %d, want 1", a.Revision)
+				}
+				wantRevision(t, f.keepers["a"], 1)
+			})
+		})
+	}
+}
+
+func TestApplyTellsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a")
+		f.server.SetFaults(platformapi.Faults{LateMS: 900})
+		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond) // ends during the swap of the manifest
+		defer cancel()
+		change := Change{ID: "c1", Section: document.SectionServices, Body: services(1)}
+		_, err := f.keepers["a"].Apply(ctx, change)
+		var e *Error
+		if !errors.As(err, &e) || e.Kind != KindUnknown {
+			t.Fatalf("got %v, want an unknown outcome", err)
+		}
+		f.server.SetFaults(platformapi.Faults{})
+		if a, err := f.keepers["a"].Apply(t.Context(), change); err != nil || a.Revision != 1 {
+			t.Errorf("repeated: %+v, %v", a, err)
+		}
+	})
+}
+
+func TestApplyRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a")
+		apply(t, f.keepers["a"], services(1), 0)
+		_, err := f.keepers["a"].Apply(t.Context(), Change{Section: document.SectionServices, Body: services(2)})
+		var conflict *manifest.Error
+		if !errors.As(err, &conflict) || conflict.Kind != manifest.KindConflict || !strings.Contains(conflict.Diff, `"1s"`) {
+			t.Errorf("got %v, want a conflict with a diff", err)
+		}
+		rule := []byte(`[{"service": "x", "method": "POST", "path_prefix": "/"}]`)
+		_, err = f.keepers["a"].Apply(t.Context(), Change{Section: document.SectionNonIdempotent, Body: rule})
+		var invalid *document.Error
+		if !errors.As(err, &invalid) || invalid.Path != "non_idempotent[0].service" {
+			t.Errorf("got %v, want a fault of the whole", err)
+		}
+		f.server.SetFaults(platformapi.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err = f.keepers["a"].Apply(ctx, Change{Section: document.SectionServices, Body: services(3), Base: 1})
+		var e *Error
+		if !errors.As(err, &e) || e.Kind != KindUnavailable {
+			t.Errorf("got %v, want unavailable", err)
+		}
+	})
+}
+
+func TestStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults platformapi.Faults
+		peers  []string
+		want   uint64 // 0 when the host must not start
+	}{
+		{"store and peers", platformapi.Faults{}, []string{"lagging", "latest"}, 3},
+		{"store alone", platformapi.Faults{}, nil, 3},
+		{"stale reads, lagging peer", platformapi.Faults{StaleReads: true}, []string{"lagging"}, 0},
+		{"outage", platformapi.Faults{Down: true}, []string{"lagging", "latest"}, 3},
+		{"hanging store", platformapi.Faults{Hang: true}, []string{"lagging", "latest"}, 3},
+		{"outage without peers", platformapi.Faults{Down: true}, nil, 0},
+		{"outage and peers without configuration", platformapi.Faults{Down: true}, []string{"empty"}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("latest", "lagging", "empty", "new")
+				apply(t, f.keepers["latest"], services(1), 0)
+				f.keepers["lagging"].Offer(f.keepers["latest"].Pull(protocol.ManifestVersion{}))
+				apply(t, f.keepers["latest"], services(2), 1)
+				apply(t, f.keepers["latest"], services(3), 2)
+				f.server.SetFaults(test.faults)
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				err := f.keepers["new"].Start(ctx, f, hosts(test.peers...))
+				if started := err == nil; started != (test.want > 0) {
+					t.Errorf("start: %v, revision %d", err, f.keepers["new"].Version().Revision)
+				}
+				if test.want > 0 {
+					wantRevision(t, f.keepers["new"], test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a")
+		for i := range 3 {
+			apply(t, f.keepers["a"], services(i+1), uint64(i))
+		}
+		records, err := f.keepers["a"].History(t.Context(), 2)
+		if err != nil || len(records) != 2 {
+			t.Fatalf("got %d records, %v", len(records), err)
+		}
+		r := records[0]
+		if r.Revision != 3 || r.Change.Author != "ana" || !strings.Contains(r.Diff, "-    \"deadline\": \"2s\"\n+    \"deadline\": \"3s\"") {
+			t.Errorf("got %+v", r)
+		}
+	})
+}
--- a/internal/spread/start.go
+++ b/internal/spread/start.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
 	"github.com/turmericshunt/turmericshunt/internal/platform"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
@@ -21,9 +19,10 @@
 		PullConfig(ctx context.Context, host protocol.Host, have protocol.ManifestVersion) (*protocol.Config, error)
 	}
 
-	// sources tells which sources have answered a host that starts.
+	// sources tells what the sources gave a host that starts.
 	sources struct {
-		store, peers bool
+		store error // nil when the platform's manifest is in force or superseded
+		peers bool  // a peer had a configuration
 	}
 )
 
@@ -37,24 +36,26 @@
 	pause := newBackoff()
 	for {
 		got := k.ask(ctx, peers, hosts())
-		var err error
-		if got.store {
-			err = k.prove(ctx)
+		if got.store == nil {
+			got.store = k.prove(ctx)
 		}
-		if got.store && err == nil || got.peers && unreachable(got, err) {
+		if got.store == nil {
 			return nil
 		}
 		if ctx.Err() != nil {
-			return &Error{Op: "start", Kind: KindUnavailable, Err: errors.New("neither the platform nor a peer answered")}
+			return &Error{Op: "start", Kind: KindUnavailable, Err: got.store}
+		}
+		if got.peers && unreachable(got.store) {
+			return nil
 		}
 		sleep(ctx, pause.NextBackOff())
 	}
 }
 
-// A proof that another write forestalled is tried again; peers stand in only for a platform that does not answer.
-func unreachable(got sources, proof error) bool {
-	kind := platform.KindOf(proof)
-	return !got.store || kind == platform.KindUnavailable || kind == platform.KindThrottled
+// Reports whether the platform gave no answer; peers stand in for no other failure, such as a stale read.
+func unreachable(err error) bool {
+	kind := platform.KindOf(err)
+	return kind == platform.KindUnavailable || kind == platform.KindThrottled
 }
 
 // Asks all sources at once and waits for each, so that the highest revision of those that answer is in force.
@@ -65,11 +66,10 @@
 	var mu sync.Mutex // guards got
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if k.readStore(ctx) == nil {
-			mu.Lock()
-			defer mu.Unlock()
-			got.store = true
-		}
+		err := k.readStore(ctx)
+		mu.Lock()
+		defer mu.Unlock()
+		got.store = err
 	})
 	for _, host := range hosts {
 		wg.Go(func() {
