--- a/internal/spread/history_test.go
+++ b/internal/spread/history_test.go
@@ -171,7 +171,7 @@
 
 // Makes one change from what the store holds, or from an older base, or only reads.
 func operate(ctx context.Context, k *Keeper, rnd *rand.Rand) (attempt, result) {
-	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(50+rnd.IntN(1500))*time.Millisecond)
 	defer cancel()
 	m, _, err := k.readManifest(ctx)
 	if err != nil {
