--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/routing"
 	"github.com/turmericshunt/turmericshunt/internal/summary"
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
@@ -31,7 +32,7 @@
 	p.HostsIndex = n.host.inventory.Index()
 	p.Suspicions = n.host.suspects.Recent(time.Now())
 	if to.FailureDomain != n.host.self.FailureDomain {
-		p.Aggregates = summary.Aggregates(n.host.self.FailureDomain, n.host.self.Region, n.all())
+		p.Aggregates = n.ownAggregates()
 		return
 	}
 	p.Rows = n.rows()
@@ -94,6 +95,22 @@
 	return n.board.Rows(now)
 }
 
+// Sums the own failure domain up for the hosts of the others.
+func (n *news) ownAggregates() []protocol.Aggregate {
+	d := n.host.Document()
+	if d == nil {
+		return nil
+	}
+	now := time.Now()
+	view := n.host.fleet.View()
+	aggregates := make([]protocol.Aggregate, len(d.Models))
+	for i := range d.Models {
+		aggregates[i] = routing.Aggregate(now, view, d.Models[i].Name)
+		aggregates[i].Region = n.host.self.Region
+	}
+	return aggregates
+}
+
 // Returns the aggregates of other failure domains.
 func (n *news) aggregates() []protocol.Aggregate {
 	n.mu.Lock()
