standin: add a load tool that checks every answer

Cause: figures and failure trials against real processes need many requests whose answers are known. Change: package caller sends prompts and calls and checks that the whole answer to this very prompt came back; load draws a mix of lengths, orders and stock reads by seed; the demo uses the same caller.

--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -6,16 +6,17 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/standin/caller"
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
 
 const (
 	requestTimeout  = time.Minute
-	bytesPerToken   = 4
 	questionTokens  = 1_000
 	dossierTokens   = 200_000
 	longTokens      = 600_000
@@ -34,18 +35,13 @@
 	Workspace string
 	Out       io.Writer
 
-	client http.Client
+	caller caller.Caller
 	rows   []row
 }
 
 type row struct {
 	request string
-	host    string
-	server  string
-	first   time.Duration
-	total   time.Duration
-	outcome string
-	fault   string // why the answer is not as it must be
+	result  caller.Result
 }
 
 // Run sends all requests, prints a table and returns an error if an answer was not as it must be.
@@ -53,7 +49,7 @@
 	if len(d.Entries) == 0 {
 		return errors.New("no entry hosts given")
 	}
-	d.client.Timeout = requestTimeout
+	d.caller.HTTP.Timeout = requestTimeout
 	if err := d.awaitEntries(ctx); err != nil {
 		return err
 	}
@@ -61,9 +57,9 @@
 	d.prompt(ctx, "question, streamed", 1, questionTokens, true)
 	d.prompt(ctx, "dossier, 200,000 tokens", 2, dossierTokens, true)
 	d.prompt(ctx, "prompt over one engine's memory", 3, longTokens, true)
-	d.order(ctx, "order confirmation", 4)
-	d.order(ctx, "the same order again", 5)
-	d.stock(ctx, "stock read", 0)
+	d.call(ctx, "order confirmation", d.order(4))
+	d.call(ctx, "the same order again", d.order(5))
+	d.call(ctx, "stock read", &caller.Call{Entry: d.entry(0), Method: http.MethodGet, Path: "/orders/stock/" + stockItem})
 	runs, err := d.orderRuns(ctx)
 	if err != nil {
 		return err
@@ -76,12 +72,13 @@
 
 func (d *Demo) entry(i int) string { return d.Entries[i%len(d.Entries)] }
 
-// Waits until each entry host knows its models.
+// Waits until each entry host answers a prompt.
 func (d *Demo) awaitEntries(ctx context.Context) error {
-	for end := time.Now().Add(readinessTime); ; {
+	for end := time.Now().Add(readinessTime); ; time.Sleep(readinessPeriod) {
 		waiting := ""
 		for _, e := range d.Entries {
-			if !d.ready(ctx, e) {
+			r := d.caller.Send(ctx, &caller.Prompt{Entry: e, Workspace: d.Workspace, Model: d.Model, PromptTokens: 1, OutputTokens: 1})
+			if r.Outcome != outcome.Completed {
 				waiting = e
 			}
 		}
@@ -91,83 +88,38 @@
 		if time.Now().After(end) {
 			return errors.Errorf("entry host %s is not ready", waiting)
 		}
-		time.Sleep(readinessPeriod)
-	}
-}
-
-func (d *Demo) ready(ctx context.Context, entry string) bool {
-	body := `{"model":"` + d.Model + `","messages":[{"role":"user","content":"ready?"}],"max_tokens":1}`
-	resp, err := d.send(ctx, http.MethodPost, entry+"/v1/chat/completions", body, "")
-	if err != nil {
-		return false
 	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK
 }
 
-func (d *Demo) send(ctx context.Context, method, url, body, key string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Turmericshunt-Workspace", d.Workspace)
-	if key != "" {
-		req.Header.Set("Idempotency-Key", key)
-	}
-	return d.client.Do(req)
+func (d *Demo) prompt(ctx context.Context, name string, i int, tokens int64, stream bool) {
+	d.rows = append(d.rows, row{name, d.caller.Send(ctx, &caller.Prompt{
+		Entry: d.entry(i), Workspace: d.Workspace, Model: d.Model, Text: name,
+		PromptTokens: tokens, OutputTokens: answerTokens, Stream: stream,
+	})})
 }
 
-func (d *Demo) order(ctx context.Context, name string, i int) {
+func (d *Demo) order(i int) *caller.Call {
 	body := `{"item":"` + stockItem + `","quantity":2}`
-	d.plain(ctx, name, http.MethodPost, d.entry(i)+"/v1/services/orders/orders", body, orderKey)
-}
-
-func (d *Demo) stock(ctx context.Context, name string, i int) {
-	d.plain(ctx, name, http.MethodGet, d.entry(i)+"/v1/services/orders/stock/"+stockItem, "", "")
-}
-
-func (d *Demo) plain(ctx context.Context, name, method, url, body, key string) {
-	began := time.Now()
-	r := row{request: name}
-	defer func() { d.rows = append(d.rows, r) }()
-	resp, err := d.send(ctx, method, url, body, key)
-	if err != nil {
-		r.fault = err.Error()
-		return
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	r.total = time.Since(began)
-	r.describe(resp.Header)
-	switch {
-	case err != nil:
-		r.fault = err.Error()
-	case resp.StatusCode >= http.StatusMultipleChoices:
-		r.fault = resp.Status + ": " + string(text)
-	case r.outcome != "completed":
-		r.fault = "outcome " + r.outcome
-	}
+	return &caller.Call{Entry: d.entry(i), Method: http.MethodPost, Path: "/orders/orders", Body: body, Key: orderKey}
 }
 
-func (r *row) describe(header http.Header) {
-	r.host = header.Get("Turmericshunt-Host")
-	if server := header.Get("Turmericshunt-Backend-Server"); server != "" {
-		r.server = server
-	}
-	if told := header.Get("Turmericshunt-Outcome"); told != "" {
-		r.outcome = told
-	}
-	if header.Get("Turmericshunt-Replayed") != "" {
-		r.server = "(recorded)"
+func (d *Demo) call(ctx context.Context, name string, c *caller.Call) {
+	c.Workspace = d.Workspace
+	r := d.caller.Call(ctx, c)
+	if r.Replayed {
+		r.Server = "(recorded)"
 	}
+	d.rows = append(d.rows, row{name, r})
 }
 
 func (d *Demo) orderRuns(ctx context.Context) (int, error) {
-	resp, err := d.send(ctx, http.MethodGet, d.Service+"/runs", "", "")
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.Service+"/runs", nil)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	resp, err := d.caller.HTTP.Do(req)
 	if err != nil {
-		return 0, err
+		return 0, errors.WithStack(err)
 	}
 	defer resp.Body.Close()
 	var counted struct {
@@ -184,10 +136,11 @@
 	fmt.Fprintln(tab, "REQUEST\tHOST\tBACKEND SERVER\tFIRST TOKEN MS\tTOTAL MS\tOUTCOME")
 	for _, r := range d.rows {
 		first := "-"
-		if r.first > 0 {
-			first = fmt.Sprint(r.first.Milliseconds())
+		if r.result.FirstToken > 0 {
+			first = fmt.Sprint(r.result.FirstToken.Milliseconds())
 		}
-		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%d\t%s\n", r.request, r.host, r.server, first, r.total.Milliseconds(), r.outcome)
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%d\t%s\n",
+			r.request, r.result.Host, r.result.Server, first, r.result.Total.Milliseconds(), r.result.Outcome)
 	}
 	fmt.Fprintf(tab, "the order ran %d time(s)\n", runs)
 	return errors.WithStack(tab.Flush())
@@ -195,8 +148,11 @@
 
 func (d *Demo) verdict(runs int) error {
 	for _, r := range d.rows {
-		if r.fault != "" {
-			return errors.Errorf("%s: %s", r.request, r.fault)
+		if r.result.Fault != "" {
+			return errors.Errorf("%s: %s", r.request, r.result.Fault)
+		}
+		if r.result.Outcome != outcome.Completed {
+			return errors.Errorf("%s: %s: %s", r.request, r.result.Kind, r.result.Body)
 		}
 	}
 	if runs != 1 {
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -16,6 +16,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/standin/demo"
 	"github.com/turmericshunt/turmericshunt/internal/standin/engine"
+	"github.com/turmericshunt/turmericshunt/internal/standin/load"
 	"github.com/turmericshunt/turmericshunt/internal/standin/platform"
 	"github.com/turmericshunt/turmericshunt/internal/standin/service"
 )
@@ -34,7 +35,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(p.engineCommand(), p.serviceCommand(), p.platformCommand(), p.demoCommand())
+	root.AddCommand(p.engineCommand(), p.serviceCommand(), p.platformCommand(), p.demoCommand(), p.loadCommand())
 	root.SetArgs(args)
 	root.SetOut(p.Out)
 	root.SetErr(p.Err)
@@ -147,3 +148,37 @@
 	f.StringVar(&d.Workspace, "workspace", "fundiquote", "workspace")
 	return cmd
 }
+
+func (p *Program) loadCommand() *cobra.Command {
+	l := &load.Load{}
+	cmd := &cobra.Command{
+		Use:     "load",
+		Short:   "Sends a mix of requests at a rate, checks each answer and prints what came of them",
+		Example: "  standin load --entry http://127.0.0.1:18081 --rate 50 --duration 10s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			summary, err := l.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if err := summary.Write(p.Out); err != nil {
+				return err
+			}
+			if n := summary.FaultCount(); n > 0 {
+				return errors.Errorf("%d answers were not as they must be", n)
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&l.Entries, "entry", nil, "callers' listeners of entry hosts")
+	f.StringVar(&l.Model, "model", "tender-1", "model")
+	f.StringSliceVar(&l.Workspaces, "workspace", []string{"fundiquote"}, "workspaces")
+	f.Float64Var(&l.Rate, "rate", 20, "requests per second")
+	f.DurationVar(&l.Duration, "duration", 10*time.Second, "how long requests are sent")
+	f.Int64Var(&l.MaxTokens, "max-tokens", 300_000, "most tokens of a prompt")
+	f.Int64Var(&l.OutputTokens, "output-tokens", 64, "most tokens of an answer")
+	f.DurationVar(&l.OrderDeadline, "order-deadline", 10*time.Second, "of orders")
+	f.Uint64Var(&l.Seed, "seed", 1, "of the random requests")
+	return cmd
+}
