scheduler: notice a silent engine within a second, and load: follow readiness as a balancer does

Cause: with one engine frozen, 6 of 396 requests failed for want of retry budget: the scheduler took up to 3 s to notice, and gave grants until then. Ruled out: a larger budget, which would not bring the answers sooner. Change: two load reports with a timeout of 400 ms each, the second at once after the first; the gap between frames is 1 s by default, five heartbeats of an engine; the status question has 500 ms.

--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -15,7 +15,7 @@
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
 
-const statusTimeout = time.Second
+const statusTimeout = 500 * time.Millisecond
 
 // One attempt on one backend server.
 type attempt struct {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -11,7 +11,8 @@
 // Times of asking a backend server for its state.
 const (
 	loadInterval   = 500 * time.Millisecond
-	loadTimeout    = time.Second
+	loadTimeout    = 400 * time.Millisecond
+	memoryTimeout  = time.Second
 	memoryInterval = 3 * time.Second
 	cacheWait      = 10 * time.Second
 	cachePause     = time.Second
@@ -21,24 +22,26 @@
 const maxMissedReports = 2
 
 func (r *runner) pollLoad(ctx context.Context) {
-	missed := 0
 	every(ctx, loadInterval, func() {
-		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		defer cancel()
-		load, err := r.set.Engines.Load(call, r.server)
-		if err != nil {
-			missed++
-			if missed == maxMissedReports {
-				r.setDown(true)
+		for range maxMissedReports {
+			if load, err := r.askLoad(ctx); err == nil {
+				r.report(load)
+				r.setDown(false)
+				return
 			}
-			return
 		}
-		missed = 0
-		r.report(load)
-		r.setDown(false)
+		if ctx.Err() == nil {
+			r.setDown(true)
+		}
 	})
 }
 
+func (r *runner) askLoad(ctx context.Context) (engineapi.Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	return r.set.Engines.Load(ctx, r.server)
+}
+
 func (r *runner) report(load engineapi.Load) {
 	now := time.Now()
 	r.set.Suspects.Epoch(now, r.server.Name, load.Epoch)
@@ -68,7 +71,7 @@
 // Compares the memory that the engine lists with the grants and frees what nobody will use.
 func (r *runner) pollMemory(ctx context.Context) {
 	every(ctx, memoryInterval, func() {
-		call, cancel := context.WithTimeout(ctx, loadTimeout)
+		call, cancel := context.WithTimeout(ctx, memoryTimeout)
 		defer cancel()
 		listed, err := r.set.Engines.Allocations(call, r.server)
 		if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -138,7 +138,7 @@
 	defaultBalancerDelay   = 2 * time.Second
 	defaultStopTimeout     = 10 * time.Minute
 	defaultProbeInterval   = 400 * time.Millisecond
-	defaultFrameGap        = 2 * time.Second
+	defaultFrameGap        = time.Second
 )
 
 // Load reads and checks the settings file, or returns an *Error that names the line.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,7 +50,7 @@
 		{`"format": "text"`, `"format": "xml"`, `line 51, column 15: log.format: must be "json" or "text"`},
 		{`"level": "INFO"`, `"level": "LOUD"`, `line 52, column 14: log.level: slog: level string "LOUD": unknown name`},
 		{`"balancer_delay": "2s"`, `"balancer_delay": "2"`, `line 56, column 23: timing.balancer_delay: "2" is not a duration such as "30s"`},
-		{`"frame_gap": "2s"`, `"frame_gap": "-2s"`, `line 59, column 18: timing.frame_gap: must be above 0`},
+		{`"frame_gap": "1s"`, `"frame_gap": "-2s"`, `line 59, column 18: timing.frame_gap: must be above 0`},
 	}
 	for _, tc := range tests {
 		t.Run(tc.new, func(t *testing.T) {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -210,10 +210,10 @@
 		r.Fault = "told completed, yet " + err.Error()
 	case r.Outcome == outcome.Completed && text != want:
 		r.Fault = "told completed, yet the answer is not the whole answer to this prompt"
-	case r.Outcome == "" && err != nil:
-		r.Fault = "answer cut: " + err.Error()
+	case r.Outcome != outcome.Completed && err == nil:
+		r.Fault = "a whole answer, yet told " + string(r.Outcome)
 	case r.Outcome == "":
-		r.Fault = "no outcome told"
+		r.Fault = "answer cut: " + err.Error()
 	}
 }
 
@@ -245,6 +245,8 @@
 		}
 		piece, err := r.readChunk(data)
 		if err != nil {
+			// The trailers come after the rest.
+			_, _ = io.Copy(io.Discard, body)
 			return "", err
 		}
 		if piece == "" {
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -27,6 +27,7 @@
 // Load sends requests for a time; every answer is checked.
 type Load struct {
 	Entries       []string // base addresses of callers' listeners
+	Readiness     []string // base addresses of their operators' listeners; empty takes all as ready
 	Model         string
 	Workspaces    []string
 	Rate          float64 // requests per second
@@ -37,6 +38,7 @@
 	Seed          uint64
 
 	caller  caller.Caller
+	balance balancer
 	mu      sync.Mutex // guards summary
 	summary Summary
 }
@@ -46,6 +48,14 @@
 	if len(l.Entries) == 0 || len(l.Workspaces) == 0 || l.Rate <= 0 {
 		return nil, errors.New("entries, workspaces and a rate above 0 are needed")
 	}
+	if len(l.Readiness) > 0 && len(l.Readiness) != len(l.Entries) {
+		return nil, errors.New("each entry host needs its readiness address")
+	}
+	l.balance.entries, l.balance.readiness = l.Entries, l.Readiness
+	l.balance.check(ctx)
+	checks, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.balance.run(checks)
 	random := rand.New(rand.NewPCG(l.Seed, 0))
 	var sending sync.WaitGroup
 	began := time.Now()
@@ -62,7 +72,7 @@
 
 // Draws the next request; all random values are drawn here, so that a seed gives the same requests each time.
 func (l *Load) next(random *rand.Rand, n int) func(context.Context) {
-	entry := l.Entries[random.IntN(len(l.Entries))]
+	entry := l.balance.pick(random.Float64())
 	workspace := l.Workspaces[random.IntN(len(l.Workspaces))]
 	kind := random.Float64()
 	if kind < orderShare {
--- a/internal/standin/load/summary.go
+++ b/internal/standin/load/summary.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/turmericshunt/turmericshunt/internal/standin/caller"
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
 
 // Classes of requests in a Summary.
@@ -34,18 +35,19 @@
 type Summary struct {
 	Elapsed time.Duration
 	Faults  []string // answers that were not as they must be, the first ones
+	Notes   []string // other answers without a result, the first ones
 
 	classes []*class // in the order of their first request
 	faults  int
 }
 
 type class struct {
-	name    string
-	count   int
-	first   *hdrhistogram.Histogram
-	total   *hdrhistogram.Histogram
-	gaps    *hdrhistogram.Histogram
-	told    []tally
+	name  string
+	count int
+	first *hdrhistogram.Histogram
+	total *hdrhistogram.Histogram
+	gaps  *hdrhistogram.Histogram
+	told  []tally
 }
 
 // Counts the answers with one outcome and kind of refusal.
@@ -72,7 +74,10 @@
 		}
 	}
 	c.tell(told)
-	if r.Outcome != "completed" {
+	if r.Outcome != outcome.Completed {
+		if r.Fault == "" && len(s.Notes) < maxFaults {
+			s.Notes = append(s.Notes, name+" at "+r.Host+": "+told+": "+r.Body)
+		}
 		return
 	}
 	_ = c.total.RecordValue(r.Total.Microseconds())
@@ -117,6 +122,9 @@
 			millis(c.first, 50), millis(c.first, 95), millis(c.first, 99), millis(c.total, 50), millis(c.total, 95),
 			millis(c.gaps, 95), c.outcomes())
 	}
+	for _, note := range s.Notes {
+		fmt.Fprintln(tab, "note:", note)
+	}
 	for _, fault := range s.Faults {
 		fmt.Fprintln(tab, "fault:", fault)
 	}
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -172,6 +172,7 @@
 	}
 	f := cmd.Flags()
 	f.StringSliceVar(&l.Entries, "entry", nil, "callers' listeners of entry hosts")
+	f.StringSliceVar(&l.Readiness, "readiness", nil, "operators' listeners of the entry hosts, in their order")
 	f.StringVar(&l.Model, "model", "tender-1", "model")
 	f.StringSliceVar(&l.Workspaces, "workspace", []string{"fundiquote"}, "workspaces")
 	f.Float64Var(&l.Rate, "rate", 20, "requests per second")
