dispatch: let a suspect wait for a backend server without another one

Cause: after a crash each request in flight on the dead engine is a suspect and runs apart from the others; with one engine left in the failure domain, 2 of 396 requests used their attempts up on refusals. Ruled out: more attempts, since a refusal costs no backend server work. Change: a refusal as suspect is asked again every 100 ms within the request's time and counts as no attempt.

--- a/internal/dispatch/obtain.go
+++ b/internal/dispatch/obtain.go
@@ -17,8 +17,25 @@
 // An attempt that runs without a grant ends by its deadline or by this time.
 const directExpiry = 5 * time.Minute
 
-// Asks the candidates' schedulers for a grant at once, and then waits in the queue of the best one.
+// A suspect for which each backend server runs another one asks again after this time.
+const apartInterval = 100 * time.Millisecond
+
+// Obtains a grant; a suspect waits within its time until a backend server runs no other one.
 func (r *run) obtain(ctx context.Context) (*holding, *retry.Failure) {
+	for {
+		h, failure := r.obtainOnce(ctx)
+		if failure == nil || failure.Grant != protocol.RefusalSuspect || time.Until(r.job.Deadline) < apartInterval {
+			return h, failure
+		}
+		pause(ctx, apartInterval)
+		if ctx.Err() != nil {
+			return nil, failure
+		}
+	}
+}
+
+// Asks the candidates' schedulers for a grant at once, and then waits in the queue of the best one.
+func (r *run) obtainOnce(ctx context.Context) (*holding, *retry.Failure) {
 	candidates := r.candidates()
 	if len(candidates) == 0 {
 		return nil, noGrant(protocol.RefusalUnhealthy, 0)
