--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 )
@@ -20,6 +21,7 @@
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
 	{"latency", latency.Run},
+	{"claims", claims.Run},
 }
 
 func main() {
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -118,6 +118,11 @@
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
+	return r.Flush(ctx)
+}
+
+// Flush waits until all outcomes are written, or returns ctx's error; no request may start meanwhile.
+func (r *Runner) Flush(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
 		r.tasks.Wait()
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -15,6 +16,7 @@
 )
 
 const (
+	keyHeader     = "Idempotency-Key"
 	refusedRetry  = time.Second
 	ownerTimeout  = 500 * time.Millisecond
 	answerTimeout = 5 * time.Second // of a store call after the caller was answered
@@ -189,8 +191,13 @@
 	q := t.request
 	ctx, cancel := context.WithDeadline(t.work, t.machine.Deadline.Add(r.LateAnswers))
 	defer cancel()
+	header := q.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	header.Set(keyHeader, q.Key)
 	answer, err := r.Services.Do(ctx, &service.Call{
-		Service: q.Service, Method: q.Method, Path: q.Path, Query: q.Query, Header: q.Header, Body: q.Body,
+		Service: q.Service, Method: q.Method, Path: q.Path, Query: q.Query, Header: header, Body: q.Body,
 	})
 	switch {
 	case err == nil:
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -15,7 +15,7 @@
 	status int // answered at once unless 0
 	hang   bool
 	late   time.Duration
-	lose   bool // the call takes effect and its connection is cut
+	write  bool
 }
 
 // faulty counts a call and applies the faults in effect to it.
@@ -37,7 +37,7 @@
 		if v.late > 0 {
 			pause(c.Request().Context().Done(), v.late)
 		}
-		if v.lose && buffered.status == http.StatusOK {
+		if v.write && buffered.status == http.StatusOK && s.losesAnswer() {
 			panic(http.ErrAbortHandler)
 		}
 		return buffered.flush()
@@ -67,12 +67,18 @@
 	if !limit.AllowN(s.Now(), 1) {
 		return verdict{status: http.StatusTooManyRequests}
 	}
-	v := verdict{late: time.Duration(f.LateMS) * time.Millisecond}
-	if write && f.LoseWriteAnswers > 0 {
-		f.LoseWriteAnswers--
-		v.lose = true
+	return verdict{late: time.Duration(f.LateMS) * time.Millisecond, write: write}
+}
+
+// losesAnswer reports whether the answer of a write that took effect is lost.
+func (s *Server) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseWriteAnswers == 0 {
+		return false
 	}
-	return v
+	s.faults.LoseWriteAnswers--
+	return true
 }
 
 func (s *Server) count(r *http.Request, write bool) {
