platform: count calls, log outages, and ignore short deadlines in the breaker

Cause: callers with a few milliseconds left opened the circuit breaker although the platform answered in time for everyone else; outages were not logged. Change: a call given up on within 250 ms says nothing about the platform.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
@@ -15,6 +16,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
@@ -25,12 +27,15 @@
 	backoffMax       = 2 * time.Second
 	maxResponseBytes = 64 << 20
 	maxIdleConns     = 32
+	minJudged        = 250 * time.Millisecond
 )
 
 // state is what a Client keeps between calls.
 type state struct {
 	once    sync.Once
 	http    *http.Client
+	metrics tally.Scope
+	log     *slog.Logger
 	mu      sync.Mutex // guards the fields below; never held over I/O
 	breaker breaker
 	reads   *bucket
@@ -59,6 +64,14 @@
 				DisableCompression:  true,
 			}}
 		}
+		c.metrics = c.Metrics
+		if c.metrics == nil {
+			c.metrics = tally.NoopScope
+		}
+		c.log = c.Log
+		if c.log == nil {
+			c.log = slog.New(slog.DiscardHandler)
+		}
 		c.breaker.rnd = rand.New(rand.NewPCG(c.Seed, 1)) //nolint:gosec // jitter needs no secret
 		if c.ReadsPerSecond > 0 {
 			c.reads = newBucket(c.ReadsPerSecond)
@@ -110,8 +123,10 @@
 	if wait, ok := c.enter(); !ok {
 		return &Error{Op: call.op, Kind: KindUnavailable, Err: errors.Errorf("circuit breaker open for %v", wait)}
 	}
+	start := time.Now()
 	err := c.send(ctx, call)
-	c.leave(ctx, err)
+	c.leave(ctx, err, time.Since(start))
+	c.count(call, err)
 	return err
 }
 
@@ -141,13 +156,37 @@
 	return wait, ok
 }
 
-func (c *Client) leave(ctx context.Context, err *Error) {
+// leave tells the circuit breaker how a call ended.
+func (c *Client) leave(ctx context.Context, err *Error, took time.Duration) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	before := c.breaker.open > 0
+	c.note(ctx, err, took)
+	after := c.breaker.open > 0
+	c.mu.Unlock()
+	switch {
+	case after && !before:
+		c.log.Warn("the platform does not answer", "error", err)
+		c.metrics.Gauge("platform_down").Update(1)
+	case before && !after:
+		c.log.Info("the platform answers again")
+		c.metrics.Gauge("platform_down").Update(0)
+	}
+}
+
+func (c *Client) count(call *call, err *Error) {
+	result := "ok"
+	if err != nil {
+		result = string(err.Kind)
+	}
+	c.metrics.Tagged(map[string]string{"op": call.op, "result": result}).Counter("platform_calls").Inc(1)
+}
+
+// note takes no notice of calls that their callers gave up on too early to tell.
+func (c *Client) note(ctx context.Context, err *Error, took time.Duration) {
 	switch {
 	case err == nil || err.Kind != KindUnavailable && err.Kind != KindUnknown:
 		c.breaker.succeeded()
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), ctx.Err() != nil && took < minJudged:
 		c.breaker.withdrawn()
 	default:
 		c.breaker.failed(time.Now())
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
@@ -24,6 +27,8 @@
 	FailureDomain   string        // this host's failure domain
 	Timeout         time.Duration // of one call beside a watch's wait; 0 means 2 s
 	Seed            uint64        // of the jitter
+	Metrics         tally.Scope   // nil counts nothing
+	Log             *slog.Logger  // nil logs nothing
 
 	state
 }
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -118,3 +119,19 @@
 		}
 	})
 }
+
+func TestBreakerIgnoresShortDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &standin.Server{}
+		c := newClient(s)
+		s.SetFaults(platformapi.Faults{LateMS: 50})
+		for range 3 * breakerFailures {
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			_, _ = c.Swap(ctx, "k", nil, 0, "")
+			cancel()
+		}
+		if _, err := c.List(t.Context(), ""); err != nil {
+			t.Error(err)
+		}
+	})
+}
