order: do not tell not_run of a resend while the store is down

Change: a request that its caller marks as a resend, or that this host has sent before, is refused with outcome unknown. A refusal for another body under the same key stays not_run; it had been turned to unknown.

--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -192,19 +192,37 @@
 	}
 }
 
-// An earlier sending ran, so that a sending refused for the store's outage must not be told not_run.
+// While the store is down, not_run must not be told where an earlier sending is known to this host or its caller.
 func TestStoreDownAfterRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p, s, o := &standin.Server{}, &services{}, owners{}
-		r := newRunner("e1", p, s, o)
-		_, _ = r.Do(t.Context(), request("k", "b"))
-		time.Sleep(time.Second)
-		p.SetFaults(platformapi.Faults{Down: true})
-		if got := told(r.Do(t.Context(), request("k", "b"))); got != "store_unavailable unknown" {
-			t.Errorf("got %q", got)
-		}
-		_ = r.Stop(t.Context())
-	})
+	tests := []struct {
+		name   string
+		key    string
+		resend bool
+		want   string
+	}{
+		{"sent by this host", "k", false, "store_unavailable unknown"},
+		{"marked as a resend", "k2", true, "store_unavailable unknown"},
+		{"first sending", "k2", false, "store_unavailable not_run"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, s, o := &standin.Server{}, &services{}, owners{}
+				r := newRunner("e1", p, s, o)
+				_, _ = r.Do(t.Context(), request("k", "b"))
+				if got := told(r.Do(t.Context(), request("k", "c"))); got != "idempotency_key_reused not_run" {
+					t.Errorf("another body: got %q", got)
+				}
+				p.SetFaults(platformapi.Faults{Down: true})
+				q := request(tt.key, "b")
+				q.Resend = tt.resend
+				if got := told(r.Do(t.Context(), q)); got != tt.want {
+					t.Errorf("got %q, want %q", got, tt.want)
+				}
+				_ = r.Stop(t.Context())
+			})
+		})
+	}
 }
 
 func TestRetention(t *testing.T) {
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -54,6 +54,7 @@
 		Header    http.Header
 		Body      []byte
 		Deadline  time.Time // must be set
+		Resend    bool      // the caller says that it sent the request before
 	}
 
 	// Answer is the answer of the service, now or recorded for an earlier sending.
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -90,12 +90,20 @@
 // send passes the final answer on to the caller.
 func (r *Runner) send(t *task, reply claim.Reply) {
 	t.replied = true
-	if reply.Err != nil && reply.Err.Outcome == outcome.NotRun && !t.machine.Dispatched() && r.wasSent(t.key) {
-		reply.Err.Outcome = outcome.Unknown // an earlier sending at this host may have run
+	if reply.Err != nil && reply.Err.Outcome == outcome.NotRun && r.earlierMayHaveRun(t, reply.Err.Kind) {
+		reply.Err.Outcome = outcome.Unknown
 	}
 	t.reply <- reply
 }
 
+// earlierMayHaveRun reports whether an earlier sending may have run although the store told nothing of it.
+func (r *Runner) earlierMayHaveRun(t *task, k outcome.Kind) bool {
+	if t.machine.Dispatched() || k == outcome.KindKeyReused {
+		return false // the store told that no earlier sending of this request runs
+	}
+	return t.request.Resend || r.wasSent(t.key)
+}
+
 // carryOut does what an action orders and returns the event that answers it.
 func (r *Runner) carryOut(t *task, a claim.Action) claim.Event {
 	switch a := a.(type) {
