--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -271,13 +271,16 @@
 	}
 
 	// OrderStatus asks the owner of a claim whether its dispatch still runs.
+	// With a Key it also asks whether the receiver has sent a request under the claim of that key to a service.
 	OrderStatus struct {
 		Attempt AttemptID `cbor:"1,keyasint"`
+		Key     string    `cbor:"2,keyasint,omitempty"`
 	}
 
 	// OrderState answers OrderStatus.
 	OrderState struct {
 		Running bool `cbor:"1,keyasint"`
+		Sent    bool `cbor:"2,keyasint,omitempty"`
 	}
 
 	// Message is one frame; exactly one field is set.
