order: ask the other hosts before a refusal as not_run while the store is down

Cause: a resend at another host during an outage was told not_run although an earlier sending had run. Change: before such a refusal the host asks its peers whether they sent the request; if one did, or one is not reached, the outcome is unknown.

--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -43,6 +43,12 @@
 		Running(ctx context.Context, id protocol.AttemptID) (bool, error)
 	}
 
+	// Peers asks the other hosts whether one of them has sent the request of a claim's key to a service; an error
+	// means that none that was reached has, and that some live host was not reached.
+	Peers interface {
+		Sent(ctx context.Context, key string) (bool, error)
+	}
+
 	// Request is one sending of a request that must not be repeated.
 	Request struct {
 		Workspace string
@@ -72,6 +78,7 @@
 	Store       Store
 	Services    Services
 	Owners      Owners // nil asks nobody
+	Peers       Peers  // nil asks nobody
 	Host        protocol.Host
 	Now         func() time.Time // nil means time.Now
 	Metrics     tally.Scope      // nil counts nothing
@@ -114,6 +121,13 @@
 	return r.running[claim.OwnerOf(id)]
 }
 
+// Sent reports whether this host has sent the request of a claim's key to a service, as far as it remembers.
+func (r *Runner) Sent(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent.count[key] > 0
+}
+
 // Stop refuses new requests and waits until the outcomes of the others are written, or returns ctx's error.
 func (r *Runner) Stop(ctx context.Context) error {
 	r.mu.Lock()
--- a/internal/order/sent.go
+++ b/internal/order/sent.go
@@ -31,9 +31,3 @@
 	defer r.mu.Unlock()
 	r.sent.add(key)
 }
-
-func (r *Runner) wasSent(key string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.sent.count[key] > 0
-}
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -19,6 +19,7 @@
 	keyHeader     = "Idempotency-Key"
 	refusedRetry  = time.Second
 	ownerTimeout  = 500 * time.Millisecond
+	peersTimeout  = 300 * time.Millisecond
 	answerTimeout = 5 * time.Second // of a store call after the caller was answered
 )
 
@@ -101,7 +102,18 @@
 	if t.machine.Dispatched() || k == outcome.KindKeyReused {
 		return false // the store told that no earlier sending of this request runs
 	}
-	return t.request.Resend || r.wasSent(t.key)
+	return t.request.Resend || r.Sent(t.key) || r.maybeSentElsewhere(t)
+}
+
+// maybeSentElsewhere asks the other hosts; one that is not reached may have sent the request.
+func (r *Runner) maybeSentElsewhere(t *task) bool {
+	if r.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(t.work, peersTimeout)
+	defer cancel()
+	sent, err := r.Peers.Sent(ctx, t.key)
+	return sent || err != nil
 }
 
 // carryOut does what an action orders and returns the event that answers it.
