--- /dev/null
+++ b/internal/claim/record_test.go
@@ -0,0 +1,96 @@
+package claim
+
+import (
+	"bytes"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
+)
+
+func records() map[string]*Record {
+	owner := Owner{Host: "e1", Incarnation: 7, Request: "a"}
+	return map[string]*Record{
+		"open":    {BodyDigest: "d", Owner: owner, State: StateOpen},
+		"not_run": {BodyDigest: "d", Owner: owner, State: StateNotRun},
+		"unknown": {BodyDigest: "d", Owner: owner, State: StateUnknown},
+		"completed": {BodyDigest: "d", Owner: owner, State: StateCompleted, Answer: &Answer{
+			Status: http.StatusCreated, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("done"),
+		}},
+		"completed_omitted": {BodyDigest: "d", Owner: owner, State: StateCompleted, Answer: &Answer{
+			Status: http.StatusOK, Omitted: true,
+		}},
+	}
+}
+
+// The form in the store must stay readable for hosts of other versions.
+func TestRecordForm(t *testing.T) {
+	g := goldie.New(t)
+	for name, r := range records() {
+		g.Assert(t, name, r.Encode())
+		got, err := Decode(r.Encode())
+		if err != nil || !reflect.DeepEqual(got, r) {
+			t.Errorf("%s: got %+v, %v", name, got, err)
+		}
+	}
+}
+
+func TestKey(t *testing.T) {
+	if Key("a", "b:c") == Key("a:b", "c") {
+		t.Error("keys are not told apart")
+	}
+}
+
+func TestRecorded(t *testing.T) {
+	tests := []struct {
+		name    string
+		answer  Answer
+		omitted bool
+	}{
+		{"small", Answer{Status: 200, Body: []byte("b")}, false},
+		{"largest body", Answer{Status: 200, Body: make([]byte, MaxAnswerBytes)}, false},
+		{"body too large", Answer{Status: 200, Body: make([]byte, MaxAnswerBytes+1)}, true},
+		{"header too large", Answer{Status: 200, Header: http.Header{"A": {strings.Repeat("x", maxHeaderBytes)}}}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := tt.answer.Recorded()
+			if got.Omitted != tt.omitted || got.Status != tt.answer.Status {
+				t.Errorf("got omitted %v, status %d", got.Omitted, got.Status)
+			}
+			if r := (&Record{State: StateCompleted, Answer: got}); len(r.Encode()) > platformapi.MaxValueBytes {
+				t.Errorf("record of %d bytes", len(r.Encode()))
+			}
+		})
+	}
+}
+
+func TestReplayWithoutAnswer(t *testing.T) {
+	actions := new(Machine).replay(&Answer{Status: 200, Omitted: true})
+	reply := actions[0].(Reply)
+	if reply.Err == nil || reply.Err.Outcome != outcome.Completed || !reply.Replayed {
+		t.Errorf("got %+v", reply)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, r := range records() {
+		f.Add(r.Encode())
+	}
+	f.Add([]byte(`{"state":"completed"}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, err := Decode(value)
+		if err != nil {
+			return
+		}
+		again, err := Decode(r.Encode())
+		if err != nil || !bytes.Equal(again.Encode(), r.Encode()) {
+			t.Errorf("decoded record changes when encoded: %v", err)
+		}
+	})
+}
