platform, service: close idle connections after a call without an answer

Change: after one such call the others are closed; the test, which fails without it, loses one call of eight silent connections.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -226,6 +226,9 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			c.http.CloseIdleConnections() // they may be silent while new ones work
+		}
 		return &Error{Op: call.op, Kind: call.broken(sent.Load()), Err: errors.WithStack(err)}
 	}
 	defer resp.Body.Close()
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +139,50 @@
 		}
 	})
 }
+
+// Connections that were open go silent while new ones work; one call fails at most.
+func TestSilentConnections(t *testing.T) {
+	const connections = 8
+	s := &standin.Server{}
+	type connection struct{}
+	var silent atomic.Bool
+	var opened atomic.Int32
+	arrived := make(chan struct{}, connections)
+	release := make(chan struct{})
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		old := r.Context().Value(connection{}).(int32) <= connections
+		switch {
+		case silent.Load() && old:
+			<-r.Context().Done()
+			return
+		case !silent.Load():
+			arrived <- struct{}{}
+			<-release // so that each call opens a connection
+		}
+		s.Handler().ServeHTTP(w, r)
+	}))
+	srv.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connection{}, opened.Add(1))
+	}
+	srv.Start()
+	defer srv.Close()
+	c := &Client{Endpoint: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	var calls sync.WaitGroup
+	for range connections {
+		calls.Go(func() { _, _ = c.List(t.Context(), "") })
+	}
+	for range connections {
+		<-arrived
+	}
+	close(release)
+	calls.Wait()
+	silent.Store(true)
+	c.Timeout = 100 * time.Millisecond
+	if _, err := c.Swap(t.Context(), "k", nil, 0, ""); KindOf(err) != KindUnknown {
+		t.Errorf("over a silent connection: %v", err)
+	}
+	c.Timeout = 0
+	if _, err := c.Swap(t.Context(), "k", nil, 0, ""); err != nil {
+		t.Errorf("after one failure: %v", err)
+	}
+}
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -38,7 +38,7 @@
 //
 // net/http repeats a request on its own when a connection that it kept open breaks, also a POST with an
 // idempotency key; on a new connection it never does.
-func (p *Pool) transport(call *Call) http.RoundTripper {
+func (p *Pool) transport(call *Call) *http.Transport {
 	if call.Idempotent {
 		return p.kept
 	}
@@ -61,6 +61,9 @@
 		if sent.Load() {
 			kind = KindBroken
 		}
+		if !errors.Is(err, context.Canceled) {
+			p.kept.CloseIdleConnections() // they may be silent while new ones work
+		}
 		return Answer{}, &Error{Op: "call", Kind: kind, Err: errors.WithStack(err)}
 	}
 	defer resp.Body.Close()
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -52,9 +52,9 @@
 	Seed     uint64 // of the choice between equal servers
 
 	once   sync.Once
-	fresh  http.RoundTripper // a new connection for each call
-	kept   http.RoundTripper // keeps connections open between calls
-	update sync.Mutex        // serializes writers of servers
+	fresh  *http.Transport // a new connection for each call
+	kept   *http.Transport // keeps connections open between calls
+	update sync.Mutex      // serializes writers of servers
 	table  atomic.Pointer[map[string][]*server]
 	calls  atomic.Uint64
 }
