host: say not_run in a store outage only when no lost host may have sent the request

Ruled out: unknown for each refusal in an outage, since most callers send for the first time and may be told so. Change: the hosts are asked whether one has sent the key; a host that was lost without leaving within the last hour makes the answer unknown. A key that was made for this very sending needs no question.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -77,13 +77,14 @@
 	if len(key) > maxKeyBytes {
 		return refuse("read key", outcome.KindBadRequest, HeaderKey+" is over "+strconv.Itoa(maxKeyBytes)+" bytes")
 	}
-	if key == "" {
+	made := key == ""
+	if made {
 		key = requestID(c)
 	}
 	c.Response().Header().Set(HeaderKey, key)
 	answer, err := s.Services.Order(ctx, &order.Request{
 		Workspace: workspace, Key: key, Service: call.Service, Method: call.Method, Path: call.Path, Query: call.Query,
-		Header: call.Header, Body: call.Body, Deadline: deadline,
+		Header: call.Header, Body: call.Body, Deadline: deadline, NewKey: made,
 	})
 	if err != nil {
 		return err
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -74,7 +74,7 @@
 func (h *Host) buildServices() {
 	h.services = &service.Pool{FailureDomain: h.self.FailureDomain, Region: h.self.Region, Seed: rand.Uint64()}
 	h.orders = &order.Runner{
-		Store: h.platform, Services: h.services, Owners: h, Host: h.self, Now: time.Now, Metrics: h.metrics.Scope, Log: h.Log,
+		Store: h.platform, Services: h.services, Owners: h, Peers: h, Host: h.self, Now: time.Now, Metrics: h.metrics.Scope, Log: h.Log,
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -85,6 +85,7 @@
 	entry      *entry.Server
 	duties     *duties
 	spreading  *spreading
+	losses     losses
 	controller *controller.Controller
 
 	callers   *http.Server
@@ -186,7 +187,7 @@
 	s := h.Settings
 	h.platform = &platform.Client{
 		Endpoint: s.Platform.Address, WritesPerSecond: s.Platform.WritesPerSecond, ReadsPerSecond: s.Platform.ReadsPerSecond,
-		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Seed: rand.Uint64(),
+		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Seed: rand.Uint64(), Metrics: h.metrics.Scope, Log: h.Log,
 	}
 	h.keeper = &spread.Keeper{
 		Store: h.platform, Now: time.Now, Metrics: h.metrics.Scope, Log: h.Log, OnChange: h.configured,
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -40,7 +40,7 @@
 	case m.PullHosts != nil:
 		return &protocol.Message{HostList: h.inventory.Pull(m.PullHosts.Have)}
 	case m.OrderStatus != nil:
-		return &protocol.Message{OrderState: &protocol.OrderState{Running: h.orders.Running(m.OrderStatus.Attempt)}}
+		return &protocol.Message{OrderState: h.orderState(m.OrderStatus)}
 	}
 	return nil
 }
--- a/internal/host/views.go
+++ b/internal/host/views.go
@@ -30,6 +30,7 @@
 
 // Takes a change of the membership into account.
 func (h *Host) membersChanged() {
+	h.losses.observe(time.Now(), h.members.All())
 	alive := h.members.Alive()
 	own := inDomain(alive, h.self.FailureDomain)
 	h.news.setHosts(len(own))
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -61,6 +61,7 @@
 		Body      []byte
 		Deadline  time.Time // must be set
 		Resend    bool      // the caller says that it sent the request before
+		NewKey    bool      // the key was made for this sending, so that no earlier one has it
 	}
 
 	// Answer is the answer of the service, now or recorded for an earlier sending.
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -99,7 +99,7 @@
 
 // earlierMayHaveRun reports whether an earlier sending may have run although the store told nothing of it.
 func (r *Runner) earlierMayHaveRun(t *task, k outcome.Kind) bool {
-	if t.machine.Dispatched() || k == outcome.KindKeyReused {
+	if t.machine.Dispatched() || t.request.NewKey || k == outcome.KindKeyReused {
 		return false // the store told that no earlier sending of this request runs
 	}
 	return t.request.Resend || r.Sent(t.key) || r.maybeSentElsewhere(t)
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -281,6 +281,7 @@
 	OrderState struct {
 		Running bool `cbor:"1,keyasint"`
 		Sent    bool `cbor:"2,keyasint,omitempty"`
+		Lost    bool `cbor:"3,keyasint,omitempty"` // a host was lost lately that may have sent it
 	}
 
 	// Message is one frame; exactly one field is set.
