peer, host: drop connections to lost hosts instead of keeping all alive

Ruled out: the scheduling itself, which a CPU profile does not show. Change: connections have no keepalives and end after 30 s without calls; those to hosts that the membership has lost are closed at once, so that calls under way end. Views keep their servers and schedulers until the membership or the host list changes, and are published when rows change. Profiles of the runtime are served to operators.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strconv"
 	"strings"
@@ -65,6 +66,8 @@
 	e.GET("/readyz", s.ready)
 	e.GET("/metrics", echo.WrapHandler(s.Metrics))
 	g := e.Group("/v1", s.authenticate)
+	g.GET("/profiles/cpu", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	g.GET("/profiles/:name", profile)
 	g.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, s.Host.Status()) })
 	g.GET("/config", s.manifest)
 	g.GET("/config/history", s.history)
@@ -74,6 +77,12 @@
 	return e
 }
 
+// Serves a profile of the Go runtime, such as heap or goroutine.
+func profile(c echo.Context) error {
+	pprof.Handler(c.Param("name")).ServeHTTP(c.Response(), c.Request())
+	return nil
+}
+
 func (s *Server) ready(c echo.Context) error {
 	if !s.Host.Ready() {
 		return c.String(http.StatusServiceUnavailable, "not ready\n")
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -44,6 +44,7 @@
 		Metrics: h.metrics.Scope,
 	}
 	h.duties = &duties{host: h}
+	h.views = &views{host: h}
 	h.spreading = &spreading{host: h, decide: spread.Spreader{Self: h.self}}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -86,6 +86,7 @@
 	duties     *duties
 	spreading  *spreading
 	losses     losses
+	views      *views
 	controller *controller.Controller
 
 	callers   *http.Server
@@ -117,7 +118,7 @@
 	h.add(inner, &group, "spread", h.spreading.run)
 	h.add(inner, &group, "releases", h.reclaim.Run)
 	h.add(inner, &group, "refreshes", h.refresh)
-	h.add(inner, &group, "views", h.watchViews)
+	h.add(inner, &group, "views", h.views.run)
 	h.add(inner, &group, "callers", serve(h.callers, callers))
 	h.add(inner, &group, "operators", serve(h.operators, operators))
 	h.add(ctx, &group, "stop", h.stop)
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -85,14 +85,20 @@
 	return n.board.Pick(now, maxRowsPerProbe)
 }
 
-// Returns all known rows of the failure domain.
-func (n *news) all() []protocol.Row {
+// Returns all known rows of the failure domain and their version.
+func (n *news) all() ([]protocol.Row, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.board.Rows(time.Now()), n.board.Version()
+}
+
+// Takes in the own rows and returns the version of all.
+func (n *news) version() uint64 {
 	own := n.host.schedulers.Rows()
-	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.board.Post(now, own)
-	return n.board.Rows(now)
+	n.board.Post(time.Now(), own)
+	return n.board.Version()
 }
 
 // Sums the own failure domain up for the hosts of the others.
--- a/internal/host/sent.go
+++ b/internal/host/sent.go
@@ -21,18 +21,22 @@
 	last  time.Time
 }
 
-// Compares the members with those before; a host that left in order has told its outcomes to the store.
-func (l *losses) observe(now time.Time, members []protocol.Member) {
+// Compares the members with those before and returns the hosts that were lost; one that left in order has told its
+// outcomes to the store.
+func (l *losses) observe(now time.Time, members []protocol.Member) []protocol.Host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var gone []protocol.Host
 	for _, before := range l.known {
 		if before.State == protocol.StateAlive || before.State == protocol.StateSuspect {
 			if lost(before, members) {
 				l.last = now
+				gone = append(gone, before.Host)
 			}
 		}
 	}
 	l.known = members
+	return gone
 }
 
 func lost(before protocol.Member, members []protocol.Member) bool {
--- a/internal/host/views.go
+++ b/internal/host/views.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/fleet"
@@ -12,31 +13,97 @@
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
+// Rows that have come in are published after this time at most.
 const viewInterval = 100 * time.Millisecond
 
-// Publishes new views of the backend servers as rows come in.
-func (h *Host) watchViews(ctx context.Context) error {
+// Publishes views of the backend servers: the servers with their schedulers change with the membership and the host
+// list, their rows all the time.
+type views struct {
+	host *Host
+
+	mu   sync.Mutex
+	base []fleet.Entry // ascending by name, without the rows
+	rows uint64        // version of the rows last published
+}
+
+func (v *views) run(ctx context.Context) error {
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
 	for {
-		h.publishView()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			v.refresh()
 		}
 	}
 }
 
+// Works the servers and their schedulers out anew.
+func (v *views) rebuild() {
+	h := v.host
+	alive := h.members.Alive()
+	var base []fleet.Entry
+	for _, x := range h.inventory.Hosts() {
+		if x.Kind != platformapi.KindEngine {
+			continue
+		}
+		e := fleet.Entry{Server: serverOf(x), Row: protocol.Row{Server: x.Name, Leaving: x.Leaving}}
+		e.Scheduler, _ = routing.Owner(x.Name, inDomain(alive, x.FailureDomain))
+		base = append(base, e)
+	}
+	slices.SortFunc(base, func(a, b fleet.Entry) int { return strings.Compare(a.Server.Name, b.Server.Name) })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.base = base
+	v.publish()
+}
+
+// Publishes a new view if rows have changed.
+func (v *views) refresh() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.host.news.version() != v.rows {
+		v.publish()
+	}
+}
+
+func (v *views) publish() {
+	now := time.Now()
+	h := v.host
+	var rows []protocol.Row
+	rows, v.rows = h.news.all()
+	view := &fleet.View{
+		FailureDomain: h.self.FailureDomain,
+		Entries:       slices.Clone(v.base),
+		Aggregates:    h.news.aggregates(),
+	}
+	i := 0
+	for _, row := range rows {
+		for i < len(view.Entries) && view.Entries[i].Server.Name < row.Server {
+			i++
+		}
+		if i < len(view.Entries) && view.Entries[i].Server.Name == row.Server {
+			row.Leaving = row.Leaving || view.Entries[i].Row.Leaving
+			view.Entries[i].Row = row
+			view.Entries[i].Updated = now.Add(-row.Age)
+		}
+	}
+	h.fleet.Update(func(*fleet.View) *fleet.View { return view })
+}
+
 // Takes a change of the membership into account.
 func (h *Host) membersChanged() {
-	h.losses.observe(time.Now(), h.members.All())
+	for _, lost := range h.losses.observe(time.Now(), h.members.All()) {
+		h.transport.Drop(lost.Address)
+	}
 	alive := h.members.Alive()
 	own := inDomain(alive, h.self.FailureDomain)
 	h.news.setHosts(len(own))
 	h.spreading.setMembers(alive)
 	h.quota.SetHosts(max(len(own), 1))
 	h.assign()
+	h.views.rebuild()
 	h.duties.notify()
 }
 
@@ -49,6 +116,7 @@
 		}))
 	}
 	h.assign()
+	h.views.rebuild()
 }
 
 // Starts and stops schedulers by rendezvous over the live hosts of the failure domain.
@@ -83,37 +151,6 @@
 	return max(len(domains), 1)
 }
 
-func (h *Host) publishView() {
-	now := time.Now()
-	rows := h.news.all()
-	alive := h.members.Alive()
-	hosts := h.inventory.Hosts()
-	view := &fleet.View{FailureDomain: h.self.FailureDomain, Aggregates: h.news.aggregates()}
-	for _, x := range hosts {
-		if x.Kind != platformapi.KindEngine {
-			continue
-		}
-		view.Entries = append(view.Entries, newEntry(now, x, rows, alive))
-	}
-	slices.SortFunc(view.Entries, func(a, b fleet.Entry) int { return strings.Compare(a.Server.Name, b.Server.Name) })
-	h.fleet.Update(func(*fleet.View) *fleet.View { return view })
-}
-
-func newEntry(now time.Time, x platformapi.Host, rows []protocol.Row, alive []protocol.Host) fleet.Entry {
-	e := fleet.Entry{Server: serverOf(x)}
-	e.Scheduler, _ = routing.Owner(x.Name, inDomain(alive, x.FailureDomain))
-	i, found := slices.BinarySearchFunc(rows, x.Name, func(r protocol.Row, name string) int {
-		return strings.Compare(r.Server, name)
-	})
-	if found {
-		e.Row = rows[i]
-		e.Updated = now.Add(-rows[i].Age)
-	}
-	e.Row.Server = x.Name
-	e.Row.Leaving = e.Row.Leaving || x.Leaving
-	return e
-}
-
 // Server finds a backend server by name.
 func (h *Host) Server(name string) (protocol.Server, bool) {
 	entry, ok := h.fleet.View().Find(name)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -83,6 +83,15 @@
 	}
 }
 
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.CloseWithError(noMoreCallsCode, "dropped")
+		l.conn = nil
+	}
+}
+
 // Counts the bytes that pass through a stream.
 type counter struct {
 	stream io.ReadWriter
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,8 +20,7 @@
 
 // Times and sizes of connections between hosts.
 const (
-	keepAlive       = time.Second
-	idleTimeout     = 4 * time.Second
+	idleTimeout     = 30 * time.Second
 	handshakeLimit  = 2 * time.Second
 	maxStreams      = 4096
 	maxSilentCalls  = 2
@@ -124,6 +123,12 @@
 	return answer, err
 }
 
+// Drop closes the connection to a host that is dead or has restarted, so that calls under way end at once and later
+// ones connect anew.
+func (t *Transport) Drop(to netip.AddrPort) {
+	t.link(to).close()
+}
+
 // Traffic returns the bytes of messages sent and received so far.
 func (t *Transport) Traffic() (sent, received int64) {
 	return t.sent.Load(), t.received.Load()
@@ -133,7 +138,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeLimit,
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAlive,
 		MaxIncomingStreams:   maxStreams,
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -80,6 +80,7 @@
 	}
 	b.Close()
 	c := open(t, t.Context(), b.Listen)
+	a.Drop(b.Listen)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	for ctx.Err() == nil {
@@ -89,3 +90,27 @@
 	}
 	t.Error("no call reached the restarted peer")
 }
+
+func TestDropEndsCalls(t *testing.T) {
+	a := open(t, t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	b := open(t, t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if _, err := a.Call(t.Context(), b.Listen, &protocol.Message{Done: &protocol.Done{}}); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := a.Call(t.Context(), b.Listen, &protocol.Message{Ask: &protocol.Ask{}})
+		ended <- err
+	}()
+	for {
+		a.Drop(b.Listen)
+		select {
+		case err := <-ended:
+			if err == nil {
+				t.Error("a dropped call has an answer")
+			}
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/internal/summary/board.go
+++ b/internal/summary/board.go
@@ -21,6 +21,8 @@
 
 	notes  []*note // ascending by backend server
 	remote []remote
+
+	version uint64
 }
 
 type note struct {
@@ -42,6 +44,7 @@
 	i, found := b.search(row.Server)
 	if !found {
 		b.notes = slices.Insert(b.notes, i, &note{row: row, made: made})
+		b.version++
 		return
 	}
 	n := b.notes[i]
@@ -53,8 +56,12 @@
 		return
 	}
 	*n = note{row: row, made: made}
+	b.version++
 }
 
+// Version grows with each row that is taken in.
+func (b *Board) Version() uint64 { return b.version }
+
 // Pick returns at most limit rows to pass on, the least often sent first.
 func (b *Board) Pick(now time.Time, limit int) []protocol.Row {
 	b.forget(now)
