grant, queue: hold goodput and shares above the capacity

Found and changed one after the other: asks that wait for room no longer count as work ahead of asks that have it; the bound on concurrent grants follows the measured time between tokens, which the report leaves the prefill out of; grants are given when the engine is about to run dry instead of at the next tick; an ask must have time for the answer length that 97% stay below, not for the mean; long prompts expect what prompts of higher priority take; shares are kept over the recent use of each workspace, also across lengths.

--- a/internal/bench/drive/drive.go
+++ b/internal/bench/drive/drive.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/admission"
 	"github.com/turmericshunt/turmericshunt/internal/document"
 	"github.com/turmericshunt/turmericshunt/internal/fleet"
 	"github.com/turmericshunt/turmericshunt/internal/grant"
@@ -73,10 +74,11 @@
 
 	// host is an entry host.
 	host struct {
-		name   string
-		domain int
-		view   *fleet.View
-		router *routing.Router
+		name      string
+		domain    int
+		view      *fleet.View
+		admission admission.Controller
+		router    *routing.Router
 	}
 
 	// run is the state of one run.
--- a/internal/bench/drive/host.go
+++ b/internal/bench/drive/host.go
@@ -32,6 +32,7 @@
 	over       bool
 	spread     *spread
 	part       int
+	decidedAt  time.Time // by the last scheduler that answered
 }
 
 func (a *attempt) runsOn(e *engine) bool { return a.engine == e }
@@ -82,6 +83,10 @@
 		r.result.SharedTokens += req.shared
 		r.result.Offered += float64(req.prompt) / DefaultMix().meanTokens() / Capacity(DefaultMix()) / (r.Duration - r.Warmup).Seconds()
 	}
+	if r.Policy == routing.PolicyScheduled && !h.admission.Decide(r.now, h.view, r.ask(a)).OK {
+		r.refused(a)
+		return
+	}
 	if req.prompt+maxOutputTokens > memoryTokens {
 		r.beginSpread(a)
 		return
@@ -163,6 +168,7 @@
 func (r *run) decide(e *engine, decisions []grant.Decision) {
 	for _, d := range decisions {
 		a := r.attempts[d.ID]
+		a.decidedAt = r.now
 		r.after(r.delay(a.host, e), func() { r.decided(a, e, d) })
 	}
 	next := e.scheduler.Next()
@@ -232,12 +238,14 @@
 		r.nextPart(a)
 		return
 	}
+	if since := r.now.Sub(start); since >= r.Warmup && since <= r.Duration {
+		r.result.GoodTokens += a.req.prompt
+	}
 	if r.measured(a) {
 		c := &r.result.Class[a.req.length]
 		record(c.gap, r.now.Sub(a.firstAt)/time.Duration(max(a.req.output-1, 1)))
 		c.Completed++
 		r.workspace(a.req).Completed++
-		r.result.GoodTokens += a.req.prompt
 	}
 	r.finish(a, a.req.output)
 }
@@ -265,6 +273,12 @@
 }
 
 func (r *run) refused(a *attempt) {
+	if !a.decidedAt.IsZero() {
+		r.result.RefusalTime = max(r.result.RefusalTime, r.now.Sub(a.decidedAt))
+	}
+	if r.measured(a) && r.idle(a.req) {
+		r.result.Idle++
+	}
 	if r.measured(a) {
 		r.result.Class[a.req.length].Refused++
 		r.workspace(a.req).Refused++
@@ -272,6 +286,16 @@
 	a.over = true
 }
 
+// idle reports whether an engine anywhere runs nothing and could run a request.
+func (r *run) idle(req *request) bool {
+	for _, e := range r.engines {
+		if !e.dead && e.batch.Load().Running == 0 && e.batch.Waiting() == 0 && req.prompt+maxOutputTokens <= memoryTokens {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *run) finish(a *attempt, output int64) {
 	if a.spread != nil {
 		r.finishSpread(a)
--- a/internal/bench/drive/result.go
+++ b/internal/bench/drive/result.go
@@ -35,6 +35,7 @@
 		Offered      float64 // prompt tokens of all measured arrivals over the capacity for them
 		Asks         int
 		Retries      int
+		Idle         int // refused while an engine was idle
 		Grants       int
 	}
 )
@@ -47,6 +48,9 @@
 	return r
 }
 
+// Sum adds up all classes.
+func (r *Result) Sum() Class { return r.UpTo(LengthLargest) }
+
 func newClass() Class {
 	return Class{first: hdr.New(1, maxMicroseconds, figures), gap: hdr.New(1, maxMicroseconds, figures)}
 }
--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -8,7 +8,7 @@
 )
 
 // agingSteps is the number of classes by which an ask rises in its time.
-const agingSteps = 4
+const agingSteps = 2
 
 // Ask decides on a request for a grant. Without ask.Queue it is decided at once; otherwise the Decision
 // may come out of a later call. A repeated ask has the same answer.
@@ -27,6 +27,7 @@
 	if ask.TimeLeft <= 0 {
 		ask.TimeLeft = DefaultTimeLimit
 	}
+	s.queue.Usage.Ask(now, ask.Workspace)
 	s.demand.add(now, ask.PromptTokens, s.long(ask.PromptTokens))
 	if kind := s.unable(ask); kind != "" {
 		return []Decision{refuse(ask.ID, kind, 0, 0)}
@@ -109,7 +110,7 @@
 func (s *Scheduler) item(w *waiter) queue.Item {
 	return queue.Item{
 		ID: w.ask.ID, Workspace: w.ask.Workspace, Priority: s.basePriority(w.ask), Enqueued: w.enqueued,
-		Cost: w.ask.PromptTokens + w.ask.OutputTokens, Due: s.due(w), Aging: w.ask.TimeLeft / agingSteps,
+		Due: s.due(w), Aging: w.ask.TimeLeft / agingSteps,
 	}
 }
 
@@ -137,19 +138,36 @@
 		},
 	}
 	s.hold(r)
-	s.queue.Charge(w.ask.Workspace, w.ask.PromptTokens+w.ask.OutputTokens)
+	if s.basePriority(w.ask)%queue.AgingStep >= middlePriority {
+		s.demand.give(now, int64(r.left))
+	}
+	s.queue.Usage.Charge(w.ask.Workspace, w.ask.PromptTokens+w.ask.OutputTokens)
 	g := r.grant
 	return Decision{ID: w.ask.ID, Grant: &g}
 }
 
-// drain gives grants to waiting asks as far as they may start.
+// drain gives grants to waiting asks as far as they may start, and sees that Tick is called when the next one may.
 func (s *Scheduler) drain(now time.Time, decisions []Decision) []Decision {
 	if s.down || s.load.Leaving {
 		return decisions
 	}
+	lead := orDefault(s.Lead, DefaultLead)
 	for s.queue.Len() > 0 {
-		it, ok := s.nextWaiter(now)
+		h := s.hole(now)
+		soonest := time.Duration(-1)
+		it, ok := s.queue.Next(now, func(it queue.Item) bool {
+			w := s.waiting[it.ID]
+			if !s.mayStart(w) || !h.admits(now, s, w) {
+				return false
+			}
+			excess := s.ahead(now, s.priority(now, w)) - lead
+			if excess > 0 && (soonest < 0 || excess < soonest) {
+				soonest = excess
+			}
+			return excess <= 0
+		})
 		if !ok {
+			s.wakeAfter(now, soonest)
 			return decisions
 		}
 		w := s.waiting[it.ID]
@@ -159,14 +177,11 @@
 	return decisions
 }
 
-// nextWaiter returns the ask that goes next.
-func (s *Scheduler) nextWaiter(now time.Time) (queue.Item, bool) {
-	lead := orDefault(s.Lead, DefaultLead)
-	gap := s.hole(now)
-	return s.queue.Next(now, func(it queue.Item) bool {
-		w := s.waiting[it.ID]
-		return s.mayStart(w) && gap.admits(now, s, w) && s.ahead(now, s.priority(now, w)) <= lead
-	})
+// wakeAfter moves the next tick forward.
+func (s *Scheduler) wakeAfter(now time.Time, wait time.Duration) {
+	if at := now.Add(max(wait, time.Millisecond)); wait >= 0 && at.Before(s.nextTick) {
+		s.nextTick = at
+	}
 }
 
 func (s *Scheduler) drop(id protocol.AttemptID) {
@@ -180,14 +195,16 @@
 		return nil
 	}
 	var decisions []Decision
-	items := append([]queue.Item(nil), s.queue.Items()...)
-	for _, it := range items {
+	line := s.line(now)
+	for _, it := range s.queue.Ordered(now) {
 		w := s.waiting[it.ID]
-		wait := s.waitQueued(now, w, it)
+		wait := line.wait(now, w)
 		if late := now.Add(wait + s.service(w.ask)).Sub(w.deadline); late > 0 {
 			s.drop(it.ID)
 			decisions = append(decisions, refuse(it.ID, protocol.RefusalDeadline, wait, late))
+			continue
 		}
+		line.pass(w)
 	}
 	if len(decisions) > 0 {
 		s.revision++
--- a/internal/grant/finish.go
+++ b/internal/grant/finish.go
@@ -14,7 +14,7 @@
 		s.revision++
 	}
 	if r, ok := s.held[fin.ID]; ok {
-		s.learnFinish(r, fin)
+		s.learnFinish(now, r, fin)
 		s.free(now, fin.ID)
 	}
 	s.finished[fin.ID] = now
@@ -34,6 +34,7 @@
 			r = s.adopt(now, h)
 		}
 		r.expires = now.Add(h.Expiry)
+		s.memo = memo{}
 		if !h.Prefilling {
 			r.prefilling, r.left = false, 0
 		}
@@ -69,11 +70,13 @@
 	}
 	s.learnPrefill(now, r)
 	s.cache.store(now, r.ask.Blocks)
-	r.prefilling, r.left = false, 0
+	r.prefilling, r.left, r.first = false, 0, now
+	s.memo = memo{}
 	return s.drain(now, nil)
 }
 
 func (s *Scheduler) hold(r *reservation) {
+	s.memo = memo{}
 	s.grants++
 	r.number = s.grants
 	s.held[r.ask.ID] = r
@@ -85,6 +88,7 @@
 
 func (s *Scheduler) free(now time.Time, id protocol.AttemptID) {
 	r := s.held[id]
+	s.memo = memo{}
 	delete(s.held, id)
 	s.reserved -= r.bytes
 	if r.ask.PromptTokens > middleStep {
--- a/internal/grant/learn.go
+++ b/internal/grant/learn.go
@@ -13,12 +13,16 @@
 	mostSpeed     = 2.0
 	leastOutput   = 0.05
 	shortestLearn = 10 * time.Millisecond
+	tailPart      = 0.97
+	tailStep      = 0.02
 )
 
 // cost is what has been learned about a model on this backend server.
 type cost struct {
 	speed  float64 // prefill rate over the reported one
-	output float64 // output tokens over the asked ones
+	output float64 // output tokens over the asked ones, on average
+	tail   float64 // output tokens over the asked ones that tailPart of the answers stay below
+	gap    float64 // seconds between output tokens; 0 before the first answer
 }
 
 func (s *Scheduler) cost(model string) *cost {
@@ -27,7 +31,7 @@
 	}
 	c, ok := s.costs[model]
 	if !ok {
-		c = &cost{speed: 1, output: 1}
+		c = &cost{speed: 1, output: 1, tail: 1}
 		s.costs[model] = c
 	}
 	return c
@@ -51,15 +55,25 @@
 	c.speed = min(max(c.speed+learnWeight*(sample-c.speed), leastSpeed), mostSpeed)
 }
 
-// learnFinish takes in how long the answer was and how much of the prompt was cached.
-func (s *Scheduler) learnFinish(r *reservation, fin protocol.Finish) {
-	if fin.OutputTokens > 0 && r.ask.OutputTokens > 0 && !fin.Crashed {
-		c := s.cost(r.ask.Model)
-		sample := float64(fin.OutputTokens) / float64(r.ask.OutputTokens)
-		c.output = min(max(c.output+learnWeight*(sample-c.output), leastOutput), 1)
+// learnFinish takes in how long the answer was and how fast its tokens came.
+func (s *Scheduler) learnFinish(now time.Time, r *reservation, fin protocol.Finish) {
+	if fin.Crashed || fin.OutputTokens < 2 || r.ask.OutputTokens <= 0 {
+		return
+	}
+	c := s.cost(r.ask.Model)
+	sample := float64(fin.OutputTokens) / float64(r.ask.OutputTokens)
+	c.output = min(max(c.output+learnWeight*(sample-c.output), leastOutput), 1)
+	if sample > c.tail {
+		c.tail = min(c.tail+tailStep*tailPart, 1)
+	} else {
+		c.tail = max(c.tail-tailStep*(1-tailPart), leastOutput)
+	}
+	if r.first.IsZero() {
+		return
 	}
-	if fin.OutputTokens > 0 && fin.CachedTokens < r.grant.CachedTokens && r.ask.BlockTokens > 0 {
-		// The engine had fewer blocks than predicted when the prompt came; those after the miss were stored by it.
-		s.cache.tokens = r.ask.BlockTokens
+	gap := now.Sub(r.first).Seconds() / float64(fin.OutputTokens-1)
+	if c.gap == 0 {
+		c.gap = gap
 	}
+	c.gap += learnWeight * (gap - c.gap)
 }
--- a/internal/grant/memory.go
+++ b/internal/grant/memory.go
@@ -29,6 +29,7 @@
 	s.load = load
 	s.reported = now.Add(-time.Duration(load.AgeMS) * time.Millisecond)
 	s.forget()
+	s.memo = memo{}
 	s.cache.resize(s.blockCapacity())
 	s.adaptRunning()
 	if load.Leaving {
@@ -52,6 +53,9 @@
 // used is the memory that counts as taken: what the grants reserve, or what the engine reported as held
 // with the changes since then, whichever is more.
 func (s *Scheduler) used() int64 {
+	if s.memo.valid {
+		return s.memo.used
+	}
 	reported := s.load.HeldBytes
 	for _, f := range s.freed {
 		reported -= f.bytes
@@ -61,7 +65,8 @@
 			reported += r.bytes
 		}
 	}
-	return max(s.reserved, reported)
+	s.memo.used, s.memo.valid = max(s.reserved, reported), true
+	return s.memo.used
 }
 
 // forget drops the releases that the last report already shows.
@@ -109,16 +114,13 @@
 
 // adaptRunning moves the bound on concurrent grants towards the one that keeps the time between tokens.
 func (s *Scheduler) adaptRunning() {
-	if s.load.DecodePerSecond <= 0 || s.load.Running == 0 {
-		return
-	}
-	gap := seconds(1 / s.load.DecodePerSecond)
+	gap := seconds(s.gap(s.cost("")))
 	target := orDefault(s.TokenGap, DefaultTokenGap)
 	running := float64(s.maxRunning())
 	switch {
 	case gap > target:
-		s.limit = max(running*runningCut, leastRunning)
-	case gap < target*9/10 && float64(s.load.Running) > running/2:
+		s.limit = max(min(running, float64(len(s.held)))*runningCut, leastRunning)
+	case gap < target*9/10 && float64(len(s.held)) > running/2:
 		s.limit = min(running+runningGrowth, mostRunning)
 	}
 }
--- a/internal/grant/predict.go
+++ b/internal/grant/predict.go
@@ -65,7 +65,7 @@
 
 // basePriority puts the class first, then the shorter prompt.
 func (s *Scheduler) basePriority(ask protocol.Ask) int {
-	p := (int(protocol.ClassBatch) - int(min(ask.Class, protocol.ClassBatch))) * queue.AgingStep
+	p := (int(protocol.ClassBatch) - int(min(ask.Class, protocol.ClassBatch))) * queue.ClassStep
 	switch tokens := ask.PromptTokens; {
 	case tokens <= shortStep:
 		return p + shortPriority
@@ -111,30 +111,81 @@
 
 // waitQueued is the predicted time until an ask could start whose place in the queue is that of it.
 func (s *Scheduler) waitQueued(now time.Time, w *waiter, it queue.Item) time.Duration {
-	wait := s.ahead(now, s.priority(now, w))
-	for _, other := range s.queue.Items() {
-		if other.ID != it.ID && !s.queue.Rank(now, it, other) {
-			wait += s.prefill(s.waiting[other.ID].ask)
-		}
+	line := s.line(now)
+	s.queue.Before(now, it, func(other queue.Item) { line.pass(s.waiting[other.ID]) })
+	return line.wait(now, w)
+}
+
+// line works out the waits of asks that start one after the other.
+type line struct {
+	s     *Scheduler
+	hole  hole
+	free  int64         // bytes
+	fit   time.Duration // prefill of the asks before that have room
+	whole time.Duration // prefill of all asks before
+}
+
+func (s *Scheduler) line(now time.Time) *line {
+	return &line{s: s, hole: s.hole(now), free: s.load.MemoryBytes - s.used()}
+}
+
+// pass puts an ask before those that follow.
+func (l *line) pass(w *waiter) {
+	need := l.s.prefill(w.ask)
+	l.whole += need
+	if w.bytes <= l.free {
+		l.free -= w.bytes
+		l.fit += need
+	}
+}
+
+// wait is the predicted time until an ask behind those that have passed could start.
+// Asks that wait for room don't keep the engine from one that has it.
+func (l *line) wait(now time.Time, w *waiter) time.Duration {
+	before := l.fit
+	if w.bytes > l.free {
+		before = l.whole
 	}
-	return max(wait, s.waitRoom(now, w))
+	ahead := l.s.ahead(now, l.s.priority(now, w)) + before
+	return max(l.s.stretch(w.ask, ahead), l.s.waitRoom(now, w, l.hole))
 }
 
-// end is the predicted end of a grant.
+// stretch adds to a long wait what prompts of higher priority that are still to come will take of it.
+func (s *Scheduler) stretch(ask protocol.Ask, wait time.Duration) time.Duration {
+	if s.basePriority(ask)%queue.AgingStep >= middlePriority {
+		return wait
+	}
+	return seconds(wait.Seconds() / (1 - min(s.demand.urgent/s.rate(ask.Model), mostUrgent)))
+}
+
+// mostUrgent bounds the part of the engine that prompts of higher priority are expected to take.
+const mostUrgent = 0.8
+
+// end is the predicted end of a grant. One that has outlived the prediction is expected to go on for a while.
 func (s *Scheduler) end(now time.Time, r *reservation) time.Time {
 	first := now
-	if r.prefilling {
+	switch {
+	case r.ask.Bytes > 0:
+		// The other members of a spread prompt do their parts before or after this one.
+		first = r.granted.Add(spreadParts * s.prefill(r.ask))
+	case r.prefilling:
 		first = now.Add(seconds(r.left / s.rate(r.ask.Model)))
-	} else if r.expected.After(r.granted) {
+	case r.expected.After(r.granted):
 		first = r.expected
 	}
 	end := first.Add(s.decode(r.ask))
+	if end.Before(now) {
+		end = now.Add(now.Sub(r.granted) / 4)
+	}
 	if end.After(r.expires) {
 		return r.expires
 	}
 	return end
 }
 
+// spreadParts is the number of parts of a spread prompt that a member is expected to hold memory for.
+const spreadParts = 3
+
 // prefill is the predicted time that the engine spends on the prompt.
 func (s *Scheduler) prefill(ask protocol.Ask) time.Duration {
 	return seconds(float64(max(ask.PromptTokens-s.cached(ask), 0)) / s.rate(ask.Model))
@@ -142,16 +193,25 @@
 
 // decode is the predicted time from the first token to the last.
 func (s *Scheduler) decode(ask protocol.Ask) time.Duration {
-	rate := s.load.DecodePerSecond
-	if rate <= 0 {
-		rate = assumedDecode
+	c := s.cost(ask.Model)
+	return seconds(float64(ask.OutputTokens) * c.output * s.gap(c))
+}
+
+// gap is the expected time in seconds between output tokens.
+func (s *Scheduler) gap(c *cost) float64 {
+	switch {
+	case c.gap > 0:
+		return c.gap
+	case s.load.DecodePerSecond > 0:
+		return 1 / s.load.DecodePerSecond
 	}
-	return seconds(float64(ask.OutputTokens) * s.cost(ask.Model).output / rate)
+	return 1 / assumedDecode
 }
 
-// service is the predicted time from start to the last token.
+// service is the time from start to the last token that nearly all asks of this kind keep.
 func (s *Scheduler) service(ask protocol.Ask) time.Duration {
-	return s.prefill(ask) + s.decode(ask)
+	c := s.cost(ask.Model)
+	return s.prefill(ask) + seconds(float64(ask.OutputTokens)*c.tail*s.gap(c))
 }
 
 // rate is the predicted prefill rate in tokens per second.
--- a/internal/grant/room.go
+++ b/internal/grant/room.go
@@ -45,9 +45,9 @@
 }
 
 // waitRoom is the predicted time until enough grants have ended for an ask to fit.
-func (s *Scheduler) waitRoom(now time.Time, w *waiter) time.Duration {
+func (s *Scheduler) waitRoom(now time.Time, w *waiter, h hole) time.Duration {
 	wait, _ := s.room(now, w)
-	if h := s.hole(now); !h.admits(now, s, w) {
+	if !h.admits(now, s, w) {
 		return max(wait, h.until.Sub(now))
 	}
 	return wait
@@ -77,6 +77,9 @@
 
 // endings lists the predicted ends of the grants, the first one first.
 func (s *Scheduler) endings(now time.Time) []ending {
+	if s.memo.endings != nil && s.memo.at.Equal(now) {
+		return s.memo.endings
+	}
 	ends := make([]ending, 0, len(s.held))
 	for _, r := range s.held {
 		ends = append(ends, ending{
@@ -86,9 +89,18 @@
 	slices.SortFunc(ends, func(a, b ending) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.number, b.number))
 	})
+	s.memo.at, s.memo.endings = now, ends
 	return ends
 }
 
+// memo keeps what is worked out from the grants until they change.
+type memo struct {
+	at      time.Time
+	endings []ending
+	used    int64
+	valid   bool // used holds
+}
+
 // ending is when a grant is predicted to end and what it then gives back.
 type ending struct {
 	at     time.Time
--- a/internal/grant/row.go
+++ b/internal/grant/row.go
@@ -16,9 +16,10 @@
 type (
 	// demand averages the prompt tokens asked for.
 	demand struct {
-		at    time.Time
-		long  float64 // tokens per second
-		short float64
+		at     time.Time
+		long   float64 // tokens per second
+		short  float64
+		urgent float64 // granted to short and middle prompts
 	}
 )
 
@@ -32,9 +33,14 @@
 	}
 }
 
+func (d *demand) give(now time.Time, tokens int64) {
+	d.decay(now)
+	d.urgent += float64(tokens) / demandWindow.Seconds()
+}
+
 func (d *demand) decay(now time.Time) {
 	f := math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
-	d.at, d.long, d.short = now, d.long*f, d.short*f
+	d.at, d.long, d.short, d.urgent = now, d.long*f, d.short*f, d.urgent*f
 }
 
 // Row summarizes the backend server for the hosts of its failure domain.
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -45,9 +45,11 @@
 		started   time.Time
 		clock     time.Time // time up to which the prefill progress is worked out
 		nextTick  time.Time
+		nextSweep time.Time // when expiries and deadlines are looked at
 		held      map[protocol.AttemptID]*reservation
 		grants    uint64 // made so far
 		reserved  int64
+		memo      memo
 		heldAbove int64 // the part of reserved for prompts above middleStep
 		queue     queue.Queue
 		waiting   map[protocol.AttemptID]*waiter
@@ -87,6 +89,7 @@
 		prefilling bool
 		left       float64   // prompt tokens that the engine still has to prefill, as predicted
 		expected   time.Time // when left has reached zero; zero before
+		first      time.Time // when the first token came; zero before
 	}
 
 	// waiter is an ask in the queue.
@@ -107,7 +110,7 @@
 // SetWorkspaces sets the shares of the workspaces.
 func (s *Scheduler) SetWorkspaces(workspaces []document.Workspace) {
 	for _, w := range workspaces {
-		s.queue.SetShare(w.Name, w.Share)
+		s.queue.Usage.SetShare(w.Name, w.Share)
 	}
 }
 
@@ -129,7 +132,17 @@
 // Tick frees expired grants, gives grants to asks that can start and refuses those that can't meet their time.
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.advance(now)
-	s.nextTick = now.Add(tickInterval)
+	var decisions []Decision
+	if !now.Before(s.nextSweep) {
+		s.nextSweep = now.Add(tickInterval)
+		s.expire(now)
+		decisions = s.refuseLate(now)
+	}
+	s.nextTick = s.nextSweep
+	return s.drain(now, decisions)
+}
+
+func (s *Scheduler) expire(now time.Time) {
 	for _, r := range s.ordered() {
 		if !r.expires.After(now) {
 			s.free(now, r.ask.ID)
@@ -140,7 +153,6 @@
 			delete(s.finished, id)
 		}
 	}
-	return s.drain(now, s.refuseLate(now))
 }
 
 // Unhealthy tells whether the backend server has stopped answering; if so, nothing waits for it any longer.
