--- a/internal/bench/overload/overload.go
+++ b/internal/bench/overload/overload.go
@@ -30,6 +30,7 @@
 	curve(r, "scheduled", routing.PolicyScheduled)
 	curve(r, "power_of_two", routing.PolicyPowerOfTwo)
 	kill(r)
+	flood(r)
 }
 
 func config(load float64, p routing.Policy) drive.Config {
@@ -83,6 +84,13 @@
 	return least
 }
 
+// flood lets one of six workspaces send most of four times the capacity.
+func flood(r *report.Report) {
+	c := config(4, routing.PolicyScheduled)
+	c.Mix.Workspaces = []float64{0.8, 0.04, 0.04, 0.04, 0.04, 0.04}
+	r.AtLeast("least_workspace_share", "one workspace floods 4x", "part", leastShare(drive.Run(c)), shareTarget)
+}
+
 // kill takes a third of the engines away at once.
 func kill(r *report.Report) {
 	c := config(0.8, routing.PolicyScheduled)
--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -160,7 +160,7 @@
 			if !s.mayStart(w) || !h.admits(now, s, w) {
 				return false
 			}
-			excess := s.ahead(now, s.priority(now, w)) - lead
+			excess := s.ahead(s.priority(now, w)) - lead
 			if excess > 0 && (soonest < 0 || excess < soonest) {
 				soonest = excess
 			}
--- a/internal/grant/predict.go
+++ b/internal/grant/predict.go
@@ -86,16 +86,11 @@
 }
 
 // ahead is the predicted time that the engine spends on held prompts before one of the given priority.
-// A prompt of lower priority that would miss its own time goes before it as well.
-func (s *Scheduler) ahead(now time.Time, priority int) time.Duration {
+func (s *Scheduler) ahead(priority int) time.Duration {
 	var wait time.Duration
 	for _, r := range s.held {
-		if !r.prefilling || r.left <= 0 {
-			continue
-		}
-		need := seconds(r.left / s.rate(r.ask.Model))
-		if r.grant.Priority >= priority || r.expires.Sub(now) < 2*need {
-			wait += need
+		if r.prefilling && r.left > 0 && r.grant.Priority >= priority {
+			wait += seconds(r.left / s.rate(r.ask.Model))
 		}
 	}
 	return wait
@@ -146,7 +141,7 @@
 	if w.bytes > l.free {
 		before = l.whole
 	}
-	ahead := l.s.ahead(now, l.s.priority(now, w)) + before
+	ahead := l.s.ahead(l.s.priority(now, w)) + before
 	return max(l.s.stretch(w.ask, ahead), l.s.waitRoom(now, w, l.hole))
 }
 
--- a/internal/grant/room.go
+++ b/internal/grant/room.go
@@ -20,11 +20,11 @@
 	headroom int64     // bytes that it leaves to shorter prompts
 }
 
-// hole finds the ask that has waited longest for room and when it can start.
+// hole finds the ask that has waited longest for room, for an aging period at least, and when it can start.
 func (s *Scheduler) hole(now time.Time) hole {
 	for _, it := range s.queue.Items() {
 		w := s.waiting[it.ID]
-		if s.mayStart(w) {
+		if it.Steps(now) == 0 || s.mayStart(w) {
 			continue
 		}
 		wait, spare := s.room(now, w)
--- a/internal/grant/row.go
+++ b/internal/grant/row.go
@@ -53,7 +53,7 @@
 	}
 	short.bytes = s.bytes(short.ask)
 	row := protocol.Row{
-		Server: s.Server.Name, Revision: s.revision, Wait: s.wait(now, short), Backlog: s.ahead(now, math.MinInt),
+		Server: s.Server.Name, Revision: s.revision, Wait: s.wait(now, short), Backlog: s.ahead(math.MinInt),
 		FreeBytes: max(s.load.MemoryBytes-s.used(), 0), CapacityBytes: s.load.MemoryBytes,
 		BytesPerToken: s.load.KVBytesPerToken, Running: len(s.held), Long: s.subset.long,
 		Leaving: s.load.Leaving, Unhealthy: s.down, Models: s.load.Models,
