--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 )
 
@@ -22,6 +23,7 @@
 var measurements = []measurement{
 	{"latency", latency.Run},
 	{"claims", claims.Run},
+	{"overload", overload.Run},
 }
 
 func main() {
