--- a/internal/bench/crash/crash.go
+++ b/internal/bench/crash/crash.go
@@ -10,7 +10,7 @@
 
 const (
 	measure      = "crash"
-	runsPerCase  = 100
+	runsPerCase  = 400
 	targetLost   = 2
 	targetWrong  = 0
 	maxWorkers   = 3
@@ -26,7 +26,8 @@
 	{Name: "with a loss of several servers", Crashers: 1, Killed: 5},
 	{Name: "with entry hosts dying", Crashers: 1, DeadHosts: 2},
 	{Name: "only losses of several servers", Killed: 5, Kills: 3},
-	{Name: "with the losses of single servers", Crashers: 1, Killed: 1, Kills: 3},
+	{Name: "with the loss of one server", Crashers: 1, Killed: 1},
+	{Name: "with three losses of one server", Crashers: 1, Killed: 1, Kills: 3},
 }
 
 // Run records the figures of 1,000 seeded runs of each case.
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -109,9 +109,11 @@
 type charge struct {
 	content     content
 	first, last cause
+	ripe        bool // has stood for long enough
 }
 
-// settle condemns the contents whose evidence has stood for long enough.
+// settle condemns the contents whose evidence has stood for long enough; a first crash that several contents claim
+// condemns none of them.
 func (l *Ledger) settle(now time.Time) {
 	charges := l.charges(now)
 	claims := make(map[crash]int, len(charges))
@@ -120,7 +122,7 @@
 	}
 	for i := range charges {
 		c := &charges[i]
-		if claims[c.first.crash] > 1 && !l.simple {
+		if !c.ripe || claims[c.first.crash] > 1 && !l.simple {
 			continue
 		}
 		s := l.contents[c.content]
@@ -131,7 +133,7 @@
 	}
 }
 
-// charges lists the proven cases, at most one for each content.
+// charges lists the proven cases, at most one for each content, in the order of the contents.
 func (l *Ledger) charges(now time.Time) []charge {
 	var charges []charge
 	for k, s := range l.contents {
@@ -146,19 +148,23 @@
 	return charges
 }
 
-// charge finds two crashes that a content alone explains.
+// charge finds two crashes that a content alone explains, if possible such as have stood for long enough.
 func (l *Ledger) charge(now time.Time, k content, s *suspicion) (charge, bool) {
+	var found charge
+	ok := false
 	for _, last := range s.causes {
-		if l.waiting(now, last) {
-			continue
-		}
 		for _, first := range s.causes {
-			if l.follows(k, first, last) && l.proven(k, first, last) {
-				return charge{content: k, first: first, last: last}, true
+			if !l.follows(k, first, last) || !l.proven(k, first, last) {
+				continue
+			}
+			ripe := !l.waiting(now, last)
+			if !ok || ripe && !found.ripe {
+				found = charge{content: k, first: first, last: last, ripe: ripe}
 			}
+			ok = true
 		}
 	}
-	return charge{}, false
+	return found, ok
 }
 
 // unsettled reports whether the verdict on a content's latest crash may still change with the news to come.
