--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -33,6 +33,7 @@
 )
 
 const (
+	heldBackoff   = 100 * time.Millisecond // until a verdict that is still open is asked for again
 	maxWorkspaces = 1024
 	idleWorkspace = 10 * time.Minute
 )
@@ -194,7 +195,7 @@
 		Alone:   f.Verdict == suspect.Suspected || f.Verdict == suspect.Held,
 	}
 	if f.Verdict == suspect.Held {
-		d.Backoff = max(d.Backoff, suspect.DefaultHold)
+		d.Backoff = max(d.Backoff, heldBackoff)
 	}
 	if d.Backoff >= f.TimeLeft {
 		return p.giveUp(f, outcome.KindDeadline)
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -112,59 +112,62 @@
 	ripe        bool // has stood for long enough
 }
 
-// settle condemns the contents whose evidence has stood for long enough; a first crash that several contents claim
-// condemns none of them.
+// settle condemns the contents whose evidence has stood for long enough; crashes that several contents claim condemn
+// none of them.
 func (l *Ledger) settle(now time.Time) {
 	charges := l.charges(now)
-	claims := make(map[crash]int, len(charges))
+	claims := make(map[crash]content, len(charges))
+	contested := make(map[crash]bool)
 	for _, c := range charges {
-		claims[c.first.crash]++
+		for _, at := range []crash{c.first.crash, c.last.crash} {
+			owner, ok := claims[at]
+			contested[at] = contested[at] || ok && owner != c.content
+			claims[at] = c.content
+		}
 	}
 	for i := range charges {
 		c := &charges[i]
-		if !c.ripe || claims[c.first.crash] > 1 && !l.simple {
-			continue
+		doubtful := contested[c.first.crash] || contested[c.last.crash]
+		if c.ripe && (!doubtful || l.simple) {
+			l.condemn(now, c)
 		}
-		s := l.contents[c.content]
-		s.condemned = true
-		s.changed = now
-		l.losses[c.first.crash].blamed = &c.content
-		l.losses[c.last.crash].blamed = &c.content
 	}
 }
 
-// charges lists the proven cases, at most one for each content, in the order of the contents.
+func (l *Ledger) condemn(now time.Time, c *charge) {
+	s := l.contents[c.content]
+	if s.condemned {
+		return
+	}
+	s.condemned = true
+	s.changed = now
+	l.losses[c.first.crash].blamed = &c.content
+	l.losses[c.last.crash].blamed = &c.content
+}
+
+// charges lists the proven cases in the order of the contents.
 func (l *Ledger) charges(now time.Time) []charge {
 	var charges []charge
 	for k, s := range l.contents {
-		if s.condemned {
-			continue
-		}
-		if c, ok := l.charge(now, k, s); ok {
-			charges = append(charges, c)
+		if !s.condemned && len(s.causes) >= crashesToCondemn {
+			charges = append(charges, l.against(now, k, s)...)
 		}
 	}
-	slices.SortFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
+	slices.SortStableFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
 	return charges
 }
 
-// charge finds two crashes that a content alone explains, if possible such as have stood for long enough.
-func (l *Ledger) charge(now time.Time, k content, s *suspicion) (charge, bool) {
-	var found charge
-	ok := false
+// against lists the pairs of crashes that a content alone explains.
+func (l *Ledger) against(now time.Time, k content, s *suspicion) []charge {
+	var charges []charge
 	for _, last := range s.causes {
 		for _, first := range s.causes {
-			if !l.follows(k, first, last) || !l.proven(k, first, last) {
-				continue
-			}
-			ripe := !l.waiting(now, last)
-			if !ok || ripe && !found.ripe {
-				found = charge{content: k, first: first, last: last, ripe: ripe}
+			if l.follows(k, first, last) && l.proven(k, first, last) {
+				charges = append(charges, charge{content: k, first: first, last: last, ripe: !l.waiting(now, last)})
 			}
-			ok = true
 		}
 	}
-	return found, ok
+	return charges
 }
 
 // unsettled reports whether the verdict on a content's latest crash may still change with the news to come.
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -20,7 +20,7 @@
 // Defaults of a Ledger's exported fields.
 const (
 	DefaultExpiry = 10 * time.Minute
-	DefaultHold   = time.Second
+	DefaultHold   = 2 * time.Second
 	DefaultWindow = time.Second
 	DefaultGrace  = 2 * time.Second
 	DefaultFirm   = 500 * time.Millisecond
