--- a/internal/bench/crash/crash.go
+++ b/internal/bench/crash/crash.go
@@ -10,7 +10,7 @@
 
 const (
 	measure      = "crash"
-	runsPerCase  = 400
+	runsPerCase  = 1000
 	targetLost   = 2
 	targetWrong  = 0
 	maxWorkers   = 3
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -34,7 +34,7 @@
 func (l *Ledger) lose(c crash, at, now time.Time) *loss {
 	lost := l.losses[c]
 	if lost == nil {
-		lost = &loss{at: at, changed: now, contents: make(map[content]bool)}
+		lost = &loss{crash: c, at: at, changed: now, contents: make(map[content]bool)}
 		l.losses[c] = lost
 	}
 	if at.Before(lost.at) {
@@ -296,17 +296,32 @@
 	return repeated
 }
 
-// neighbors counts the crashes that came together with one and involved neither content.
-func (l *Ledger) neighbors(lost *loss, a, b content) int {
+// neighbors counts the crashes that came together with one and that neither k nor the successive attempts of a content
+// account for.
+func (l *Ledger) neighbors(lost *loss, a, k content) int {
 	n := 0
 	for _, other := range l.losses {
-		if other != lost && l.near(other, lost) && !other.contents[a] && !other.contents[b] {
+		if other != lost && l.near(other, lost) && !other.contents[k] && !l.successive(a, other, lost) {
 			n++
 		}
 	}
 	return n
 }
 
+// successive reports whether a content ran in both crashes one after the other.
+func (l *Ledger) successive(k content, a, b *loss) bool {
+	if !a.contents[k] || !b.contents[k] {
+		return false
+	}
+	for _, c := range l.contents[k].causes {
+		later := c.crash == a.crash && !c.began.Before(b.at) || c.crash == b.crash && !c.began.Before(a.at)
+		if later {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) near(a, b *loss) bool {
 	return a.at.Sub(b.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
 }
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -97,6 +97,7 @@
 
 	// loss is one crash with the contents that were in flight.
 	loss struct {
+		crash    crash
 		at       time.Time
 		changed  time.Time
 		contents map[content]bool
