suspect: blame a condemned content for all its crashes; bench: measure crashing prompts

Cause: a crash contested between a crashing prompt and a bystander stayed open after the prompt was condemned by others.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 )
 
@@ -17,7 +18,9 @@
 }
 
 // The measurements that the command runs, each in a package of its own under internal/bench.
-var measurements = []measurement{}
+var measurements = []measurement{
+	{"crash", crash.Run},
+}
 
 func main() {
 	only := flag.String("only", "", "comma-separated names of the measurements to run; empty runs all")
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -141,8 +141,7 @@
 	}
 	s.condemned = true
 	s.changed = now
-	l.losses[c.first.crash].blamed = &c.content
-	l.losses[c.last.crash].blamed = &c.content
+	l.attribute(c.content, s)
 }
 
 // charges lists the proven cases in the order of the contents.
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -36,7 +36,7 @@
 	maxNews          = 32
 	maxAttemptAge    = 2 * time.Hour
 	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
-	newsAge          = 15 * time.Second // how long a change is sent before older ones
+	newsAge          = 8 * time.Second  // how long a change is sent before older ones
 	sweepEvery       = 10 * time.Second
 	crashesToCondemn = 2
 	manyLosses       = 2 // further crashes at once that show a common cause
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// attribute blames a content that another host condemned for its crashes.
+// attribute blames a condemned content for all crashes that it was in.
 func (l *Ledger) attribute(k content, s *suspicion) {
 	for _, c := range s.causes {
 		if lost := l.losses[c.crash]; lost != nil && lost.blamed == nil {
