--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,7 +7,9 @@
 	"os"
 	"strings"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
+	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 )
 
@@ -19,6 +21,8 @@
 
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
+	{"latency", latency.Run},
+	{"claims", claims.Run},
 	{"crash", crash.Run},
 }
 
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
 // Classes of requests by how urgently they are scheduled.
@@ -85,6 +87,7 @@
 		Queue        bool          `cbor:"11,keyasint"` // wait in the queue instead of a busy refusal
 		Suspect      bool          `cbor:"12,keyasint"` // may have crashed a backend server before
 		Bytes        int64         `cbor:"13,keyasint"` // memory to reserve; 0 lets the scheduler work it out
+		BlockTokens  int64         `cbor:"14,keyasint"` // prompt tokens that each of Blocks covers
 	}
 
 	// Grant allows one attempt to run on a backend server until Expiry has passed.
@@ -137,7 +140,7 @@
 	Row struct {
 		Server        string        `cbor:"1,keyasint"`
 		Revision      uint64        `cbor:"2,keyasint"` // grows with each change by its scheduler
-		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before a prefill starts
+		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before the prefill of a short prompt starts
 		FreeBytes     int64         `cbor:"4,keyasint"`
 		CapacityBytes int64         `cbor:"5,keyasint"`
 		BytesPerToken int64         `cbor:"6,keyasint"`
@@ -149,6 +152,11 @@
 		Models        []string      `cbor:"12,keyasint"`
 		PrefillRate   float64       `cbor:"13,keyasint"` // tokens per second
 		DecodeRate    float64       `cbor:"14,keyasint"` // tokens per second and sequence
+		LongDemand    float64       `cbor:"15,keyasint"` // prompt tokens per second of long prompts asked for here
+		ShortDemand   float64       `cbor:"16,keyasint"` // prompt tokens per second of other prompts asked for here
+		Scheduler     string        `cbor:"17,keyasint"` // host that schedules the backend server
+		Age           time.Duration `cbor:"18,keyasint"` // since the scheduler made the row
+		Backlog       time.Duration `cbor:"19,keyasint"` // predicted time to prefill all that was granted or queued
 	}
 
 	// Aggregate summarizes a model's backend servers of one failure domain for the others.
@@ -160,12 +168,18 @@
 		BestWait      time.Duration `cbor:"5,keyasint"`
 		MaxFreeBytes  int64         `cbor:"6,keyasint"`
 		FreeBytes     int64         `cbor:"7,keyasint"`
+		Best          string        `cbor:"8,keyasint"`  // backend server with BestWait
+		BestBacklog   time.Duration `cbor:"9,keyasint"`  // least backlog of those for long prompts
+		BestLong      string        `cbor:"10,keyasint"` // backend server with BestBacklog
+		Age           time.Duration `cbor:"20,keyasint"` // since it was summed up
 	}
 
 	// Member is one row of the membership that probes spread.
 	Member struct {
 		Host  Host        `cbor:"1,keyasint"`
 		State MemberState `cbor:"2,keyasint"`
+		// Refutation counts how often this incarnation of the host has contradicted a wrong belief about itself.
+		Refutation uint32 `cbor:"3,keyasint,omitempty"`
 	}
 
 	// ManifestVersion names the configuration that a host has in force.
@@ -174,6 +188,16 @@
 		Digest   string `cbor:"2,keyasint"`
 	}
 
+	// Usage is what a workspace has used through one entry host, for the limits that hold over a failure domain.
+	Usage struct {
+		Host        string  `cbor:"1,keyasint"`
+		Incarnation uint64  `cbor:"2,keyasint"`
+		Workspace   string  `cbor:"3,keyasint"`
+		Tokens      float64 `cbor:"4,keyasint"` // used in total by this incarnation, never falling
+		InFlight    int     `cbor:"5,keyasint"`
+		Pending     float64 `cbor:"6,keyasint"` // predicted for the requests in flight
+	}
+
 	// Probe checks that a host is alive and carries what the sender spreads.
 	Probe struct {
 		From       Host            `cbor:"1,keyasint"`
@@ -183,6 +207,10 @@
 		Rows       []Row           `cbor:"5,keyasint"`
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
+		Usage      []Usage         `cbor:"8,keyasint"`
+		HostsIndex uint64          `cbor:"9,keyasint"`            // of the sender's copy of the platform's host list
+		Digest     uint64          `cbor:"10,keyasint,omitempty"` // of the sender's members
+		Join       bool            `cbor:"11,keyasint,omitempty"` // asks for all members that the receiver knows
 	}
 
 	// Ack answers a Probe with the receiver's own news.
@@ -194,6 +222,9 @@
 		Rows       []Row           `cbor:"5,keyasint"`
 		Aggregates []Aggregate     `cbor:"6,keyasint"`
 		Suspicions []Suspicion     `cbor:"7,keyasint"`
+		Usage      []Usage         `cbor:"8,keyasint"`
+		HostsIndex uint64          `cbor:"9,keyasint"`            // of the sender's copy of the platform's host list
+		Digest     uint64          `cbor:"10,keyasint,omitempty"` // of the sender's members
 	}
 
 	// Suspicion spreads that a request content may crash backend servers.
@@ -228,14 +259,29 @@
 		Bodies   [][]byte        `cbor:"3,keyasint"`
 	}
 
+	// PullHosts asks a peer for its copy of the platform's host list when it is newer than Have.
+	PullHosts struct {
+		Have uint64 `cbor:"1,keyasint"`
+	}
+
+	// HostList is a copy of the platform's host list as of Index; empty when the peer has nothing newer.
+	HostList struct {
+		Index uint64             `cbor:"1,keyasint"`
+		Hosts []platformapi.Host `cbor:"2,keyasint"`
+	}
+
 	// OrderStatus asks the owner of a claim whether its dispatch still runs.
+	// With a Key it also asks whether the receiver has sent a request under the claim of that key to a service.
 	OrderStatus struct {
 		Attempt AttemptID `cbor:"1,keyasint"`
+		Key     string    `cbor:"2,keyasint,omitempty"`
 	}
 
 	// OrderState answers OrderStatus.
 	OrderState struct {
 		Running bool `cbor:"1,keyasint"`
+		Sent    bool `cbor:"2,keyasint,omitempty"`
+		Lost    bool `cbor:"3,keyasint,omitempty"` // a host was lost lately that may have sent it
 	}
 
 	// Message is one frame; exactly one field is set.
@@ -252,6 +298,8 @@
 		OrderStatus *OrderStatus `cbor:"10,keyasint,omitempty"`
 		OrderState  *OrderState  `cbor:"11,keyasint,omitempty"`
 		Done        *Done        `cbor:"12,keyasint,omitempty"`
+		PullHosts   *PullHosts   `cbor:"13,keyasint,omitempty"`
+		HostList    *HostList    `cbor:"14,keyasint,omitempty"`
 	}
 
 	// Done confirms a message that needs no other answer.
