--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
+	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
@@ -24,6 +25,7 @@
 	{"latency", latency.Run},
 	{"claims", claims.Run},
 	{"overload", overload.Run},
+	{"crash", crash.Run},
 }
 
 func main() {
