bench/spread: compare three ways to spread a change, and test the spread under faults

Cause: the way to spread configuration is to be chosen by figures. A spreader keeps its trees between changes of membership and skips idle ticks.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -20,6 +21,7 @@
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
 	{"latency", latency.Run},
+	{"spread", spread.Run},
 }
 
 func main() {
--- a/internal/manifest/acceptance.go
+++ b/internal/manifest/acceptance.go
@@ -280,7 +280,7 @@
 }
 
 func (a *Acceptance) swap() Action {
-	a.next = a.current.with(a.Proposal.Change)
+	a.next = a.current.With(a.Proposal.Change)
 	revision := a.storeRevision
 	if a.off.cas {
 		revision = anyRevision
--- a/internal/manifest/acceptance_test.go
+++ b/internal/manifest/acceptance_test.go
@@ -40,7 +40,7 @@
 // Returns the swap that puts a first body in place of a section; the store is given the body, too.
 func bootstrap(section document.Section, body string, before Manifest) (swap, write Action) {
 	digest := document.Digest([]byte(body))
-	next := before.with(Change{ID: "bootstrap", Section: section, After: digest})
+	next := before.With(Change{ID: "bootstrap", Section: section, After: digest})
 	return Action{Kind: ActionSwap, Key: Key, Value: next.Encode(), Manifest: next},
 		Action{Kind: ActionWriteBody, Key: BodyKey(section, digest), Value: []byte(body)}
 }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -17,17 +17,20 @@
 const Key = "config/manifest"
 
 // RecentChanges bounds how many change ids a manifest keeps for settling lost answers.
-const RecentChanges = 64
+const RecentChanges = 32
 
 type (
 	// Manifest names the accepted body of each section; a higher revision supersedes a lower one.
+	//
+	// Parse and With make manifests, which must not be changed then.
 	Manifest struct {
 		Revision uint64           `json:"revision"`
 		Sections []SectionVersion `json:"sections"`
 		Change   Change           `json:"change"`
 		Recent   []Recent         `json:"recent"` // latest last
 
-		text []byte // as it was parsed, so that fields of a later version are passed on
+		text    []byte // as it was parsed, so that fields of a later version are passed on
+		version protocol.ManifestVersion
 	}
 
 	// SectionVersion names the body of one section and the manifest revision that brought it.
@@ -82,28 +85,34 @@
 			return Manifest{}, &Error{Op: "parse manifest", Kind: KindInvalid, Err: errors.Errorf("section %q is faulty", s.Section)}
 		}
 	}
-	m.text = bytes.Clone(text)
+	m.seal(bytes.Clone(text))
 	return m, nil
 }
 
 // Encode returns the manifest as JSON, as it was parsed if it was.
 func (m Manifest) Encode() []byte {
-	if m.text != nil {
-		return m.text
+	if m.text == nil {
+		return encode(m)
 	}
-	text, err := json.Marshal(m)
-	if err != nil {
-		panic(err) // no field of a manifest can fail to encode
+	return m.text
+}
+
+// Version returns the revision and digest that hosts compare; it is zero for the empty manifest.
+func (m Manifest) Version() protocol.ManifestVersion { return m.version }
+
+func (m *Manifest) seal(text []byte) {
+	m.text = text
+	if m.Revision > 0 {
+		m.version = protocol.ManifestVersion{Revision: m.Revision, Digest: document.Digest(text)}
 	}
-	return text
 }
 
-// Version returns the revision and digest that hosts compare.
-func (m Manifest) Version() protocol.ManifestVersion {
-	if m.Revision == 0 {
-		return protocol.ManifestVersion{}
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // no field of a manifest or a record can fail to encode
 	}
-	return protocol.ManifestVersion{Revision: m.Revision, Digest: document.Digest(m.Encode())}
+	return text
 }
 
 // Section returns the version of a section; it is zero when the section is absent.
@@ -132,13 +141,7 @@
 }
 
 // Encode returns the record as JSON.
-func (r Record) Encode() []byte {
-	text, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // no field of a record can fail to encode
-	}
-	return text
-}
+func (r Record) Encode() []byte { return encode(r) }
 
 // ParseRecord reads an encoded audit record, or returns an *Error.
 func ParseRecord(text []byte) (Record, error) {
@@ -149,8 +152,8 @@
 	return r, nil
 }
 
-// Returns the manifest that a change makes of m.
-func (m Manifest) with(change Change) Manifest {
+// With returns the manifest that a change makes of m.
+func (m Manifest) With(change Change) Manifest {
 	next := Manifest{Revision: m.Revision + 1, Change: change, Sections: slices.Clone(m.Sections)}
 	version := SectionVersion{Section: change.Section, Revision: next.Revision, Digest: change.After}
 	at := slices.IndexFunc(next.Sections, func(s SectionVersion) bool { return s.Section == change.Section })
@@ -163,5 +166,6 @@
 	if extra := len(next.Recent) - RecentChanges; extra > 0 {
 		next.Recent = next.Recent[extra:]
 	}
+	next.seal(encode(next))
 	return next
 }
--- a/internal/manifest/state_test.go
+++ b/internal/manifest/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -17,7 +18,7 @@
 	var m Manifest
 	for _, change := range changes[1:] {
 		body := []byte(change.body)
-		m = m.with(Change{ID: change.body, Section: change.section, After: document.Digest(body)})
+		m = m.With(Change{ID: change.body, Section: change.section, After: document.Digest(body)})
 		manifests, bodies = append(manifests, m), append(bodies, body)
 	}
 	return manifests, bodies
@@ -61,9 +62,8 @@
 func TestOfferFaults(t *testing.T) {
 	manifests, bodies := chain()
 	last := manifests[len(manifests)-1]
-	other := last
-	other.Change.Author = "other"
-	invalid := Manifest{}.with(Change{ID: "x", Section: document.SectionNonIdempotent, After: document.Digest(bodies[2])})
+	other, _ := Parse([]byte(strings.Replace(string(last.Encode()), `"author":""`, `"author":"other"`, 1)))
+	invalid := Manifest{}.With(Change{ID: "x", Section: document.SectionNonIdempotent, After: document.Digest(bodies[2])})
 	tests := []struct {
 		name   string
 		drive  func(*State) error
--- a/internal/spread/spreader.go
+++ b/internal/spread/spreader.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
@@ -21,6 +20,7 @@
 	PullDelay     = 300 * time.Millisecond // that a push is given before a host pulls
 	PullTimeout   = time.Second            // after which another host is asked
 	PushRetry     = 500 * time.Millisecond
+	PushTimeout   = 2 * time.Second
 	PushAttempts  = 3
 )
 
@@ -45,9 +45,13 @@
 		Fanout int // of the tree; 0 means DefaultFanout
 
 		hosts  []protocol.Host
+		edges  []protocol.Host // of this failure domain
+		below  []protocol.Host // this host's children in its tree
+		others []protocol.Host // the edge hosts of other failure domains that this one tells
 		own    protocol.ManifestVersion
 		peers  map[string]*peer
 		pulled time.Time // when the last pull was asked for; zero when none is under way
+		active bool      // a push may be due again, or a host has a higher revision
 	}
 
 	// peer is what is known of another host.
@@ -56,7 +60,7 @@
 		newer    time.Time // when it was first heard to have a higher revision than this host
 		pushing  uint64    // revision that is being pushed, or 0
 		attempts int
-		retry    time.Time // zero while a push is under way
+		retry    time.Time // when to push again unless it is answered
 	}
 )
 
@@ -73,10 +77,13 @@
 		kept[h.Name] = new(peer)
 	}
 	s.peers = kept
+	s.edges = Edges(s.Self.FailureDomain, s.hosts)
+	s.below = s.subtree()
+	s.others = s.counterparts()
 }
 
 // Edge reports whether this host watches the platform.
-func (s *Spreader) Edge() bool { return s.isEdge(s.Self) }
+func (s *Spreader) Edge() bool { return slices.ContainsFunc(s.edges, s.is) }
 
 // Changed tells that v came into force here and returns the messages that pass it on.
 func (s *Spreader) Changed(now time.Time, v protocol.ManifestVersion, source Source) []Action {
@@ -108,7 +115,7 @@
 		p.pushing = 0
 	}
 	if v.Revision > s.own.Revision && p.newer.IsZero() {
-		p.newer = now
+		p.newer, s.active = now, true
 	}
 }
 
@@ -126,11 +133,7 @@
 	if p == nil || p.pushing == 0 {
 		return
 	}
-	p.attempts++
 	p.retry = now.Add(PushRetry)
-	if p.attempts >= PushAttempts {
-		p.pushing = 0 // the host pulls when it hears a heartbeat
-	}
 }
 
 // PullFailed tells that a pull got no answer or nothing newer.
@@ -144,10 +147,15 @@
 
 // Tick returns the messages that are due: pushes to repeat and a pull of what pushes did not bring.
 func (s *Spreader) Tick(now time.Time) []Action {
+	if !s.active {
+		return nil
+	}
+	s.active = false
 	var actions []Action
 	for _, h := range s.hosts {
 		p := s.peers[h.Name]
-		if p.pushing != 0 && !p.retry.IsZero() && !now.Before(p.retry) {
+		s.active = s.active || p.pushing != 0 || p.version.Revision > s.own.Revision && !p.newer.IsZero()
+		if p.pushing != 0 && !now.Before(p.retry) {
 			actions = s.push(actions, now, h)
 		}
 	}
@@ -178,27 +186,23 @@
 	return best, !since.IsZero()
 }
 
-func (s *Spreader) push(actions []Action, _ time.Time, h protocol.Host) []Action {
+func (s *Spreader) push(actions []Action, now time.Time, h protocol.Host) []Action {
 	p := s.peers[h.Name]
 	if p.version.Revision >= s.own.Revision {
 		return actions
 	}
-	p.pushing, p.retry = s.own.Revision, time.Time{}
+	if p.attempts >= PushAttempts {
+		p.pushing = 0 // the host pulls when it hears a heartbeat
+		return actions
+	}
+	p.attempts++
+	p.pushing, p.retry, s.active = s.own.Revision, now.Add(PushTimeout), true
 	return append(actions, Action{Kind: ActionPush, Host: h, Have: p.version})
 }
 
-// Tells the edge hosts of the same rank in the other failure domains, which may be cut off from the platform.
+// Tells edge hosts of the other failure domains, which may be cut off from the platform.
 func (s *Spreader) announce(actions []Action) []Action {
-	rank := slices.IndexFunc(Edges(s.Self.FailureDomain, s.hosts), s.is)
-	if rank < 0 {
-		return actions
-	}
-	for _, domain := range s.otherDomains() {
-		edges := Edges(domain, s.hosts)
-		if len(edges) == 0 {
-			continue
-		}
-		h := edges[rank%len(edges)]
+	for _, h := range s.others {
 		if s.peers[h.Name].version.Revision < s.own.Revision {
 			actions = append(actions, Action{Kind: ActionAnnounce, Host: h})
 		}
@@ -206,6 +210,33 @@
 	return actions
 }
 
+// Returns the hosts to push to. An edge host that did not see the change on its watch tells the others too,
+// and a host that accepted the change itself tells the edge hosts of its failure domain.
+func (s *Spreader) children(source Source) []protocol.Host {
+	switch {
+	case !s.Edge() && source != SourcePeer:
+		return s.edges
+	case s.Edge() && source != SourceWatch:
+		return append(slices.DeleteFunc(slices.Clone(s.edges), s.is), s.below...)
+	default:
+		return s.below
+	}
+}
+
+// Returns the edge hosts of the other failure domains that have the same rank as this one.
+func (s *Spreader) counterparts() []protocol.Host {
+	rank := slices.IndexFunc(s.edges, s.is)
+	if rank < 0 {
+		return nil
+	}
+	var hosts []protocol.Host
+	for _, domain := range s.otherDomains() {
+		edges := Edges(domain, s.hosts)
+		hosts = append(hosts, edges[rank%len(edges)])
+	}
+	return hosts
+}
+
 func (s *Spreader) otherDomains() []string {
 	var domains []string
 	for _, h := range s.hosts {
@@ -213,35 +244,16 @@
 			domains = append(domains, h.FailureDomain)
 		}
 	}
-	slices.SortFunc(domains, strings.Compare)
+	slices.Sort(domains)
 	return domains
 }
 
-// Returns the hosts to push to. An edge host that did not see the change on its watch tells the others too,
-// and a host that accepted the change itself tells the edge hosts of its failure domain.
-func (s *Spreader) children(source Source) []protocol.Host {
-	edges := Edges(s.Self.FailureDomain, s.hosts)
-	self := slices.IndexFunc(edges, s.is)
-	if self < 0 && source != SourcePeer {
-		return edges
-	}
-	var children []protocol.Host
-	if self >= 0 && source != SourceWatch {
-		children = slices.DeleteFunc(slices.Clone(edges), s.is)
-	}
-	return append(children, s.subtree(edges)...)
-}
-
 // Returns this host's children in the tree of the edge host that it belongs to.
-func (s *Spreader) subtree(edges []protocol.Host) []protocol.Host {
-	if len(edges) == 0 {
-		return nil
-	}
-	root := parent(edges, s.Self)
+func (s *Spreader) subtree() []protocol.Host {
+	root := parent(s.edges, s.Self)
 	tree := []protocol.Host{root}
 	for _, h := range ranked(root.Name, inDomain(s.Self.FailureDomain, s.hosts)) {
-		isEdge := slices.ContainsFunc(edges, func(e protocol.Host) bool { return e.Name == h.Name })
-		if !isEdge && parent(edges, h).Name == root.Name {
+		if !contains(s.edges, h) && parent(s.edges, h).Name == root.Name {
 			tree = append(tree, h)
 		}
 	}
@@ -255,14 +267,14 @@
 
 // Returns the edge host whose tree a host is in.
 func parent(edges []protocol.Host, h protocol.Host) protocol.Host {
-	if i := slices.IndexFunc(edges, func(e protocol.Host) bool { return e.Name == h.Name }); i >= 0 {
-		return edges[i]
+	if contains(edges, h) {
+		return h
 	}
 	return ranked(h.Name, edges)[0]
 }
 
-func (s *Spreader) isEdge(h protocol.Host) bool {
-	return slices.ContainsFunc(Edges(h.FailureDomain, s.hosts), func(e protocol.Host) bool { return e.Name == h.Name })
+func contains(hosts []protocol.Host, h protocol.Host) bool {
+	return slices.ContainsFunc(hosts, func(other protocol.Host) bool { return other.Name == h.Name })
 }
 
 func (s *Spreader) is(h protocol.Host) bool { return h.Name == s.Self.Name }
