--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -15,8 +16,10 @@
 )
 
 const (
+	keyHeader     = "Idempotency-Key"
 	refusedRetry  = time.Second
 	ownerTimeout  = 500 * time.Millisecond
+	peersTimeout  = 300 * time.Millisecond
 	answerTimeout = 5 * time.Second // of a store call after the caller was answered
 )
 
@@ -88,12 +91,31 @@
 // send passes the final answer on to the caller.
 func (r *Runner) send(t *task, reply claim.Reply) {
 	t.replied = true
-	if reply.Err != nil && reply.Err.Outcome == outcome.NotRun && !t.machine.Dispatched() && r.wasSent(t.key) {
-		reply.Err.Outcome = outcome.Unknown // an earlier sending at this host may have run
+	if reply.Err != nil && reply.Err.Outcome == outcome.NotRun && r.earlierMayHaveRun(t, reply.Err.Kind) {
+		reply.Err.Outcome = outcome.Unknown
 	}
 	t.reply <- reply
 }
 
+// earlierMayHaveRun reports whether an earlier sending may have run although the store told nothing of it.
+func (r *Runner) earlierMayHaveRun(t *task, k outcome.Kind) bool {
+	if t.machine.Dispatched() || t.request.NewKey || k == outcome.KindKeyReused {
+		return false // the store told that no earlier sending of this request runs
+	}
+	return t.request.Resend || r.Sent(t.key) || r.maybeSentElsewhere(t)
+}
+
+// maybeSentElsewhere asks the other hosts; one that is not reached may have sent the request.
+func (r *Runner) maybeSentElsewhere(t *task) bool {
+	if r.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(t.work, peersTimeout)
+	defer cancel()
+	sent, err := r.Peers.Sent(ctx, t.key)
+	return sent || err != nil
+}
+
 // carryOut does what an action orders and returns the event that answers it.
 func (r *Runner) carryOut(t *task, a claim.Action) claim.Event {
 	switch a := a.(type) {
@@ -189,8 +211,13 @@
 	q := t.request
 	ctx, cancel := context.WithDeadline(t.work, t.machine.Deadline.Add(r.LateAnswers))
 	defer cancel()
+	header := q.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	header.Set(keyHeader, q.Key)
 	answer, err := r.Services.Do(ctx, &service.Call{
-		Service: q.Service, Method: q.Method, Path: q.Path, Query: q.Query, Header: q.Header, Body: q.Body,
+		Service: q.Service, Method: q.Method, Path: q.Path, Query: q.Query, Header: header, Body: q.Body,
 	})
 	switch {
 	case err == nil:
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -171,6 +171,7 @@
 		Best          string        `cbor:"8,keyasint"`  // backend server with BestWait
 		BestBacklog   time.Duration `cbor:"9,keyasint"`  // least backlog of those for long prompts
 		BestLong      string        `cbor:"10,keyasint"` // backend server with BestBacklog
+		Age           time.Duration `cbor:"20,keyasint"` // since it was summed up
 	}
 
 	// Member is one row of the membership that probes spread.
@@ -270,13 +271,17 @@
 	}
 
 	// OrderStatus asks the owner of a claim whether its dispatch still runs.
+	// With a Key it also asks whether the receiver has sent a request under the claim of that key to a service.
 	OrderStatus struct {
 		Attempt AttemptID `cbor:"1,keyasint"`
+		Key     string    `cbor:"2,keyasint,omitempty"`
 	}
 
 	// OrderState answers OrderStatus.
 	OrderState struct {
 		Running bool `cbor:"1,keyasint"`
+		Sent    bool `cbor:"2,keyasint,omitempty"`
+		Lost    bool `cbor:"3,keyasint,omitempty"` // a host was lost lately that may have sent it
 	}
 
 	// Message is one frame; exactly one field is set.
--- a/internal/summary/board_test.go
+++ b/internal/summary/board_test.go
@@ -50,3 +50,19 @@
 		t.Errorf("%d rows are kept for good", len(got))
 	}
 }
+
+func TestPostAggregatesKeepsNewest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var b Board
+	first := protocol.Aggregate{FailureDomain: "d", Model: "m", Servers: 2}
+	late := protocol.Aggregate{FailureDomain: "d", Model: "m", Servers: 9, Age: time.Second}
+	b.PostAggregates(now, []protocol.Aggregate{first, {FailureDomain: "d", Model: "n"}})
+	b.PostAggregates(now, []protocol.Aggregate{late})
+	kept := b.RemoteAggregates(now)
+	if len(kept) != 2 || kept[0].Servers != 2 {
+		t.Errorf("an older aggregate replaced a newer one: %+v", kept)
+	}
+	if kept := b.RemoteAggregates(now.Add(2 * forgetAfter)); len(kept) != 0 {
+		t.Errorf("%d aggregates are kept for good", len(kept))
+	}
+}
