--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,260 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/turmericshunt/turmericshunt/internal/document"
+	"github.com/turmericshunt/turmericshunt/internal/engine"
+	"github.com/turmericshunt/turmericshunt/internal/platform"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	standin "github.com/turmericshunt/turmericshunt/internal/standin/platform"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
+)
+
+// engines are the engines of a failure domain; orders of a delayed host arrive late, whatever its client does.
+type engines struct {
+	mu     sync.Mutex
+	states map[string]*engineapi.State
+	loads  []time.Time
+	orders []string // host, engine and fencing number
+	delay  map[string]time.Duration
+}
+
+func newEngines(checks ...bool) *engines {
+	e := &engines{states: map[string]*engineapi.State{}, delay: map[string]time.Duration{}}
+	for i, c := range checks {
+		e.states[server(i).Name] = &engineapi.State{Checks: c}
+	}
+	return e
+}
+
+func (e *engines) servers() []protocol.Server {
+	var servers []protocol.Server
+	for i := range e.states {
+		servers = append(servers, protocol.Server{Name: i})
+	}
+	return servers
+}
+
+func (e *engines) version(name string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.states[name].Loaded {
+		return l.Version
+	}
+	return ""
+}
+
+// client is the engines' client of one host.
+type client struct {
+	*engines
+	host string
+}
+
+func (c client) State(_ context.Context, s protocol.Server) (engineapi.State, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *c.states[s.Name], nil
+}
+
+func (c client) Order(ctx context.Context, s protocol.Server, o engineapi.Order) (engineapi.OrderResult, error) {
+	done := make(chan error, 1)
+	go func() {
+		c.mu.Lock()
+		delay := c.delay[c.host]
+		c.mu.Unlock()
+		time.Sleep(delay)
+		done <- c.arrive(s, o)
+	}()
+	select {
+	case err := <-done:
+		return engineapi.OrderResult{Fencing: o.Fencing}, err
+	case <-ctx.Done():
+		return engineapi.OrderResult{}, &engine.Error{Op: "order", Kind: engine.KindSilent}
+	}
+}
+
+func (c client) arrive(s protocol.Server, o engineapi.Order) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.states[s.Name]
+	if state.Checks && o.Fencing < state.Fencing {
+		return &engine.Error{Op: "order", Kind: engine.KindRefused, Refusal: engineapi.RefusalFencing}
+	}
+	state.Fencing = max(state.Fencing, o.Fencing)
+	obey(state, o)
+	c.orders = append(c.orders, fmt.Sprint(c.host, " ", s.Name, " ", o.Fencing))
+	if o.Kind == OrderLoadModel {
+		c.loads = append(c.loads, time.Now())
+	}
+	return nil
+}
+
+// fixture is a stand-in of the platform with engines and controllers.
+type fixture struct {
+	platform *standin.Server
+	engines  *engines
+}
+
+func (f *fixture) controller(host, version string, loadsPerMin float64) *Controller {
+	d := &document.Document{
+		Models:  []document.Model{{Name: "m", Version: version}},
+		Engines: document.Engines{LoadsPerMin: loadsPerMin},
+	}
+	return &Controller{
+		Store: &platform.Client{
+			Endpoint: netip.MustParseAddrPort("127.0.0.1:1"), Host: host,
+			HTTP: &http.Client{Transport: &standin.InProcess{Server: f.platform}},
+		},
+		Engines: client{f.engines, host}, Host: protocol.Host{Name: host}, Domain: "a",
+		Wanted: func() *document.Document { return d }, Servers: f.engines.servers,
+		Metrics: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+	}
+}
+
+func newFixture(checks ...bool) *fixture {
+	return &fixture{platform: &standin.Server{}, engines: newEngines(checks...)}
+}
+
+func TestConvergesAndPacesLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true, true, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.controller("a", "1", 12).Run(ctx)
+		time.Sleep(20 * time.Second)
+		cancel()
+		synctest.Wait()
+		if len(f.engines.loads) != 3 {
+			t.Fatalf("%d loads, want 3", len(f.engines.loads))
+		}
+		for i := 1; i < 3; i++ {
+			if gap := f.engines.loads[i].Sub(f.engines.loads[i-1]); gap < 5*time.Second {
+				t.Errorf("loads %v apart, want at least 5s", gap)
+			}
+		}
+	})
+}
+
+func TestNextHolderAfterRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		first, stop := context.WithCancel(t.Context())
+		go f.controller("a", "1", 600).Run(first)
+		time.Sleep(5 * time.Second)
+		second, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.controller("b", "2", 600).Run(second)
+		time.Sleep(5 * time.Second)
+		if got := f.engines.version("g0"); got != "1" {
+			t.Errorf("version %q is loaded while the first holder has the lease", got)
+		}
+		stop()
+		time.Sleep(5 * time.Second)
+		if got := f.engines.version("g0"); got != "2" {
+			t.Errorf("version %q is loaded after the lease was released", got)
+		}
+	})
+}
+
+// A holder's order is under way for longer than its lease; meanwhile another host takes over.
+func TestLateOrder(t *testing.T) {
+	for name, checks := range map[string]bool{"engine that checks": true, "engine that does not check": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(checks)
+				f.engines.delay["a"] = 45 * time.Second
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go f.controller("a", "1", 600).Run(ctx)
+				time.Sleep(15 * time.Second) // the order has been sent
+				f.platform.SetFaults(platformapi.Faults{CutOffHosts: []string{"a"}})
+				go f.controller("b", "2", 600).Run(ctx)
+				time.Sleep(30 * time.Second)
+				if got := f.engines.version("g0"); got != "2" {
+					t.Errorf("version %q is loaded, want the one of the new holder", got)
+				}
+				time.Sleep(90 * time.Second) // the late order has arrived
+				if got := f.engines.version("g0"); got != "2" {
+					t.Errorf("version %q is loaded after the late order", got)
+				}
+				late := 0
+				for _, o := range f.engines.orders {
+					if o[0] == 'a' {
+						late++
+					}
+				}
+				if (late == 0) != checks {
+					t.Errorf("%d late orders took effect: %v", late, f.engines.orders)
+				}
+			})
+		})
+	}
+}
+
+func TestAcquireSettlesLostAnswers(t *testing.T) {
+	for lost := range 3 {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(true)
+				f.platform.SetFaults(platformapi.Faults{LoseWriteAnswers: lost})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go f.controller("a", "1", 600).Run(ctx)
+				time.Sleep(30 * time.Second)
+				if got := f.engines.version("g0"); got != "1" {
+					t.Errorf("version %q is loaded", got)
+				}
+			})
+		})
+	}
+}
+
+// Unfenced engines get no order from a new holder until it has waited the old lease out.
+func TestWaitsOutTheOldLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(false)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.controller("a", "1", 600).Run(ctx)
+		time.Sleep(DefaultTTL + DefaultMargin - time.Second)
+		if got := f.engines.version("g0"); got != "" {
+			t.Errorf("version %q is loaded too early", got)
+		}
+		time.Sleep(3 * time.Second)
+		if got := f.engines.version("g0"); got != "1" {
+			t.Errorf("version %q is loaded", got)
+		}
+	})
+}
+
+// A holder that is cut off from the platform sends nothing after its lease may have lapsed.
+func TestSilentAfterTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		c := f.controller("a", "1", 600)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Run(ctx)
+		time.Sleep(5 * time.Second)
+		f.platform.SetFaults(platformapi.Faults{Hang: true})
+		time.Sleep(DefaultTTL)
+		f.engines.mu.Lock()
+		f.engines.states["g0"].Loaded = nil
+		f.engines.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		if got := f.engines.version("g0"); got != "" {
+			t.Errorf("version %q was loaded without a lease", got)
+		}
+	})
+}
