spread: test the spreader step by step, and pace watches by their index

Cause: a long poll that ended without news was followed by a pause of up to a second, and a store that was restored would have left a watch waiting for an index that is long in coming. Change: a watch pauses only after an answer that came early and moved nothing.

--- a/internal/spread/read.go
+++ b/internal/spread/read.go
@@ -25,17 +25,21 @@
 	pause := newBackoff()
 	var index uint64
 	for ctx.Err() == nil {
+		asked := time.Now()
 		entries, err := k.Store.Watch(ctx, manifest.Key, index, watchWait)
 		if err == nil && len(entries.Entries) > 0 {
 			err = k.takeEncoded(ctx, entries.Entries[0].Value)
 		}
-		if err == nil && entries.Index > index {
-			index = entries.Index
-			pause.Reset()
-			continue
-		}
 		if err != nil {
 			k.Metrics.Counter("config_watch_errors").Inc(1)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		moved := entries.Index > index
+		index = entries.Index // a lower one is a stale read, or a store that was restored
+		if moved || time.Since(asked) >= watchWait/2 {
+			pause.Reset()
+			continue
 		}
 		sleep(ctx, pause.NextBackOff())
 	}
--- /dev/null
+++ b/internal/spread/spreader_test.go
@@ -0,0 +1,167 @@
+package spread
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+func manyHosts(domains, each int) []protocol.Host {
+	var hosts []protocol.Host
+	for d := range domains {
+		for i := range each {
+			hosts = append(hosts, protocol.Host{Name: fmt.Sprintf("%c%02d", 'a'+d, i), FailureDomain: string(rune('a' + d))})
+		}
+	}
+	return hosts
+}
+
+func at(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+func version(revision uint64) protocol.ManifestVersion {
+	return protocol.ManifestVersion{Revision: revision, Digest: fmt.Sprint(revision)}
+}
+
+func TestEdges(t *testing.T) {
+	hosts := manyHosts(2, 10)
+	edges := Edges("a", hosts)
+	if len(edges) != EdgesPerDomain || edges[0].FailureDomain != "a" {
+		t.Fatalf("got %v", edges)
+	}
+	var rest []protocol.Host
+	for _, h := range hosts {
+		if h.Name != edges[0].Name {
+			rest = append(rest, h)
+		}
+	}
+	if after := Edges("a", rest); after[0].Name != edges[1].Name {
+		t.Errorf("the edge host %s was replaced when another one left", edges[1].Name)
+	}
+	if got := Edges("a", hosts[:1]); len(got) != 1 {
+		t.Errorf("got %v of one host", got)
+	}
+}
+
+// A change that reaches the edge hosts reaches each host of the failure domain once.
+func TestTreeReachesEachHostOnce(t *testing.T) {
+	for _, each := range []int{1, 2, 3, 7, 40, 120} {
+		hosts := manyHosts(2, each)
+		reached := make(map[string]int)
+		var visit func(h protocol.Host, source Source)
+		visit = func(h protocol.Host, source Source) {
+			reached[h.Name]++
+			s := &Spreader{Self: h}
+			s.Members(hosts)
+			for _, a := range s.Changed(at(0), version(1), source) {
+				if a.Kind == ActionPush {
+					visit(a.Host, SourcePeer)
+				}
+			}
+		}
+		for _, edge := range Edges("a", hosts) {
+			visit(edge, SourceWatch)
+		}
+		for _, h := range inDomain("a", hosts) {
+			if reached[h.Name] != 1 {
+				t.Errorf("%d hosts: %s was reached %d times", each, h.Name, reached[h.Name])
+			}
+		}
+	}
+}
+
+// Steps of a spreader with what it asks for, at given milliseconds.
+func TestSpreader(t *testing.T) {
+	hosts := manyHosts(2, 4)
+	edge := Edges("a", hosts)[0]
+	var leaf protocol.Host
+	for _, h := range hosts[:4] {
+		if !contains(Edges("a", hosts), h) {
+			leaf = h
+		}
+	}
+	show := func(actions []Action) string {
+		var kinds []string
+		for _, a := range actions {
+			kinds = append(kinds, string(a.Kind))
+		}
+		return strings.Join(kinds, " ")
+	}
+	tests := []struct {
+		name string
+		self protocol.Host
+		run  func(*Spreader) []Action
+		want string
+	}{
+		{"leaf passes nothing on", leaf, func(s *Spreader) []Action { return s.Changed(at(0), version(1), SourcePeer) }, ""},
+		{"leaf tells the edge hosts what it accepted", leaf, func(s *Spreader) []Action {
+			return s.Changed(at(0), version(1), SourceLocal)
+		}, "push push"},
+		{"edge announces what it watched", edge, func(s *Spreader) []Action {
+			s.Changed(at(0), version(1), SourceWatch)
+			return s.Changed(at(1), version(2), SourceWatch)[len(s.below):]
+		}, "announce"},
+		{"old version", leaf, func(s *Spreader) []Action {
+			s.Changed(at(0), version(2), SourceLocal)
+			return s.Changed(at(1), version(1), SourceLocal)
+		}, ""},
+		{"pull waits for a push", leaf, func(s *Spreader) []Action {
+			s.Heard(at(0), edge.Name, version(1))
+			return s.Tick(at(299))
+		}, ""},
+		{"pull", leaf, func(s *Spreader) []Action {
+			s.Heard(at(0), edge.Name, version(1))
+			return s.Tick(at(300))
+		}, "pull"},
+		{"one pull at a time", leaf, func(s *Spreader) []Action {
+			s.Heard(at(0), edge.Name, version(1))
+			s.Tick(at(300))
+			return s.Tick(at(900))
+		}, ""},
+		{"pull from another host", leaf, func(s *Spreader) []Action {
+			s.Heard(at(0), edge.Name, version(1))
+			s.Tick(at(300))
+			return s.Tick(at(1300))
+		}, "pull"},
+		{"no pull of what is in force", leaf, func(s *Spreader) []Action {
+			s.Heard(at(0), edge.Name, version(1))
+			s.Changed(at(100), version(1), SourcePeer)
+			return s.Tick(at(300))
+		}, ""},
+		{"failed push is repeated", leaf, func(s *Spreader) []Action {
+			s.Changed(at(0), version(1), SourceLocal)
+			s.PushFailed(at(100), edge.Name)
+			return s.Tick(at(600))
+		}, "push"},
+		{"answered push is not repeated", leaf, func(s *Spreader) []Action {
+			for _, a := range s.Changed(at(0), version(1), SourceLocal) {
+				s.Pushed(at(1), a.Host.Name, version(1))
+			}
+			return s.Tick(at(5000))
+		}, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &Spreader{Self: test.self}
+			s.Members(hosts)
+			if got := show(test.run(s)); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestPushesEnd(t *testing.T) {
+	hosts := manyHosts(1, 3)
+	s := &Spreader{Self: hosts[0]}
+	s.Members(hosts)
+	pushes := len(s.Changed(at(0), version(1), SourceLocal))
+	for ms := range 60_000 {
+		pushes += len(s.Tick(at(ms)))
+	}
+	if pushes > PushAttempts*2 {
+		t.Errorf("%d pushes to two hosts that do not answer", pushes)
+	}
+}
