controller: allow Run to be called again

Cause: a host that stopped being an edge host and became one again never acquired the lease, as its holder had been stopped for good. Change: each Run starts with a new holder. Measured: go test -race ./internal/controller passes; TestRunAgain failed before.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,6 +63,8 @@
 )
 
 // Run holds or waits for the lease and drives the engines until ctx ends; then it gives the lease back.
+//
+// It may be called again after it has returned.
 func (c *Controller) Run(ctx context.Context) error {
 	c.init()
 	tick := time.NewTicker(c.Interval)
@@ -85,7 +87,7 @@
 	c.TTL = orDefault(c.TTL, DefaultTTL)
 	c.Margin = orDefault(c.Margin, DefaultMargin)
 	c.Interval = orDefault(c.Interval, DefaultInterval)
-	c.holder.TTL, c.holder.Margin = c.TTL, c.Margin
+	c.holder = lease.Holder{TTL: c.TTL, Margin: c.Margin}
 	c.known = make(map[string]*known)
 	c.limiter = rate.NewLimiter(0, 1)
 	c.limiter.AllowN(time.Now(), 1) // a new holder must not burst after the old one
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -167,6 +167,22 @@
 	})
 }
 
+func TestRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(true)
+		c := f.controller("a", "1", 600)
+		for range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			c.Run(ctx)
+			cancel()
+			if got := f.engines.version("g0"); got != "1" {
+				t.Errorf("version %q is loaded", got)
+			}
+			f.engines.states["g0"].Loaded = nil
+		}
+	})
+}
+
 // A holder's order is under way for longer than its lease; meanwhile another host takes over.
 func TestLateOrder(t *testing.T) {
 	for name, checks := range map[string]bool{"engine that checks": true, "engine that does not check": false} {
