bench/converge: measure how long engines take to match the document

Cause: convergence is to be measured, also after the death of a holder and a late order. Change: real plans and holders in virtual time.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
+	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
@@ -24,6 +25,7 @@
 	{"latency", latency.Run},
 	{"claims", claims.Run},
 	{"spread", spread.Run},
+	{"converge", converge.Run},
 }
 
 func main() {
