--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,9 +9,11 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
+	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -26,6 +28,8 @@
 	{"claims", claims.Run},
 	{"overload", overload.Run},
 	{"crash", crash.Run},
+	{"spread", spread.Run},
+	{"converge", converge.Run},
 }
 
 func main() {
