entry: mend what tests of the callers' interface found

Faults, each with a test: - the workspace's bearer key and the host's own headers were passed on to plain services; - a path such as //orders or /x/../orders passed by the rule for /orders, so that a service that cleans paths would have run an order without a claim; both forms are compared now; - an escaped path was escaped twice, since echo's parameters stay escaped where the path has an escaped slash; - a panic closed the connection without an answer; it gets an error of the usual shape (unknown for an order), and a stream that had begun is cut, so that it can't pass for a whole answer; - the write bound of a streamed answer stayed on a connection that was kept open and could cut a later answer, and whole answers had no bound; bodies that trickle in had none either; - a request without max_tokens was refused where the model's limit is under 256, and max_tokens had no upper bound; - a wrong method was told as 400, HEAD lost its Content-Length, and messages of unreachable services named addresses; - Retry-After was 1 s while the body's retry_after_ms was absent, and could be set in the body of final refusals.

Escaped slashes in the paths of services are still passed on as plain ones.

--- a/internal/chat/request.go
+++ b/internal/chat/request.go
@@ -32,6 +32,9 @@
 // DefaultOutputTokens bounds an answer whose request sets no max_tokens.
 const DefaultOutputTokens = 256
 
+// MaxOutputTokens bounds what a request may ask for, whatever its model allows.
+const MaxOutputTokens = 1 << 20
+
 // Request is a chat request; fields that the system does not use are ignored.
 type Request struct {
 	Model     string    `json:"model"`
@@ -41,6 +44,12 @@
 	MaxTokens *int64    `json:"max_tokens"`
 	MaxNew    *int64    `json:"max_completion_tokens"`
 	Choices   *int64    `json:"n"`
+	Options   Options   `json:"stream_options"`
+}
+
+// Options are what a caller wants of a streamed answer.
+type Options struct {
+	IncludeUsage bool `json:"include_usage"` // in an event of its own without choices
 }
 
 // Message is one turn of a chat; Content is a string or a list of text parts.
@@ -71,8 +80,8 @@
 			return nil, err
 		}
 	}
-	if r.OutputTokens() < 1 {
-		return nil, mistake("max_tokens", "must be at least 1")
+	if n := r.OutputTokens(); n < 1 || n > MaxOutputTokens {
+		return nil, mistake("max_tokens", "must be 1 to "+strconv.Itoa(MaxOutputTokens))
 	}
 	if r.Choices != nil && *r.Choices != 1 {
 		return nil, mistake("n", "must be 1")
@@ -92,6 +101,9 @@
 	}
 }
 
+// BoundsOutput reports whether the caller says how many tokens the answer may have.
+func (r *Request) BoundsOutput() bool { return r.MaxNew != nil || r.MaxTokens != nil }
+
 // Prompt returns the text that engines run, with the role before each message.
 func (r *Request) Prompt() string {
 	var b strings.Builder
--- a/internal/chat/request_test.go
+++ b/internal/chat/request_test.go
@@ -14,7 +14,8 @@
 		{`{"model":"m","messages":[{"role":"x","content":""}]}`, "", `messages[0].role: "x" is not a role`},
 		{`{"model":"m","messages":[{"role":"user"}]}`, "", "messages[0].content: must be a string or a list of text parts"},
 		{`{"model":"m","messages":[{"role":"user","content":[{"type":"image"}]}]}`, "", `messages[0].content: part of type "image" is not supported`},
-		{`{"model":"m","messages":[{"role":"user","content":""}],"max_tokens":0}`, "", "max_tokens: must be at least 1"},
+		{`{"model":"m","messages":[{"role":"user","content":""}],"max_tokens":0}`, "", "max_tokens: must be 1 to 1048576"},
+		{`{"model":"m","messages":[{"role":"user","content":""}],"max_tokens":9000000000000000000}`, "", "max_tokens: must be 1 to 1048576"},
 		{`{"model":"m","messages":[{"role":"user","content":""}],"n":2}`, "", "n: must be 1"},
 	}
 	for _, tc := range tests {
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -21,63 +21,63 @@
 const defaultBytesPerToken = 4
 
 func (s *Server) complete(c echo.Context) error {
-	job, err := s.readJob(c)
+	job, asked, err := s.readJob(c)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), job.Deadline)
 	defer cancel()
 	if job.Streaming {
-		return s.stream(ctx, c, job)
+		return s.stream(ctx, c, job, asked.Options)
 	}
 	return s.whole(ctx, c, job)
 }
 
-func (s *Server) readJob(c echo.Context) (*dispatch.Job, error) {
+func (s *Server) readJob(c echo.Context) (*dispatch.Job, *chat.Request, error) {
 	began := time.Now()
 	d := s.Configuration.Document()
 	if d == nil {
-		return nil, notConfigured("complete")
+		return nil, nil, notConfigured("complete")
 	}
 	header := c.Request().Header
 	if kind, _, err := mime.ParseMediaType(header.Get(echo.HeaderContentType)); err != nil || kind != echo.MIMEApplicationJSON {
-		return nil, refuse("read request", outcome.KindBadRequest, "Content-Type must be application/json")
+		return nil, nil, refuse("read request", outcome.KindBadRequest, "Content-Type must be application/json")
 	}
 	workspace, err := workspaceOf(d, header)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	body, err := s.readBody(c)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	r, err := chat.Parse(body)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	job := &dispatch.Job{
 		RequestID: requestID(c), Workspace: workspace, Model: r.Model, Adapter: r.Adapter,
 		Prompt: r.Prompt(), OutputTokens: r.OutputTokens(), Streaming: r.Stream,
 	}
-	if err := size(job, d); err != nil {
-		return nil, err
+	if err := size(job, r, d); err != nil {
+		return nil, nil, err
 	}
 	if job.Class, err = classOf(header, job.PromptTokens); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	left, err := timeLeft(header, presetDeadline(d.Scheduling, job.Class))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	job.Deadline = began.Add(left)
-	return job, nil
+	return job, r, nil
 }
 
 // Estimates the prompt's tokens and compares the job with its model's limits.
-func size(job *dispatch.Job, d *document.Document) error {
+func size(job *dispatch.Job, asked *chat.Request, d *document.Document) error {
 	m := findModel(d, job.Model)
 	if m == nil {
-		return refuse("find model", outcome.KindNotFound, "model: unknown model "+strconv.Quote(job.Model))
+		return refuse("find model", outcome.KindNotFound, "model: unknown model "+quote(job.Model))
 	}
 	perToken := m.BytesPerToken
 	if perToken <= 0 {
@@ -88,6 +88,9 @@
 		return refuse("check length", outcome.KindTooLong, "messages: about "+strconv.FormatInt(job.PromptTokens, 10)+
 			" tokens are over the model's "+strconv.FormatInt(m.MaxPromptTokens, 10))
 	}
+	if m.MaxOutputTokens > 0 && !asked.BoundsOutput() {
+		job.OutputTokens = min(job.OutputTokens, m.MaxOutputTokens)
+	}
 	if m.MaxOutputTokens > 0 && job.OutputTokens > m.MaxOutputTokens {
 		return refuse("check length", outcome.KindBadRequest, "max_tokens: over the model's "+strconv.FormatInt(m.MaxOutputTokens, 10))
 	}
@@ -139,8 +142,8 @@
 	return nil
 }
 
-func (s *Server) stream(ctx context.Context, c echo.Context, job *dispatch.Job) error {
-	events := &eventWriter{response: c.Response(), job: job}
+func (s *Server) stream(ctx context.Context, c echo.Context, job *dispatch.Job, options chat.Options) error {
+	events := &eventWriter{response: c.Response(), job: job, options: options}
 	c.Response().Header().Set("Trailer", outcome.Header+", "+HeaderServer)
 	answer, err := s.Prompts.Run(ctx, job, events)
 	header := c.Response().Header()
@@ -164,6 +167,7 @@
 type eventWriter struct {
 	response *echo.Response
 	job      *dispatch.Job
+	options  chat.Options
 	began    bool
 }
 
@@ -185,10 +189,10 @@
 	w.response.WriteHeader(http.StatusOK)
 }
 
-func (w *eventWriter) chunk(d chat.Delta) chat.Chunk {
+func (w *eventWriter) chunk(choices ...chat.Delta) chat.Chunk {
 	return chat.Chunk{
 		ID: w.job.RequestID, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: w.job.Model,
-		Choices: []chat.Delta{d},
+		Choices: append([]chat.Delta{}, choices...),
 	}
 }
 
@@ -203,6 +207,13 @@
 	if err := w.write(last); err != nil {
 		return err
 	}
+	if w.options.IncludeUsage {
+		counted := w.chunk()
+		counted.Usage = &u
+		if err := w.write(counted); err != nil {
+			return err
+		}
+	}
 	_, err := w.response.Write([]byte("data: [DONE]\n\n"))
 	return errors.WithStack(err)
 }
@@ -212,13 +223,12 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	control := http.NewResponseController(w.response)
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	limitWrite(w.response)
 	line := append(append([]byte("data: "), body...), '\n', '\n')
 	if _, err := w.response.Write(line); err != nil {
 		return errors.WithStack(err)
 	}
-	return errors.WithStack(control.Flush())
+	return errors.WithStack(http.NewResponseController(w.response).Flush())
 }
 
 // Records the time to the first token by the class of prompt lengths.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -31,8 +32,14 @@
 	headerRetry     = "Retry-After"
 )
 
-// A caller that takes nothing for this long is taken to be gone.
-const writeTimeout = 30 * time.Second
+// A caller that takes or sends nothing for this long is taken to be gone.
+const (
+	writeTimeout = 30 * time.Second
+	readTimeout  = time.Minute // for the whole body
+)
+
+// A refusal that names no time is not worth repeating at once.
+const minRetryAfter = time.Millisecond
 
 // Prompts runs admitted prompts and returns an *outcome.Error for one that has no whole answer.
 type Prompts interface {
@@ -66,6 +73,7 @@
 	e.Use(s.track)
 	e.POST("/v1/chat/completions", s.complete)
 	e.GET("/v1/models", s.models)
+	e.GET("/v1/models/:model", s.model)
 	e.Any("/v1/services/:service", s.service)
 	e.Any("/v1/services/:service/*", s.service)
 	return e
@@ -82,8 +90,9 @@
 		header := c.Response().Header()
 		header.Set(HeaderRequestID, s.newRequestID())
 		header.Set(HeaderHost, s.Host.Name)
+		c.Response().Before(func() { limitWrite(c.Response()) })
 		began := time.Now()
-		err := next(c)
+		err := s.guard(c, next)
 		if err != nil {
 			c.Error(err)
 		}
@@ -95,6 +104,28 @@
 	}
 }
 
+// Calls next and turns a panic into an error, so that the caller gets an answer of the usual shape.
+func (s *Server) guard(c echo.Context, next echo.HandlerFunc) (err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.Metrics.Counter("panics").Inc(1)
+		s.Log.Error("panic in a request", "request_id", requestID(c), "cause", cause, "stack", string(debug.Stack()))
+		err = errors.Errorf("panic: %v", cause)
+		if c.Response().Committed {
+			panic(http.ErrAbortHandler) // cuts the connection, so that the answer can't pass for a whole one
+		}
+	}()
+	return next(c)
+}
+
+// Bounds the next write; a connection that is kept open keeps an earlier bound otherwise.
+func limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 func (s *Server) newRequestID() string {
 	n := s.requests.Add(1)
 	return s.Host.Name + "-" + strconv.FormatUint(s.Host.Incarnation, 36) + "-" + strconv.FormatUint(n, 36)
@@ -108,13 +139,31 @@
 		return notConfigured("models")
 	}
 	list := modelList{Object: "list", Data: make([]modelRow, 0, len(d.Models))}
-	for _, m := range d.Models {
-		list.Data = append(list.Data, modelRow{ID: m.Name, Object: "model", OwnedBy: "turmericshunt", MaxPromptTokens: m.MaxPromptTokens})
+	for i := range d.Models {
+		list.Data = append(list.Data, newModelRow(&d.Models[i]))
 	}
 	c.Response().Header().Set(outcome.Header, string(outcome.Completed))
 	return c.JSON(http.StatusOK, list)
 }
 
+func (s *Server) model(c echo.Context) error {
+	d := s.Configuration.Document()
+	if d == nil {
+		return notConfigured("model")
+	}
+	name := c.Param("model")
+	m := findModel(d, name)
+	if m == nil {
+		return refuse("find model", outcome.KindNotFound, "unknown model "+quote(name))
+	}
+	c.Response().Header().Set(outcome.Header, string(outcome.Completed))
+	return c.JSON(http.StatusOK, newModelRow(m))
+}
+
+func newModelRow(m *document.Model) modelRow {
+	return modelRow{ID: m.Name, Object: "model", OwnedBy: "turmericshunt", MaxPromptTokens: m.MaxPromptTokens}
+}
+
 type modelList struct {
 	Object string     `json:"object"`
 	Data   []modelRow `json:"data"`
@@ -130,16 +179,23 @@
 // Writes any error in the shape of the OpenAI interface, with its outcome and when to come back.
 func (s *Server) handleError(err error, c echo.Context) {
 	failure, field := classify(err)
+	if failure.Kind == outcome.KindInternal && c.Get(orderMark) != nil {
+		failure.Outcome = outcome.Unknown
+	}
 	s.Metrics.Tagged(map[string]string{"kind": string(failure.Kind)}).Counter("refusals").Inc(1)
 	if c.Response().Committed {
 		return
 	}
+	told := *failure
 	header := c.Response().Header()
-	header.Set(outcome.Header, string(failure.Outcome))
-	if failure.Retryable() {
-		header.Set(headerRetry, retrySeconds(failure.RetryAfter))
+	header.Set(outcome.Header, string(told.Outcome))
+	if told.Retryable() {
+		told.RetryAfter = max(told.RetryAfter, minRetryAfter)
+		header.Set(headerRetry, retrySeconds(told.RetryAfter))
+	} else {
+		told.RetryAfter = 0
 	}
-	if err := c.JSON(failure.Status(), chat.NewFailure(failure, requestID(c), field)); err != nil {
+	if err := c.JSON(told.Status(), chat.NewFailure(&told, requestID(c), field)); err != nil {
 		s.Metrics.Counter("answers_not_written").Inc(1)
 	}
 }
@@ -155,18 +211,20 @@
 	var routing *echo.HTTPError
 	if errors.As(err, &routing) && routing.Code < http.StatusInternalServerError {
 		kind := outcome.KindBadRequest
-		if routing.Code == http.StatusNotFound {
+		switch routing.Code {
+		case http.StatusNotFound:
 			kind = outcome.KindNotFound
+		case http.StatusMethodNotAllowed:
+			kind = outcome.KindMethod
 		}
 		return &outcome.Error{Op: "route", Kind: kind, Outcome: outcome.NotRun, Message: http.StatusText(routing.Code)}, ""
 	}
-	return &outcome.Error{Op: "serve", Kind: outcome.KindUnavailable, Outcome: outcome.Failed, Message: err.Error()}, ""
+	return &outcome.Error{Op: "serve", Kind: outcome.KindInternal, Outcome: outcome.Failed, Message: "internal error of the host"}, ""
 }
 
 // Retry-After counts whole seconds, so that a shorter time is rounded up; the body has milliseconds.
 func retrySeconds(d time.Duration) string {
-	seconds := int64((d + time.Second - 1) / time.Second)
-	return strconv.FormatInt(max(seconds, 1), 10)
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
 
 func refuse(op string, kind outcome.Kind, message string) *outcome.Error {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -34,41 +34,66 @@
 	standardTokens    = 100_000
 )
 
-const maxHeaderValueBytes = 256
+const (
+	maxHeaderValueBytes = 256
+	maxQuotedBytes      = 64
+)
 
 func (s *Server) readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
+	body, err := s.receive(c)
 	if errors.As(err, &tooLarge) {
 		return nil, refuse("read body", outcome.KindTooLarge, "the body is over "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 	}
 	if err != nil {
-		return nil, refuse("read body", outcome.KindBadRequest, "the body ended early")
+		return nil, refuse("read body", outcome.KindBadRequest, "the body ended early or took longer than "+readTimeout.String())
 	}
 	return body, nil
 }
 
+func (s *Server) receive(c echo.Context) ([]byte, error) {
+	if c.Request().ContentLength > s.MaxBodyBytes {
+		return nil, &http.MaxBytesError{Limit: s.MaxBodyBytes}
+	}
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(readTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.MaxBodyBytes))
+}
+
 // Finds the caller's workspace by its key, or by name where the workspace has no keys.
 func workspaceOf(d *document.Document, header http.Header) (string, error) {
 	name := header.Get(HeaderWorkspace)
-	if key, ok := strings.CutPrefix(header.Get(echo.HeaderAuthorization), "Bearer "); ok {
-		if owner := ownerOf(d, key); owner != "" && (name == "" || name == owner) {
-			return owner, nil
-		}
+	key, hasKey := bearerKey(header)
+	if owner := ownerOf(d, key); hasKey && owner != "" && (name == "" || name == owner) {
+		return owner, nil
+	}
+	if name == "" && hasKey {
+		return "", refuse("find workspace", outcome.KindUnauthorized, "unknown bearer key")
 	}
 	if name == "" {
 		return "", refuse("find workspace", outcome.KindUnauthorized, "set "+HeaderWorkspace+" or a bearer key")
 	}
 	i := slices.IndexFunc(d.Workspaces, func(w document.Workspace) bool { return w.Name == name })
 	if i < 0 {
-		return "", refuse("find workspace", outcome.KindUnauthorized, "unknown workspace "+strconv.Quote(name))
+		return "", refuse("find workspace", outcome.KindUnauthorized, HeaderWorkspace+": unknown workspace "+quote(name))
 	}
 	if len(d.Workspaces[i].KeyDigests) > 0 {
-		return "", refuse("find workspace", outcome.KindUnauthorized, "workspace "+strconv.Quote(name)+" needs its bearer key")
+		return "", refuse("find workspace", outcome.KindUnauthorized, "workspace "+quote(name)+" needs its bearer key")
 	}
 	return name, nil
 }
 
+func bearerKey(header http.Header) (string, bool) {
+	scheme, key, ok := strings.Cut(header.Get(echo.HeaderAuthorization), " ")
+	return strings.TrimSpace(key), ok && strings.EqualFold(scheme, "Bearer")
+}
+
+// Quotes what a caller sent, shortened so that no answer grows with it.
+func quote(text string) string {
+	return strconv.Quote(text[:min(len(text), maxQuotedBytes)])
+}
+
 func ownerOf(d *document.Document, key string) string {
 	sum := sha256.Sum256([]byte(key))
 	digest := []byte(hex.EncodeToString(sum[:]))
@@ -92,7 +117,7 @@
 		return protocol.ClassBatch, nil
 	case "":
 	default:
-		return 0, refuse("read class", outcome.KindBadRequest, HeaderClass+" must be interactive, standard or batch, not "+strconv.Quote(name))
+		return 0, refuse("read class", outcome.KindBadRequest, HeaderClass+" must be interactive, standard or batch, not "+quote(name))
 	}
 	switch {
 	case promptTokens <= interactiveTokens:
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,7 +21,11 @@
 // HeaderReplayed marks an answer that was recorded for an earlier sending of the same request.
 const HeaderReplayed = "Turmericshunt-Replayed"
 
-const maxKeyBytes = 255
+const (
+	maxKeyBytes = 255
+	ownPrefix   = "Turmericshunt-"
+	orderMark   = "order" // set in the context of a request that may have run as an order
+)
 
 // Services calls plain services.
 type Services interface {
@@ -41,10 +46,10 @@
 	if err != nil {
 		return err
 	}
-	name := c.Param("service")
+	name, inner := servicePath(c.Request())
 	i := slices.IndexFunc(d.Services, func(x document.Service) bool { return x.Name == name })
 	if i < 0 {
-		return refuse("find service", outcome.KindNotFound, "unknown service "+strconv.Quote(name))
+		return refuse("find service", outcome.KindNotFound, "unknown service "+quote(name))
 	}
 	left, err := timeLeft(header, orPreset(d.Services[i].Deadline, serviceDeadline))
 	if err != nil {
@@ -56,12 +61,11 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), began.Add(left))
 	defer cancel()
-	path := "/" + c.Param("*")
 	call := &service.Call{
-		Service: name, Method: c.Request().Method, Path: path, Query: c.Request().URL.RawQuery,
-		Header: header, Body: body, Idempotent: true,
+		Service: name, Method: c.Request().Method, Path: inner, Query: c.Request().URL.RawQuery,
+		Header: forService(header), Body: body, Idempotent: true,
 	}
-	if mustNotRepeat(d, name, call.Method, path) {
+	if mustNotRepeat(d, call) {
 		return s.order(ctx, c, workspace, call, began.Add(left))
 	}
 	answer, err := s.Services.Do(ctx, call)
@@ -82,6 +86,7 @@
 		key = requestID(c)
 	}
 	c.Response().Header().Set(HeaderKey, key)
+	c.Set(orderMark, true)
 	answer, err := s.Services.Order(ctx, &order.Request{
 		Workspace: workspace, Key: key, Service: call.Service, Method: call.Method, Path: call.Path, Query: call.Query,
 		Header: call.Header, Body: call.Body, Deadline: deadline, NewKey: made,
@@ -98,9 +103,10 @@
 func reply(c echo.Context, status int, from http.Header, body []byte, told outcome.Outcome) error {
 	header := c.Response().Header()
 	for name, values := range from {
-		if !strings.HasPrefix(name, "Turmericshunt-") && name != echo.HeaderContentLength {
-			header[name] = values
+		if strings.HasPrefix(name, ownPrefix) || name == echo.HeaderContentLength && c.Request().Method != http.MethodHead {
+			continue
 		}
+		header[name] = values
 	}
 	header.Set(outcome.Header, string(told))
 	c.Response().WriteHeader(status)
@@ -108,17 +114,44 @@
 	return errors.WithStack(err)
 }
 
-func mustNotRepeat(d *document.Document, name, method, path string) bool {
+// Splits the path after the prefix of services into the service's name and its own path.
+//
+// The decoded path is used, since the router's parameters stay escaped where the path has an escaped slash.
+func servicePath(r *http.Request) (name, inner string) {
+	name, inner, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
+	return name, "/" + inner
+}
+
+// A service may read "//orders" or "/x/../orders" as "/orders", so that both forms of the path are compared.
+func mustNotRepeat(d *document.Document, call *service.Call) bool {
+	clean := path.Clean(call.Path)
 	return slices.ContainsFunc(d.NonIdempotent, func(r document.Rule) bool {
-		return r.Service == name && (r.Method == "" || r.Method == method) && strings.HasPrefix(path, r.PathPrefix)
+		return r.Service == call.Service && (r.Method == "" || r.Method == call.Method) &&
+			(strings.HasPrefix(call.Path, r.PathPrefix) || strings.HasPrefix(clean, r.PathPrefix))
 	})
 }
 
+// Leaves out the headers that are meant for this host, above all the workspace's key.
+func forService(from http.Header) http.Header {
+	header := from.Clone()
+	header.Del(echo.HeaderAuthorization)
+	for name := range header {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(header, name)
+		}
+	}
+	return header
+}
+
 // A call that may be repeated fails as a whole, since running it again does no harm.
 func serviceError(ctx context.Context, err error) *outcome.Error {
-	e := &outcome.Error{Op: "call service", Kind: outcome.KindUnavailable, Outcome: outcome.NotRun, Message: err.Error(), RetryAfter: time.Second}
+	e := &outcome.Error{
+		Op: "call service", Kind: outcome.KindUnavailable, Outcome: outcome.NotRun,
+		Message: "no server of the service took the call", RetryAfter: time.Second,
+	}
 	if service.MayHaveRun(err) {
 		e.Outcome = outcome.Failed
+		e.Message = "the service gave no whole answer"
 	}
 	if ctx.Err() != nil {
 		e.Kind = outcome.KindDeadline
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -40,6 +40,7 @@
 	KindBadRequest     Kind = "bad_request"
 	KindUnauthorized   Kind = "unauthorized"
 	KindNotFound       Kind = "not_found"
+	KindMethod         Kind = "method_not_allowed"
 	KindTooLarge       Kind = "too_large"
 	KindTooLong        Kind = "prompt_too_long"
 	KindQuota          Kind = "workspace_limit"
@@ -53,6 +54,7 @@
 	KindStoreDown      Kind = "store_unavailable"
 	KindOutcomeUnknown Kind = "outcome_unknown"
 	KindStopping       Kind = "host_stopping"
+	KindInternal       Kind = "internal_error"
 )
 
 // Error returns the operation, kind and message in one line.
@@ -69,6 +71,8 @@
 		return http.StatusUnauthorized
 	case KindNotFound:
 		return http.StatusNotFound
+	case KindMethod:
+		return http.StatusMethodNotAllowed
 	case KindTooLarge, KindTooLong:
 		return http.StatusRequestEntityTooLarge
 	case KindKeyReused, KindCrashing:
@@ -81,6 +85,8 @@
 		return http.StatusGatewayTimeout
 	case KindBroken, KindOutcomeUnknown:
 		return http.StatusBadGateway
+	case KindInternal:
+		return http.StatusInternalServerError
 	default:
 		return http.StatusServiceUnavailable
 	}
@@ -89,7 +95,7 @@
 // Retryable reports whether the caller may send the request again later.
 func (e *Error) Retryable() bool {
 	switch e.Kind {
-	case KindBadRequest, KindUnauthorized, KindNotFound, KindTooLarge, KindTooLong,
+	case KindBadRequest, KindUnauthorized, KindNotFound, KindMethod, KindTooLarge, KindTooLong,
 		KindKeyReused, KindCrashing, KindOutcomeUnknown:
 		return false
 	default:
