cli: settle a change whose answer was lost, and test all commands

config apply made no id, so that a lost answer left an operator without a way to find out. Without a settled answer it exits with 1 and names the id and the base to repeat it with.

Sections complete in shells. Backend servers of other failure domains were shown as 'no report' though a host follows only its own.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,294 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/turmericshunt/turmericshunt/pkg/adminapi"
+)
+
+const settingsSample = "../../examples/settings.jsonc"
+
+// Stands in for a host's administration interface.
+type fakeHost struct {
+	changes  []adminapi.Change
+	answers  []func(w http.ResponseWriter) // to changes, in order; the last one repeats
+	versions []adminapi.HostVersion
+	token    string
+}
+
+func accept(w http.ResponseWriter) {
+	_ = json.NewEncoder(w).Encode(adminapi.Accepted{ID: "c1", Revision: 7})
+}
+
+func refuse(status int, f adminapi.Failure) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(f)
+	}
+}
+
+// Closes the connection, as if the answer were lost on the way.
+func lose(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+func (h *fakeHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.token = r.Header.Get("Authorization")
+	section := adminapi.Section{Section: "services", Revision: 3, Digest: strings.Repeat("ab", 32), Body: "[\n  {\"name\": \"orders\"}\n]"}
+	when := time.Date(2026, 12, 3, 21, 0, 0, 0, time.UTC)
+	var answer any
+	switch r.Method + " " + r.URL.Path {
+	case "GET /v1/config":
+		answer = adminapi.Configuration{Revision: 7, Digest: strings.Repeat("cd", 32), Sections: []adminapi.Section{section}}
+	case "GET /v1/config/sections/services":
+		answer = section
+	case "GET /v1/config/history":
+		answer = []adminapi.Record{{Revision: 7, Section: "services", Author: "orders-team", Time: when, Reason: "faster", ID: "c1", Diff: "-a\n+b\n"}}
+	case "GET /v1/config/status":
+		answer = h.versions
+	case "GET /v1/status":
+		answer = status()
+	case "PUT /v1/config/sections/services":
+		var change adminapi.Change
+		_ = json.NewDecoder(r.Body).Decode(&change)
+		n := min(len(h.changes), len(h.answers)-1)
+		h.changes = append(h.changes, change)
+		h.answers[n](w)
+		return
+	default:
+		refuse(http.StatusNotFound, adminapi.Failure{Kind: "not_found", Message: "no such path"})(w)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func status() adminapi.Status {
+	return adminapi.Status{
+		Host: "e1", FailureDomain: "ne-1", Ready: true, Edge: true, ActiveRequests: 2, Configuration: adminapi.HostVersion{Revision: 7},
+		Members: []adminapi.Member{{Host: "e1", FailureDomain: "ne-1", Address: "127.0.0.1:7000", State: "alive"}},
+		BackendServers: []adminapi.BackendServer{
+			{Name: "g1", FailureDomain: "ne-1", Scheduler: "e1", Models: []string{"a", "b"}, WaitMS: 12, FreeBytes: 1 << 30, Running: 3},
+			{Name: "g2", FailureDomain: "ne-1", Scheduler: "e1", Unhealthy: true},
+			{Name: "g3", FailureDomain: "ne-1", Scheduler: "e1", AgeMS: -1},
+			{Name: "g4", FailureDomain: "ne-1", Scheduler: "e1", Long: true},
+			{Name: "g5", FailureDomain: "ne-2", Scheduler: "e3", AgeMS: -1},
+			{Name: "g6", FailureDomain: "ne-1", Scheduler: "e1", Leaving: true},
+		},
+	}
+}
+
+func newHost() *fakeHost {
+	return &fakeHost{
+		answers: []func(http.ResponseWriter){accept},
+		versions: []adminapi.HostVersion{
+			{Host: "e1", FailureDomain: "ne-1", Revision: 7, Digest: strings.Repeat("cd", 32)},
+			{Host: "e2", FailureDomain: "ne-2", Revision: 7, Digest: strings.Repeat("cd", 32)},
+		},
+	}
+}
+
+type result struct {
+	code     int
+	out, err string
+}
+
+func run(t *testing.T, h http.Handler, stdin string, args ...string) result {
+	t.Helper()
+	address := "http://127.0.0.1:1" // nothing listens there
+	if h != nil {
+		s := httptest.NewServer(h)
+		defer s.Close()
+		address = s.URL
+	}
+	var out, failure bytes.Buffer
+	p := &Program{Version: "1", Out: &out, Err: &failure, Stdin: strings.NewReader(stdin), pause: time.Microsecond, Getenv: func(name string) string {
+		return map[string]string{addressVariable: address, tokenVariable: "secret"}[name]
+	}}
+	code := p.Run(context.Background(), args)
+	return result{code, strings.ReplaceAll(out.String(), address, "http://HOST"), strings.ReplaceAll(failure.String(), address, "http://HOST")}
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "section.jsonc")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+const services = `[{"name": "orders"}, /* new */ {"name": "stock", "deadline": "2s"}]`
+
+func TestOutputs(t *testing.T) {
+	file := write(t, services)
+	commands := map[string][]string{
+		"help":                {"--help"},
+		"help_serve":          {"serve", "--help"},
+		"help_check":          {"check", "--help"},
+		"help_config":         {"config"},
+		"help_config_apply":   {"config", "apply", "--help"},
+		"version":             {"version"},
+		"status":              {"status"},
+		"status_json":         {"status", "--output", "json"},
+		"config_get":          {"config", "get"},
+		"config_get_section":  {"config", "get", "services"},
+		"config_get_json":     {"config", "get", "services", "-o", "json"},
+		"config_diff":         {"config", "diff", "services", file},
+		"config_history":      {"config", "history"},
+		"config_history_json": {"config", "history", "-o", "json"},
+		"config_status":       {"config", "status"},
+		"config_apply":        {"config", "apply", "services", file, "--reason", "r"},
+		"config_apply_json":   {"config", "apply", "services", file, "--reason", "r", "-o", "json"},
+		"check":               {"check", "--settings", settingsSample},
+	}
+	g := goldie.New(t)
+	for name, args := range commands {
+		t.Run(name, func(t *testing.T) {
+			r := run(t, newHost(), "", args...)
+			if r.code != ExitOK || r.err != "" {
+				t.Fatalf("exit code %d: %s", r.code, r.err)
+			}
+			if strings.Contains(r.out, "secret") {
+				t.Error("the token is printed")
+			}
+			g.Assert(t, name, []byte(r.out))
+		})
+	}
+}
+
+func TestFailures(t *testing.T) {
+	file := write(t, services)
+	apply := []string{"config", "apply", "services", file, "--reason", "r"}
+	tests := []struct {
+		name   string
+		answer func(http.ResponseWriter)
+		args   []string
+		code   int
+		err    string
+	}{
+		{"unknown command", nil, []string{"x"}, ExitUsage, `unknown command "x" for "turmericshunt"`},
+		{"unknown subcommand", nil, []string{"config", "x"}, ExitUsage, `unknown command "x" for "turmericshunt config"`},
+		{"unknown flag", nil, []string{"status", "--x"}, ExitUsage, "unknown flag: --x"},
+		{"missing argument", nil, []string{"config", "diff", "services"}, ExitUsage, "accepts 2 arg(s), received 1"},
+		{"output", nil, []string{"status", "-o", "xml"}, ExitUsage, `--output must be json or table, not "xml"`},
+		{"key file", nil, []string{"status", "--ca-file", "absent"}, ExitUsage, "open absent: no such file"},
+		{"no reason", nil, apply[:4], ExitUsage, `required flag(s) "reason" not set`},
+		{"absent file", nil, []string{"config", "diff", "services", "absent"}, ExitUsage, "open absent: no such file"},
+		{"unknown section", nil, []string{"config", "diff", "x", file}, ExitInvalid, "x"},
+		{"wrong section", nil, []string{"config", "diff", "models", file}, ExitInvalid, "unknown field"},
+		{"absent path", nil, []string{"config", "get", "x"}, ExitRefused, "get x: not_found: no such path"},
+		{"conflict", refuse(http.StatusConflict, adminapi.Failure{Kind: "conflict", Message: "came first", Diff: "-a\n+b"}), apply, ExitRefused, "apply services: conflict: came first\n-a\n+b"},
+		{"unauthorized", refuse(http.StatusUnauthorized, adminapi.Failure{Kind: "unauthorized", Message: "no"}), apply, ExitRefused, "unauthorized: no"},
+		{"invalid", refuse(http.StatusBadRequest, adminapi.Failure{Kind: "invalid", Message: "bad"}), apply, ExitInvalid, "invalid: bad"},
+		{"unavailable", refuse(http.StatusServiceUnavailable, adminapi.Failure{Kind: "unavailable", Message: "store down"}), apply, ExitFailed, "unavailable: store down"},
+		{"settings", nil, []string{"check", "--settings", "absent"}, ExitInvalid, "open absent: no such file"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHost()
+			if tc.answer != nil {
+				h.answers = []func(http.ResponseWriter){tc.answer}
+			}
+			r := run(t, h, "", tc.args...)
+			if r.code != tc.code || !strings.Contains(r.err, tc.err) || !strings.HasPrefix(r.err, "turmericshunt: ") {
+				t.Errorf("exit code %d, want %d: %s", r.code, tc.code, r.err)
+			}
+		})
+	}
+	if r := run(t, nil, "", "status"); r.code != ExitFailed {
+		t.Errorf("no host: exit code %d: %s", r.code, r.err)
+	}
+}
+
+func TestCheckNamesPlace(t *testing.T) {
+	sample, err := os.ReadFile(settingsSample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := write(t, strings.Replace(string(sample), `"frame_gap": "1s"`, `"frame_gap": "1"`, 1))
+	r := run(t, nil, "", "check", "--settings", file)
+	want := "turmericshunt: settings: " + file + `: line 59, column 18: timing.frame_gap: "1" is not a duration such as "30s"` + "\n"
+	if r.code != ExitInvalid || r.err != want {
+		t.Errorf("exit code %d\ngot  %swant %s", r.code, r.err, want)
+	}
+}
+
+func TestApplyWithLostAnswers(t *testing.T) {
+	unknown := refuse(http.StatusServiceUnavailable, adminapi.Failure{Kind: "unknown", Message: "may be"})
+	conflict := refuse(http.StatusConflict, adminapi.Failure{Kind: "conflict", Message: "came first"})
+	down := refuse(http.StatusServiceUnavailable, adminapi.Failure{Kind: "unavailable", Message: "down"})
+	tests := []struct {
+		name      string
+		answers   []func(http.ResponseWriter)
+		code      int
+		sendings  int
+		isUnknown bool
+	}{
+		{"lost once", []func(http.ResponseWriter){lose, accept}, ExitOK, 2, false},
+		{"unknown, then accepted", []func(http.ResponseWriter){unknown, accept}, ExitOK, 2, false},
+		{"lost, then refused", []func(http.ResponseWriter){lose, conflict}, ExitRefused, 2, false},
+		{"always lost", []func(http.ResponseWriter){lose}, ExitFailed, maxSendings, true},
+		{"lost, then down", []func(http.ResponseWriter){lose, down}, ExitFailed, maxSendings, true},
+		{"always down", []func(http.ResponseWriter){down}, ExitFailed, maxSendings, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHost()
+			h.answers = tc.answers
+			r := run(t, h, services, "config", "apply", "services", "-", "--reason", "r")
+			if r.code != tc.code || len(h.changes) != tc.sendings {
+				t.Fatalf("exit code %d after %d sendings: %s", r.code, len(h.changes), r.err)
+			}
+			for _, c := range h.changes {
+				if c.ID == "" || c != h.changes[0] || c.Base != 3 || c.Body != services {
+					t.Errorf("sent %+v", c)
+				}
+			}
+			told := strings.Contains(r.err, "unknown: the change may have been accepted; send it again with --id "+h.changes[0].ID+" --base 3")
+			if told != tc.isUnknown {
+				t.Errorf("got %s", r.err)
+			}
+		})
+	}
+}
+
+func TestApplyNamesLaggingHosts(t *testing.T) {
+	h := newHost()
+	h.versions[1].Revision = 6
+	r := run(t, h, services, "config", "apply", "services", "-", "--reason", "r", "--wait", "1ns", "--id", "c1", "--base", "0")
+	want := "accepted as revision 7 (change c1)\nin force on 1 of 2 hosts; lagging: e2\n"
+	if r.code != ExitLagging || r.out != want || h.changes[0].ID != "c1" || h.changes[0].Base != 0 {
+		t.Errorf("exit code %d: %s%s", r.code, r.out, r.err)
+	}
+}
+
+func TestTokenIsSent(t *testing.T) {
+	h := newHost()
+	run(t, h, "", "status")
+	fromVariable := h.token
+	run(t, h, "", "status", "--token", "other")
+	if fromVariable != "Bearer secret" || h.token != "Bearer other" {
+		t.Errorf("sent %q and %q", fromVariable, h.token)
+	}
+}
+
+func TestCompletion(t *testing.T) {
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		if r := run(t, nil, "", "completion", shell); r.code != ExitOK || !strings.Contains(r.out, "turmericshunt") {
+			t.Errorf("%s: exit code %d: %s", shell, r.code, r.err)
+		}
+	}
+	r := run(t, nil, "", "__complete", "config", "apply", "")
+	if !strings.Contains(r.out, "non_idempotent\n") || r.code != ExitOK {
+		t.Errorf("sections are not completed: %s", r.out)
+	}
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -32,17 +33,22 @@
 	caFile   string
 	certFile string
 	keyFile  string
+	pause    time.Duration
+	getenv   func(string) string
 }
 
 func (p *Program) connectionFlags(cmd *cobra.Command) *connection {
-	c := new(connection)
+	c := &connection{pause: p.pause, getenv: p.Getenv}
+	if c.pause == 0 {
+		c.pause = defaultPause
+	}
 	address := p.Getenv(addressVariable)
 	if address == "" {
 		address = defaultAddress
 	}
 	f := cmd.PersistentFlags()
-	f.StringVar(&c.address, "address", address, "operators' listener of any entry host ("+addressVariable+")")
-	f.StringVar(&c.token, "token", p.Getenv(tokenVariable), "operator's token ("+tokenVariable+")")
+	f.StringVar(&c.address, "address", address, "operators' listener of any entry host, or set in "+addressVariable)
+	f.StringVar(&c.token, "token", "", "operator's token; better set in "+tokenVariable+", where other users don't see it")
 	f.StringVarP(&c.output, "output", "o", "table", "json or table")
 	f.StringVar(&c.caFile, "ca-file", "", "authority that signs the host's certificate")
 	f.StringVar(&c.certFile, "cert-file", "", "operator's client certificate")
@@ -58,9 +64,13 @@
 	if err != nil {
 		return nil, &Error{Op: "read keys", Kind: KindUsage, Err: err}
 	}
+	token := c.token
+	if token == "" {
+		token = c.getenv(tokenVariable)
+	}
 	transport := &http.Transport{TLSClientConfig: keys}
 	return &adminclient.Client{
-		Base: c.address, Token: c.token, HTTP: &http.Client{Timeout: callTimeout, Transport: transport},
+		Base: strings.TrimSuffix(c.address, "/"), Token: token, HTTP: &http.Client{Timeout: callTimeout, Transport: transport},
 	}, nil
 }
 
@@ -98,7 +108,11 @@
 	return errors.WithStack(tab.Flush())
 }
 
+// Turns the error of a call into that of a command; nil stays nil.
 func callError(op string, err error) error {
+	if err == nil {
+		return nil
+	}
 	var refused *adminclient.Error
 	if !errors.As(err, &refused) || refused.Kind != adminclient.KindRefused {
 		return &Error{Op: op, Kind: KindFailed, Err: err}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
@@ -11,19 +10,16 @@
 	"github.com/spf13/cobra"
 
 	"github.com/turmericshunt/turmericshunt/internal/document"
-	"github.com/turmericshunt/turmericshunt/pkg/adminapi"
 	"github.com/turmericshunt/turmericshunt/pkg/adminclient"
 )
 
-const (
-	defaultWait  = 10 * time.Second
-	waitInterval = 200 * time.Millisecond
-	shortDigest  = 12
-)
+const shortDigest = 12
 
 func (p *Program) configCommand() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "config",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 		Short: "Reads and changes the configuration",
 		Long: `Reads and changes the configuration document. Each section (models, workspaces, non_idempotent,
 services, engines, scheduling) is changed on its own; the whole document is checked at each change.`,
@@ -39,6 +35,8 @@
 		Short:   "Prints a section in force, or the revisions of all",
 		Example: "  turmericshunt config get\n  turmericshunt config get workspaces > workspaces.jsonc",
 		Args:    cobra.MaximumNArgs(1),
+
+		ValidArgsFunction: completeSection,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			client, err := c.client()
 			if err != nil {
@@ -76,12 +74,14 @@
 		Short:   "Prints how a file differs from the section in force",
 		Example: "  turmericshunt config diff workspaces workspaces.jsonc",
 		Args:    cobra.ExactArgs(2),
+
+		ValidArgsFunction: completeSection,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			client, err := c.client()
 			if err != nil {
 				return err
 			}
-			body, err := readSection(args[0], args[1])
+			_, body, err := readSection(cmd.InOrStdin(), args[0], args[1])
 			if err != nil {
 				return err
 			}
@@ -95,121 +95,33 @@
 	}
 }
 
-// Reads a section from a file or standard input, checks its fields and returns its canonical JSON.
-func readSection(section, file string) ([]byte, error) {
-	text, err := readFile(file)
-	if err != nil {
-		return nil, err
-	}
-	body, err := document.ParseSection(document.Section(section), text)
-	if err != nil {
-		return nil, &Error{Op: file, Kind: KindInvalid, Err: err}
-	}
-	return body, nil
-}
-
-func readFile(file string) ([]byte, error) {
-	var text []byte
-	var err error
+// Reads a section from a file or standard input, checks its fields and returns its text and its canonical JSON.
+func readSection(stdin io.Reader, section, file string) (text, body []byte, err error) {
 	if file == "-" {
-		text, err = io.ReadAll(os.Stdin)
+		text, err = io.ReadAll(stdin)
 	} else {
 		text, err = os.ReadFile(file)
 	}
 	if err != nil {
-		return nil, &Error{Op: "read section", Kind: KindUsage, Err: errors.WithStack(err)}
-	}
-	return text, nil
-}
-
-func (c *connection) applyCommand() *cobra.Command {
-	var change adminapi.Change
-	var wait time.Duration
-	var base int64
-	cmd := &cobra.Command{
-		Use:   "apply section file",
-		Short: "Changes a section and may wait until the change is in force on each host",
-		Long: `Changes a section. The change is refused, with the difference, if another change of the same
-section came after the revision that it is based on (--base, by default the one now in force).
-With --wait it ends when each live host has the change in force, and otherwise names those that lag.`,
-		Example: "  turmericshunt config apply workspaces workspaces.jsonc --reason 'new customer' --wait 10s",
-		Args:    cobra.ExactArgs(2),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			client, err := c.client()
-			if err != nil {
-				return err
-			}
-			if _, err := readSection(args[0], args[1]); err != nil {
-				return err
-			}
-			text, err := readFile(args[1])
-			if err != nil {
-				return err
-			}
-			change.Body = string(text)
-			if err := setBase(cmd.Context(), client, args[0], base, &change); err != nil {
-				return err
-			}
-			accepted, err := client.Apply(cmd.Context(), args[0], change)
-			if err != nil {
-				return callError("apply "+args[0], err)
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d (change %s)\n", accepted.Revision, accepted.ID)
-			return c.await(cmd, client, accepted.Revision, wait)
-		},
-	}
-	f := cmd.Flags()
-	f.StringVar(&change.Reason, "reason", "", "why, for the audit trail (required)")
-	f.StringVar(&change.ID, "id", "", "id of the change; repeating a change with its id is harmless")
-	f.Int64Var(&base, "base", -1, "revision of the section that the file started from; -1 means the one in force")
-	f.DurationVar(&wait, "wait", defaultWait, "how long to wait until it is in force on each host; 0 does not wait")
-	_ = cmd.MarkFlagRequired("reason")
-	return cmd
-}
-
-func setBase(ctx context.Context, client *adminclient.Client, section string, base int64, change *adminapi.Change) error {
-	if base >= 0 {
-		change.Base = uint64(base)
-		return nil
+		return nil, nil, &Error{Op: "read section", Kind: KindUsage, Err: errors.WithStack(err)}
 	}
-	current, err := client.Section(ctx, section)
+	body, err = document.ParseSection(document.Section(section), text)
 	if err != nil {
-		return callError("apply "+section, err)
+		return nil, nil, &Error{Op: file, Kind: KindInvalid, Err: err}
 	}
-	change.Base = current.Revision
-	return nil
+	return text, body, nil
 }
 
-// Waits until each live host has the revision in force.
-func (c *connection) await(cmd *cobra.Command, client *adminclient.Client, revision uint64, wait time.Duration) error {
-	if wait <= 0 {
-		return nil
-	}
-	for end := time.Now().Add(wait); ; time.Sleep(waitInterval) {
-		versions, err := client.Versions(cmd.Context())
-		if err != nil {
-			return callError("wait", err)
-		}
-		lagging := laggingHosts(versions, revision)
-		if len(lagging) == 0 {
-			fmt.Fprintf(cmd.OutOrStdout(), "in force on %d of %d hosts\n", len(versions), len(versions))
-			return nil
-		}
-		if time.Now().After(end) {
-			fmt.Fprintf(cmd.OutOrStdout(), "in force on %d of %d hosts; lagging: %v\n", len(versions)-len(lagging), len(versions), lagging)
-			return &Error{Op: "wait", Kind: KindLagging, Err: errors.Errorf("%d hosts lag", len(lagging))}
-		}
+// Completes the first argument with the names of the sections and the second one with files.
+func completeSection(_ *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	if len(args) > 0 {
+		return nil, cobra.ShellCompDirectiveDefault
 	}
-}
-
-func laggingHosts(versions []adminapi.HostVersion, revision uint64) []string {
 	var names []string
-	for _, v := range versions {
-		if v.Revision < revision {
-			names = append(names, v.Host)
-		}
+	for _, s := range document.Sections() {
+		names = append(names, string(s))
 	}
-	return names
+	return names, cobra.ShellCompDirectiveNoFileComp
 }
 
 func (c *connection) historyCommand() *cobra.Command {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -6,6 +6,7 @@
 	"io"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -33,6 +34,16 @@
 	ExitLagging = 5 // accepted, yet not in force on each host within the time
 )
 
+const exitCodesHelp = `
+Exit codes:
+  0  done
+  1  the host or a call failed, or it is unknown whether a change was accepted
+  2  wrong arguments
+  3  wrong settings or a wrong section
+  4  the change was refused
+  5  accepted, yet not in force on each host within the time
+`
+
 // Error is a failed command.
 type Error struct {
 	Op   string
@@ -52,6 +63,9 @@
 	Out     io.Writer
 	Err     io.Writer
 	Getenv  func(string) string
+	Stdin   io.Reader // nil means os.Stdin
+
+	pause time.Duration // in tests; 0 means the default
 }
 
 // Run carries the arguments out and returns the exit code.
@@ -60,6 +74,7 @@
 	root.SetArgs(args)
 	root.SetOut(p.Out)
 	root.SetErr(p.Err)
+	root.SetIn(p.Stdin)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	err := root.ExecuteContext(ctx)
@@ -94,13 +109,11 @@
 		Use:   "turmericshunt",
 		Short: "Serves language model prompts of very unlike lengths",
 		Long: `turmericshunt is the entry host in front of model engines and plain services, and the
-command line of its operators.
-
-Exit codes: 0 done; 1 the host or a call failed; 2 wrong arguments; 3 wrong settings or a wrong
-section; 4 the change was refused; 5 accepted, yet not in force on each host within the time.`,
+command line of its operators.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.SetHelpTemplate(root.HelpTemplate() + exitCodesHelp)
 	root.AddCommand(p.serveCommand(), p.checkCommand(), p.versionCommand(), p.configCommand(), p.statusCommand())
 	return root
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -42,16 +42,18 @@
 	fmt.Fprintln(w, "\nBACKEND SERVER\tFAILURE DOMAIN\tSCHEDULER\tMODELS\tWAIT MS\tFREE BYTES\tRUNNING\tSTATE")
 	for _, b := range s.BackendServers {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", b.Name, b.FailureDomain, b.Scheduler,
-			strings.Join(b.Models, ","), b.WaitMS, b.FreeBytes, b.Running, serverState(b))
+			strings.Join(b.Models, ","), b.WaitMS, b.FreeBytes, b.Running, serverState(s.FailureDomain, b))
 	}
 }
 
-func serverState(b adminapi.BackendServer) string {
+func serverState(own string, b adminapi.BackendServer) string {
 	switch {
 	case b.Unhealthy:
 		return "unhealthy"
 	case b.Leaving:
 		return "leaving"
+	case b.AgeMS < 0 && b.FailureDomain != own:
+		return "not followed here"
 	case b.AgeMS < 0:
 		return "no report"
 	case b.Long:
