--- /dev/null
+++ b/internal/summary/aggregate.go
@@ -0,0 +1,41 @@
+package summary
+
+import (
+	"slices"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+// PostAggregates takes in aggregates of other failure domains; older ones are dropped.
+func (b *Board) PostAggregates(now time.Time, aggregates []protocol.Aggregate) {
+	for _, a := range aggregates {
+		made := now.Add(-a.Age)
+		a.Age = 0
+		i := slices.IndexFunc(b.remote, func(r remote) bool {
+			return r.aggregate.FailureDomain == a.FailureDomain && r.aggregate.Model == a.Model
+		})
+		switch {
+		case i < 0:
+			b.remote = append(b.remote, remote{aggregate: a, made: made})
+		case made.After(b.remote[i].made):
+			b.remote[i] = remote{aggregate: a, made: made}
+		}
+	}
+}
+
+// RemoteAggregates returns the aggregates of other failure domains with their age set.
+func (b *Board) RemoteAggregates(now time.Time) []protocol.Aggregate {
+	b.remote = slices.DeleteFunc(b.remote, func(r remote) bool { return now.Sub(r.made) > forgetAfter })
+	aggregates := make([]protocol.Aggregate, len(b.remote))
+	for i, r := range b.remote {
+		aggregates[i] = r.aggregate
+		aggregates[i].Age = now.Sub(r.made)
+	}
+	return aggregates
+}
+
+type remote struct {
+	aggregate protocol.Aggregate
+	made      time.Time
+}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -80,6 +80,7 @@
 		known.ran = true
 		s.changed = now
 	}
+	known.own = known.own || c.own
 	if c.began.Before(known.began) {
 		known.began = c.began
 	}
@@ -137,28 +138,51 @@
 		if s.condemned {
 			continue
 		}
-		for _, last := range s.causes {
-			first, ok := l.earlier(k, s, last)
-			if ok && !l.waiting(now, last) && l.proven(k, first, last) {
-				charges = append(charges, charge{content: k, first: first, last: last})
-				break
-			}
+		if c, ok := l.charge(now, k, s); ok {
+			charges = append(charges, c)
 		}
 	}
 	slices.SortFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
 	return charges
 }
 
-// unsettled reports whether a content's latest crash is too recent for a verdict.
+// charge finds two crashes that a content alone explains.
+func (l *Ledger) charge(now time.Time, k content, s *suspicion) (charge, bool) {
+	for _, last := range s.causes {
+		if l.waiting(now, last) {
+			continue
+		}
+		for _, first := range s.causes {
+			if l.follows(k, first, last) && l.proven(k, first, last) {
+				return charge{content: k, first: first, last: last}, true
+			}
+		}
+	}
+	return charge{}, false
+}
+
+// unsettled reports whether the verdict on a content's latest crash may still change with the news to come.
 func (l *Ledger) unsettled(now time.Time, k content, s *suspicion) bool {
 	for _, last := range s.causes {
-		if _, ok := l.earlier(k, s, last); ok && l.waiting(now, last) {
+		if !l.repeated(k, s, last) {
+			continue
+		}
+		if l.waiting(now, last) || l.doubtful(now, k, last) {
 			return true
 		}
 	}
 	return false
 }
 
+// doubtful reports whether a crash may yet be explained by another content; a loss of many is not waited for.
+func (l *Ledger) doubtful(now time.Time, k content, last cause) bool {
+	lost := l.losses[last.crash]
+	if l.hasty || !now.Before(lost.at.Add(cmp.Or(l.Doubt, DefaultDoubt))) {
+		return false
+	}
+	return l.unexplained(lost, k) < manyLosses
+}
+
 func (l *Ledger) waiting(now time.Time, c cause) bool {
 	if l.hasty {
 		return false
@@ -167,22 +191,24 @@
 	return lost != nil && now.Before(lost.at.Add(cmp.Or(l.Hold, DefaultHold)))
 }
 
-// earlier finds a crash of the content that happened before its attempt in last began.
-func (l *Ledger) earlier(k content, s *suspicion, last cause) (cause, bool) {
-	if l.losses[last.crash] == nil {
-		return cause{}, false
-	}
+// repeated reports whether the content was in flight on a crash before its attempt in last began.
+func (l *Ledger) repeated(k content, s *suspicion, last cause) bool {
 	for _, first := range s.causes {
-		lost := l.losses[first.crash]
-		if first.crash == last.crash || lost == nil || !first.ran {
-			continue
-		}
-		others := lost.blamed != nil && *lost.blamed != k
-		if l.simple || !others && last.ran && !last.began.Before(lost.at) {
-			return first, true
+		if l.follows(k, first, last) {
+			return true
 		}
 	}
-	return cause{}, false
+	return false
+}
+
+// follows reports whether a content's attempt in last began after its attempt in first had ended in a crash.
+func (l *Ledger) follows(k content, first, last cause) bool {
+	a, b := l.losses[first.crash], l.losses[last.crash]
+	if a == nil || b == nil || first.crash == last.crash {
+		return false
+	}
+	others := a.blamed != nil && *a.blamed != k
+	return l.simple || !others && first.ran && last.ran && !last.began.Before(a.at)
 }
 
 // proven reports whether the content alone explains both crashes.
@@ -212,24 +238,23 @@
 		if last.crash != c {
 			continue
 		}
-		_, ok := l.earlier(k, s, last)
-		return ok
+		return l.repeated(k, s, last)
 	}
 	return false
 }
 
-// external reports whether a crash of k came together with one that k's history does not explain.
-func (l *Ledger) external(lost *loss, k content) bool {
+// external reports whether a crash of k came together with several that no content accounts for.
+func (l *Ledger) external(lost *loss, k content) bool { return l.unexplained(lost, k) >= manyLosses }
+
+// unexplained counts the crashes that came together with a crash of k and that no content accounts for.
+func (l *Ledger) unexplained(lost *loss, k content) int {
+	n := 0
 	for c, other := range l.losses {
-		near := other.at.Sub(lost.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
-		if other == lost || !near || other.contents[k] {
-			continue
-		}
-		if !l.explained(c, other, k) {
-			return true
+		if other != lost && l.near(other, lost) && !other.contents[k] && !l.explained(c, other, k) {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // explained reports whether a content that shares no crash with k accounts for the crash c.
@@ -242,9 +267,10 @@
 	return false
 }
 
+// independent reports whether a content ran in c and in another crash, neither of them shared with k or one of many.
 func (l *Ledger) independent(other content, c crash, k content) bool {
 	s := l.contents[other]
-	if s == nil {
+	if s == nil || l.neighbors(l.losses[c], other, k) >= manyLosses {
 		return false
 	}
 	repeated := false
@@ -256,7 +282,22 @@
 		if lost.contents[k] {
 			return false
 		}
-		repeated = true
+		repeated = repeated || l.neighbors(lost, other, k) < manyLosses
 	}
 	return repeated
 }
+
+// neighbors counts the crashes that came together with one and involved neither content.
+func (l *Ledger) neighbors(lost *loss, a, b content) int {
+	n := 0
+	for _, other := range l.losses {
+		if other != lost && l.near(other, lost) && !other.contents[a] && !other.contents[b] {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) near(a, b *loss) bool {
+	return a.at.Sub(b.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
+}
