--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 )
 
@@ -20,6 +21,7 @@
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
 	{"latency", latency.Run},
+	{"membership", membership.Run},
 }
 
 func main() {
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -181,7 +181,7 @@
 
 // compare fetches the members of a host whose digest has differed for a while.
 func (l *List) compare(now time.Time, from protocol.Host, digest uint64) []Action {
-	if from.Name == "" {
+	if from.Name == "" || digest == 0 {
 		return nil
 	}
 	if from.FailureDomain != l.Self.FailureDomain {
