--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -195,3 +195,16 @@
 	e.Log.Info("faults set", "server", e.Name, "faults", f)
 	reply(w, http.StatusOK, f)
 }
+
+func (e *Engine) countRefusal(kind string) {
+	if e.counts.Refused == nil {
+		e.counts.Refused = make(map[string]int)
+	}
+	e.counts.Refused[kind]++
+}
+
+func (e *Engine) getCounts(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply(w, http.StatusOK, e.counts)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,6 +25,12 @@
 	retention        = 30 * time.Second // of ended sequences and of the ids of released memory
 )
 
+// Counts tells how often an engine was asked to run a prompt.
+type Counts struct {
+	Accepted int            `json:"accepted"`
+	Refused  map[string]int `json:"refused"` // by the kind of refusal
+}
+
 // Engine is a model engine that answers with text made from the prompt.
 type Engine struct {
 	Name           string
@@ -52,6 +58,7 @@
 	loaded   []loaded
 	fencing  uint64
 	faults   engineapi.Faults
+	counts   Counts
 	thawed   chan struct{} // closed when not frozen
 	load     engineapi.Load
 	loadAt   time.Time
@@ -138,6 +145,7 @@
 	faulty.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/faults", e.setFaults)
+	mux.HandleFunc("GET /v1/counts", e.getCounts)
 	mux.Handle("/", e.withFaults(faulty))
 	return mux
 }
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -90,6 +90,7 @@
 		return r, "", nil
 	}
 	if kind := e.refusal(s, id); kind != "" {
+		e.countRefusal(kind)
 		return nil, kind, nil
 	}
 	var imported int64
@@ -107,8 +108,10 @@
 	if err := e.Batch.Submit(now, job); err != nil {
 		delete(e.runs, id)
 		delete(e.owners, id)
+		e.countRefusal("by the model")
 		return nil, "", err
 	}
+	e.counts.Accepted++
 	e.pump()
 	return r, "", nil
 }
