--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
+	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 )
@@ -30,6 +31,7 @@
 	{"crash", crash.Run},
 	{"spread", spread.Run},
 	{"converge", converge.Run},
+	{"membership", membership.Run},
 }
 
 func main() {
