--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,11 +8,11 @@
 	"strings"
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
-	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
+	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
-	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
+	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 )
