dispatch, scheduler: act on suspicions at once

Cause: the ledger's verdicts were asked for but not waited for: a prompt whose part in a crash was not settled ran at once on a third backend server, and peers heard of a crash with the next probes only. Change: a held verdict is waited for, schedulers check each ask, crashes are told to all hosts of the failure domain at once, members of long prompts are recorded too.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -44,6 +44,11 @@
 	Export(ctx context.Context, server protocol.Server, o engineapi.Owner, expiry time.Duration) (engineapi.Allocation, error)
 }
 
+// Peers tells the other hosts of the failure domain at once what this host suspects.
+type Peers interface {
+	TellSuspicions()
+}
+
 // Releaser frees engine memory until the engine confirms.
 type Releaser interface {
 	Free(server, allocation string)
@@ -58,6 +63,7 @@
 	Engines    Engines
 	Retry      *retry.Policy
 	Suspects   *suspect.Ledger
+	Peers      Peers
 	Quota      *quota.Limiter
 	Admission  *admission.Controller
 	Planner    *longprompt.Planner
@@ -74,7 +80,7 @@
 	now := time.Now()
 	r := &run{d: d, job: job, sink: sink, began: now, ask: d.newAsk(job)}
 	if d.Suspects.Check(now, job.Workspace, r.ask.Fingerprint) == suspect.Condemned {
-		return Answer{}, refusal("admit", outcome.KindCrashing, 0, "this prompt has crashed backend servers")
+		return Answer{}, refusal("admit", outcome.KindCrashing, 0, crashingMessage)
 	}
 	if v := d.Quota.Admit(now, job.Workspace, job.PromptTokens+job.OutputTokens); !v.OK {
 		return Answer{}, refusal("admit", outcome.KindQuota, v.RetryAfter, "the workspace is at its limit")
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -217,5 +217,6 @@
 	case errors.As(err, &failure) && (failure.Kind == engine.KindConnect || failure.Kind == engine.KindNotFound && a.pieces):
 		f.Kind = retry.KindCrashed
 		a.run.d.Suspects.Crashed(time.Now(), a.server.Name)
+		a.run.d.Peers.TellSuspicions()
 	}
 }
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -60,12 +60,11 @@
 			ID: r.ask.ID, Members: members, Deadline: r.job.Deadline, Expiry: time.Until(r.job.Deadline),
 		}},
 	}
+	c.started()
 	c.follow(ctx)
 	cancel()
 	c.parts.Wait()
-	for _, h := range c.holdings {
-		r.finish(h, protocol.Finish{})
-	}
+	c.ended()
 	if !c.whole {
 		return Answer{}, r.setback(c.failure())
 	}
@@ -113,6 +112,28 @@
 	return f
 }
 
+// Tells the ledger of suspects that the prompt is in flight on all members.
+func (c *chainRun) started() {
+	r := c.run
+	for _, m := range c.plan.Members {
+		r.d.Suspects.Started(time.Now(), m.Server, r.ask.ID, r.job.Workspace, r.ask.Fingerprint, r.alone)
+	}
+}
+
+func (c *chainRun) ended() {
+	r := c.run
+	now := time.Now()
+	for _, m := range c.plan.Members {
+		if c.whole {
+			r.d.Suspects.Completed(now, m.Server, r.ask.ID)
+		}
+		r.d.Suspects.Ended(now, m.Server, r.ask.ID)
+	}
+	for _, h := range c.holdings {
+		r.finish(h, protocol.Finish{})
+	}
+}
+
 func (c *chainRun) failure() retry.Failure {
 	f := retry.Failure{Kind: retry.KindEngineError, Sent: true, Delivered: c.assembler.Offset()}
 	if c.over == nil {
--- a/internal/dispatch/obtain.go
+++ b/internal/dispatch/obtain.go
@@ -55,6 +55,9 @@
 		if g != nil {
 			return r.hold(c, r.ask, g), nil
 		}
+		if refused.Kind == protocol.RefusalCrashing {
+			return nil, noGrant(refused.Kind, 0)
+		}
 		if refused.Kind == protocol.RefusalBusy && (best < 0 || refused.Wait < last.Wait) {
 			best, last = i, *refused
 		} else if best < 0 {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,6 +11,11 @@
 	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
 
+const crashingMessage = "this prompt has crashed backend servers"
+
+// A verdict that is held is asked for again after this time.
+const verdictInterval = 100 * time.Millisecond
+
 // One prompt on its way through its attempts.
 type run struct {
 	d     *Dispatcher
@@ -67,9 +72,9 @@
 }
 
 func (r *run) try(ctx context.Context) (Answer, *setback) {
-	verdict := r.verdict()
-	if verdict == suspect.Condemned {
-		return Answer{}, r.setback(retry.Failure{Verdict: verdict})
+	verdict := r.settledVerdict(ctx)
+	if verdict == suspect.Condemned || verdict == suspect.Held {
+		return Answer{}, r.setback(retry.Failure{Kind: retry.KindNoGrant, Grant: protocol.RefusalSuspect})
 	}
 	r.alone = r.alone || verdict == suspect.Suspected
 	if !fitsOne(r.d.Fleet.View(), r.ask) {
@@ -86,6 +91,17 @@
 	return r.d.Suspects.Check(time.Now(), r.job.Workspace, r.ask.Fingerprint)
 }
 
+// Waits within the request's time while the cause of a crash that the prompt may have to do with is not settled.
+func (r *run) settledVerdict(ctx context.Context) suspect.Verdict {
+	for {
+		verdict := r.verdict()
+		if verdict != suspect.Held || ctx.Err() != nil {
+			return verdict
+		}
+		pause(ctx, verdictInterval)
+	}
+}
+
 // Completes what is known of a failure and decides what follows it.
 func (r *run) setback(f retry.Failure) *setback {
 	now := time.Now()
@@ -131,6 +147,8 @@
 func describe(f *retry.Failure) string {
 	text := "the last attempt failed: " + string(f.Kind)
 	switch {
+	case f.Verdict == suspect.Condemned:
+		text = crashingMessage
 	case f.Grant != "":
 		text = "no backend server could take the request: " + string(f.Grant)
 	case f.Engine != "":
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -54,13 +54,13 @@
 		Tracker: &release.Tracker{}, Engines: h.engines, Servers: h, Timeout: releaseTimeout, Metrics: h.metrics.Scope,
 	}
 	h.schedulers = &scheduler.Set{
-		Host: h.self, Engines: h.engines, Suspects: h.suspects, Comparison: &release.Comparison{},
+		Host: h.self, Engines: h.engines, Suspects: h.suspects, Peers: h, Comparison: &release.Comparison{},
 		Releaser: h.reclaim, Living: h.members.Alive, Metrics: h.metrics.Scope, Log: h.Log,
 	}
 	h.router.Store(&routing.Router{Weight: document.WeightFirstToken, Seed: rand.Uint64()})
 	h.dispatcher = &dispatch.Dispatcher{
 		Host: h.self, Fleet: h.fleet, Router: h, Schedulers: h, Engines: h.engines,
-		Retry: &retry.Policy{Rand: newRand()}, Suspects: h.suspects, Quota: h.quota, Admission: &admission.Controller{},
+		Retry: &retry.Policy{Rand: newRand()}, Suspects: h.suspects, Peers: h, Quota: h.quota, Admission: &admission.Controller{},
 		Planner: &longprompt.Planner{}, Releaser: h.reclaim, Metrics: h.metrics.Scope, Log: h.Log,
 	}
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	finishTimeout  = 2 * time.Second
-	finishTries    = 3
-	ownerTimeout   = time.Second
-	refreshPeriod  = time.Second
-	refreshTimeout = 500 * time.Millisecond
+	finishTimeout    = 2 * time.Second
+	finishTries      = 3
+	ownerTimeout     = time.Second
+	refreshPeriod    = time.Second
+	suspicionTimeout = time.Second
+	refreshTimeout   = 500 * time.Millisecond
 )
 
 // HandlePeer answers a message of another host.
@@ -133,6 +134,17 @@
 	return false, errors.Errorf("host %s is not a member", id.Host)
 }
 
+// TellSuspicions sends the suspicions to all hosts of the failure domain without waiting for the next probes.
+func (h *Host) TellSuspicions() {
+	for _, x := range others(inDomain(h.members.Alive(), h.self.FailureDomain), h.self.Name) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), suspicionTimeout)
+			defer cancel()
+			h.members.Announce(ctx, x)
+		}()
+	}
+}
+
 // Do sends a call that may be repeated to a plain service.
 func (h *Host) Do(ctx context.Context, call *service.Call) (service.Answer, error) {
 	return h.services.Do(ctx, call)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/engine"
 	"github.com/turmericshunt/turmericshunt/internal/grant"
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
@@ -23,19 +26,31 @@
 
 func (r *runner) pollLoad(ctx context.Context) {
 	every(ctx, loadInterval, func() {
+		var err error
 		for range maxMissedReports {
-			if load, err := r.askLoad(ctx); err == nil {
+			var load engineapi.Load
+			if load, err = r.askLoad(ctx); err == nil {
 				r.report(load)
 				r.setDown(false)
 				return
 			}
 		}
-		if ctx.Err() == nil {
-			r.setDown(true)
+		if ctx.Err() != nil {
+			return
+		}
+		var failure *engine.Error
+		refused := errors.As(err, &failure) && failure.Kind == engine.KindConnect
+		if r.setDown(true) && refused {
+			r.crashed()
 		}
 	})
 }
 
+func (r *runner) crashed() {
+	r.set.Suspects.Crashed(time.Now(), r.server.Name)
+	r.set.Peers.TellSuspicions()
+}
+
 func (r *runner) askLoad(ctx context.Context) (engineapi.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -43,8 +58,6 @@
 }
 
 func (r *runner) report(load engineapi.Load) {
-	now := time.Now()
-	r.set.Suspects.Epoch(now, r.server.Name, load.Epoch)
 	r.mu.Lock()
 	restarted := r.epoch != 0 && r.epoch != load.Epoch
 	r.epoch = load.Epoch
@@ -52,20 +65,24 @@
 	if restarted {
 		r.set.Log.Info("backend server restarted", "backend_server", r.server.Name)
 		r.set.Comparison.Forget(r.server.Name)
+		r.crashed()
 	}
+	r.set.Suspects.Epoch(time.Now(), r.server.Name, load.Epoch)
 	r.update(func(now time.Time) []grant.Decision { return r.decide.Report(now, load) })
 }
 
-func (r *runner) setDown(down bool) {
+// Reports whether the health has changed.
+func (r *runner) setDown(down bool) bool {
 	r.mu.Lock()
 	changed := r.down != down
 	r.down = down
 	r.mu.Unlock()
 	if !changed {
-		return
+		return false
 	}
 	r.set.Log.Info("backend server changed health", "backend_server", r.server.Name, "down", down)
 	r.update(func(now time.Time) []grant.Decision { return r.decide.Unhealthy(now, down) })
+	return true
 }
 
 // Compares the memory that the engine lists with the grants and frees what nobody will use.
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -8,6 +8,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/document"
 	"github.com/turmericshunt/turmericshunt/internal/grant"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/suspect"
 )
 
 const idleTick = time.Second
@@ -74,6 +75,14 @@
 }
 
 func (r *runner) ask(ctx context.Context, ask protocol.Ask) (*protocol.Grant, *protocol.Refusal) {
+	switch r.set.Suspects.CheckAsk(time.Now(), &ask) {
+	case suspect.Condemned:
+		return nil, &protocol.Refusal{ID: ask.ID, Kind: protocol.RefusalCrashing}
+	case suspect.Held:
+		return nil, &protocol.Refusal{ID: ask.ID, Kind: protocol.RefusalSuspect}
+	case suspect.Suspected:
+		ask.Suspect = true
+	}
 	answer := make(chan grant.Decision, 1)
 	r.mu.Lock()
 	if r.stopped {
--- a/internal/scheduler/set.go
+++ b/internal/scheduler/set.go
@@ -29,11 +29,17 @@
 	Free(server, allocation string)
 }
 
+// Peers tells the other hosts of the failure domain at once what this host suspects.
+type Peers interface {
+	TellSuspicions()
+}
+
 // Set runs one scheduler for each owned backend server; it is safe for concurrent use.
 type Set struct {
 	Host       protocol.Host
 	Engines    Engines
 	Suspects   *suspect.Ledger
+	Peers      Peers
 	Comparison *release.Comparison
 	Releaser   Releaser
 	Living     func() []protocol.Host
