--- a/internal/proofs/cluster_test.go
+++ b/internal/proofs/cluster_test.go
@@ -121,6 +121,7 @@
 
 	platformAt netip.AddrPort
 	serviceAt  netip.AddrPort
+	timing     map[string]string // settings of the entry hosts
 }
 
 type entryHost struct {
@@ -144,7 +145,13 @@
 // start runs a platform, a service, and in each failure domain two engines and some entry hosts.
 func start(t *testing.T, entriesPerDomain int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), platformAt: freePort(t), serviceAt: freePort(t)}
+	return startWith(t, entriesPerDomain, map[string]string{"balancer_delay": "500ms"})
+}
+
+// startWith does the same with other timing settings of the entry hosts.
+func startWith(t *testing.T, entriesPerDomain int, timing map[string]string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), platformAt: freePort(t), serviceAt: freePort(t), timing: timing}
 	t.Cleanup(c.stop)
 	for _, domain := range domains {
 		for range entriesPerDomain {
@@ -201,7 +208,7 @@
 		"peers":     map[string]any{"listen": e.peers.String(), "seeds": []string{c.entries[0].peers.String()}},
 		"operators": map[string]string{"listen": e.operators.String()},
 		"platform":  map[string]string{"address": c.platformAt.String()},
-		"timing":    map[string]string{"balancer_delay": "500ms"},
+		"timing":    c.timing,
 	})
 }
 
--- a/internal/proofs/engine_test.go
+++ b/internal/proofs/engine_test.go
@@ -55,6 +55,28 @@
 	}
 }
 
+// TestSilenceWithoutBound makes connections silent at hosts that wait for frames without a bound; requests must miss
+// their deadlines then, or TestEngineFaults shows nothing about silence.
+func TestSilenceWithoutBound(t *testing.T) {
+	c := startWith(t, 2, map[string]string{"frame_gap": "10m"})
+	w := prompts(t, 12, 2_000, 1_000, c.urls(c.entries...))
+	time.Sleep(2 * time.Second)
+	for _, e := range c.engines {
+		t.Logf("%d connections made silent", e.relay.Silence())
+	}
+	late := 0
+	answers := w.finish()
+	for _, a := range answers {
+		if a.Outcome != outcome.Completed {
+			late++
+		}
+	}
+	t.Logf("%d of %d requests were not completed without a bound on silence", late, len(answers))
+	if late == 0 {
+		t.Error("all requests were completed without a bound on silence")
+	}
+}
+
 // TestLongPromptLosesMember kills an engine while a prompt larger than one engine's memory runs over two.
 func TestLongPromptLosesMember(t *testing.T) {
 	c := start(t, 2)
--- a/internal/proofs/host_test.go
+++ b/internal/proofs/host_test.go
@@ -115,6 +115,33 @@
 	t.Logf("memory free after %v", c.awaitNoMemory(20*time.Second))
 }
 
+// TestRestartWithoutDelay stops hosts that leave their balancer no time; callers must see that, or TestRollingRestart
+// shows nothing.
+func TestRestartWithoutDelay(t *testing.T) {
+	c := startWith(t, 2, map[string]string{"balancer_delay": "1ms"})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w := prompts(t, 12, 2_000, 50, c.ready(ctx))
+	time.Sleep(time.Second)
+	for _, e := range c.entries[:3] {
+		e.signal(syscall.SIGTERM)
+		e.end(30 * time.Second)
+		e.start()
+		c.awaitReady(e)
+	}
+	refused := 0
+	answers := w.finish()
+	for _, a := range answers {
+		if a.Fault != "" {
+			refused++
+		}
+	}
+	t.Logf("%d of %d requests found no host without the balancer's delay", refused, len(answers))
+	if refused == 0 {
+		t.Error("no request was refused without the balancer's delay")
+	}
+}
+
 // TestLeavingEngine lets engines say that they leave, and counts what is still sent to them.
 func TestLeavingEngine(t *testing.T) {
 	const grace = 3 * time.Second
