summary, protocol: bound what hosts tell one another in each message

Cause: rows of 133 bytes, 24 a message, would cost a host of the two-year size about 30 KB/s; the membership leaves 2.5 KB/s of its 8. Change: rows are encoded as arrays in coarse units, without what seldom changes; two a message, the fresh ones passed on longest ago first; answers to asks carry the scheduler's own rows and six fresh ones; usage rows and aggregates take turns; heartbeats carry no manifest digest.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,6 +15,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
+	"github.com/turmericshunt/turmericshunt/internal/bench/summaries"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -32,6 +33,7 @@
 	{"spread", spread.Run},
 	{"converge", converge.Run},
 	{"membership", membership.Run},
+	{"summaries", summaries.Run},
 }
 
 func main() {
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,8 +14,9 @@
 )
 
 const (
-	maxRowsPerProbe = 24
-	pullTimeout     = 2 * time.Second
+	maxUsagePerProbe      = 6
+	maxAggregatesPerProbe = 1
+	pullTimeout           = 2 * time.Second
 )
 
 // Gathers what this host tells others and takes in what they tell.
@@ -24,11 +26,12 @@
 	mu      sync.Mutex
 	board   summary.Board
 	pulling bool // one pull at a time
+	turn    int  // of the usage rows
 }
 
 // Fill adds this host's news to a probe.
 func (n *news) Fill(p *protocol.Probe, to protocol.Host) {
-	p.Manifest = n.host.keeper.Version()
+	p.Manifest = protocol.ManifestVersion{Revision: n.host.keeper.Version().Revision}
 	p.HostsIndex = n.host.inventory.Index()
 	p.Suspicions = n.host.suspects.Recent(time.Now())
 	if to.FailureDomain != n.host.self.FailureDomain {
@@ -36,8 +39,8 @@
 		return
 	}
 	p.Rows = n.rows()
-	p.Aggregates = n.aggregates()
-	p.Usage = n.host.quota.Usage(time.Now())
+	p.Aggregates = n.passOnAggregates()
+	p.Usage = n.usage()
 }
 
 // FillAck adds this host's news to an answer.
@@ -60,7 +63,7 @@
 		n.mu.Lock()
 		n.board.Post(now, p.Rows)
 		n.mu.Unlock()
-		h.quota.Merge(now, p.Usage)
+		h.quota.Merge(now, from(p.From, p.Usage))
 	}
 	h.spreading.heard(p.From.Name, p.Manifest)
 	if p.HostsIndex > h.inventory.Index() {
@@ -82,7 +85,47 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.board.Post(now, own)
-	return n.board.Pick(now, maxRowsPerProbe)
+	return n.board.Pick(now, summary.MaxRowsPerProbe)
+}
+
+// Returns the rows that go with the answer to an ask.
+func (n *news) answerRows() []protocol.Row {
+	own := n.host.schedulers.Rows()
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Post(now, own)
+	return n.board.Answer(now, n.host.self.Name)
+}
+
+// Takes in the rows that came with the answer to an ask.
+func (n *news) takeRows(rows []protocol.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.board.Post(time.Now(), rows)
+}
+
+// Returns the next few of this host's own usage rows, in turn; the receiver knows whose they are.
+func (n *news) usage() []protocol.Usage {
+	all := n.host.quota.Usage(time.Now())
+	slices.SortFunc(all, func(a, b protocol.Usage) int { return strings.Compare(a.Workspace, b.Workspace) })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var rows []protocol.Usage
+	for range min(len(all), maxUsagePerProbe) {
+		n.turn = (n.turn + 1) % len(all)
+		row := all[n.turn]
+		row.Host, row.Incarnation = "", 0
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func from(host protocol.Host, rows []protocol.Usage) []protocol.Usage {
+	for i := range rows {
+		rows[i].Host, rows[i].Incarnation = host.Name, host.Incarnation
+	}
+	return rows
 }
 
 // Returns all known rows of the failure domain and their version.
@@ -124,6 +167,12 @@
 	return n.board.RemoteAggregates(time.Now())
 }
 
+func (n *news) passOnAggregates() []protocol.Aggregate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.board.PickAggregates(time.Now(), maxAggregatesPerProbe)
+}
+
 func (n *news) foreign(aggregates []protocol.Aggregate) []protocol.Aggregate {
 	return slices.DeleteFunc(aggregates, func(a protocol.Aggregate) bool {
 		return a.FailureDomain == n.host.self.FailureDomain
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -25,7 +25,7 @@
 	switch {
 	case m.Ask != nil:
 		g, refused := h.schedulers.Ask(ctx, *m.Ask)
-		return &protocol.Message{Grant: g, Refusal: refused}
+		return &protocol.Message{Grant: g, Refusal: refused, Rows: h.news.answerRows()}
 	case m.Finish != nil:
 		h.schedulers.Finish(*m.Finish)
 		return &protocol.Message{Done: &protocol.Done{}}
@@ -56,6 +56,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	h.news.takeRows(answer.Rows)
 	if answer.Grant == nil && answer.Refusal == nil {
 		return nil, nil, errors.New("neither a grant nor a refusal")
 	}
@@ -90,6 +91,9 @@
 			return nil
 		case <-ticker.C:
 		}
+		sent, received := h.transport.Traffic()
+		h.metrics.Scope.Gauge("peer_bytes_sent").Update(float64(sent))
+		h.metrics.Scope.Gauge("peer_bytes_received").Update(float64(received))
 		view := h.fleet.View()
 		for _, r := range h.dispatcher.Refreshes() {
 			if entry, ok := view.Find(r.Server); ok && entry.Scheduler.Name != "" {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -138,25 +138,26 @@
 
 	// Row summarizes one backend server for the hosts of its failure domain.
 	Row struct {
-		Server        string        `cbor:"1,keyasint"`
-		Revision      uint64        `cbor:"2,keyasint"` // grows with each change by its scheduler
-		Wait          time.Duration `cbor:"3,keyasint"` // predicted wait before the prefill of a short prompt starts
-		FreeBytes     int64         `cbor:"4,keyasint"`
-		CapacityBytes int64         `cbor:"5,keyasint"`
-		BytesPerToken int64         `cbor:"6,keyasint"`
-		QueuedTokens  int64         `cbor:"7,keyasint"`
-		Running       int           `cbor:"8,keyasint"`
-		Long          bool          `cbor:"9,keyasint"` // in the subset for long prompts
-		Leaving       bool          `cbor:"10,keyasint"`
-		Unhealthy     bool          `cbor:"11,keyasint"`
-		Models        []string      `cbor:"12,keyasint"`
-		PrefillRate   float64       `cbor:"13,keyasint"` // tokens per second
-		DecodeRate    float64       `cbor:"14,keyasint"` // tokens per second and sequence
-		LongDemand    float64       `cbor:"15,keyasint"` // prompt tokens per second of long prompts asked for here
-		ShortDemand   float64       `cbor:"16,keyasint"` // prompt tokens per second of other prompts asked for here
-		Scheduler     string        `cbor:"17,keyasint"` // host that schedules the backend server
-		Age           time.Duration `cbor:"18,keyasint"` // since the scheduler made the row
-		Backlog       time.Duration `cbor:"19,keyasint"` // predicted time to prefill all that was granted or queued
+		Server        string
+		Revision      uint64        // grows with each change by its scheduler
+		Wait          time.Duration // predicted wait before the prefill of a short prompt starts
+		FreeBytes     int64
+		CapacityBytes int64
+		BytesPerToken int64
+		QueuedTokens  int64
+		Running       int
+		Long          bool // in the subset for long prompts
+		Leaving       bool
+		Unhealthy     bool
+		Models        []string
+		PrefillRate   float64       // tokens per second
+		DecodeRate    float64       // tokens per second and sequence
+		LongDemand    float64       // prompt tokens per second of long prompts asked for here
+		ShortDemand   float64       // prompt tokens per second of other prompts asked for here
+		Scheduler     string        // host that schedules the backend server
+		Age           time.Duration // since the scheduler made the row
+		Backlog       time.Duration // predicted time to prefill all that was granted or queued
+		Brief         bool          // without CapacityBytes, BytesPerToken, Models and the rates
 	}
 
 	// Aggregate summarizes a model's backend servers of one failure domain for the others.
@@ -284,7 +285,7 @@
 		Lost    bool `cbor:"3,keyasint,omitempty"` // a host was lost lately that may have sent it
 	}
 
-	// Message is one frame; exactly one field is set.
+	// Message is one frame; exactly one field is set, and Rows may come with a Grant or Refusal.
 	Message struct {
 		Ask         *Ask         `cbor:"1,keyasint,omitempty"`
 		Grant       *Grant       `cbor:"2,keyasint,omitempty"`
@@ -300,6 +301,7 @@
 		Done        *Done        `cbor:"12,keyasint,omitempty"`
 		PullHosts   *PullHosts   `cbor:"13,keyasint,omitempty"`
 		HostList    *HostList    `cbor:"14,keyasint,omitempty"`
+		Rows        []Row        `cbor:"15,keyasint,omitempty"`
 	}
 
 	// Done confirms a message that needs no other answer.
--- /dev/null
+++ b/internal/protocol/row_test.go
@@ -0,0 +1,40 @@
+package protocol
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func TestRowEncoding(t *testing.T) {
+	full := Row{
+		Server: "g123", Scheduler: "e45", Revision: 1 << 40, Wait: 1500 * time.Millisecond, Backlog: time.Second,
+		Age: 20 * time.Millisecond, FreeBytes: 40 << 30, QueuedTokens: 3 << 10, Running: 40, Long: true, Unhealthy: true,
+		LongDemand: 100, ShortDemand: 2000, CapacityBytes: 50<<30 + 1, BytesPerToken: 131072,
+		Models: []string{"tender-large"}, PrefillRate: 40000, DecodeRate: 55.5,
+	}
+	brief := full
+	brief.Brief = true
+	for _, want := range []Row{full, brief} {
+		body, err := cbor.Marshal(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Row
+		if err := cbor.Unmarshal(body, &got); err != nil {
+			t.Fatal(err)
+		}
+		if got.Brief {
+			got.Complete(full)
+			want.Brief = false
+			if len(body) > 60 {
+				t.Errorf("a brief row has %d bytes", len(body))
+			}
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("got  %+v\nwant %+v", got, want)
+		}
+	}
+}
--- a/internal/summary/aggregate.go
+++ b/internal/summary/aggregate.go
@@ -35,6 +35,17 @@
 	return aggregates
 }
 
+// PickAggregates returns at most limit aggregates of other failure domains to pass on, in turn.
+func (b *Board) PickAggregates(now time.Time, limit int) []protocol.Aggregate {
+	all := b.RemoteAggregates(now)
+	picked := make([]protocol.Aggregate, 0, limit)
+	for range min(limit, len(all)) {
+		b.turn = (b.turn + 1) % len(all)
+		picked = append(picked, all[b.turn])
+	}
+	return picked
+}
+
 type remote struct {
 	aggregate protocol.Aggregate
 	made      time.Time
--- a/internal/summary/board_test.go
+++ b/internal/summary/board_test.go
@@ -66,3 +66,31 @@
 		t.Errorf("%d aggregates are kept for good", len(kept))
 	}
 }
+
+func TestBriefRows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	full := row("g", "a", 1, 0)
+	full.CapacityBytes = 100
+	brief := row("g", "a", 2, 0)
+	brief.Brief = true
+	b := &Board{Hosts: 2}
+	b.Post(now, []protocol.Row{brief})
+	if len(b.Rows(now)) != 0 {
+		t.Error("a brief row of an unknown backend server was kept")
+	}
+	b.Post(now, []protocol.Row{full})
+	b.Post(now, []protocol.Row{brief})
+	if got := b.Rows(now)[0]; got.Revision != 2 || got.CapacityBytes != 100 {
+		t.Errorf("a brief row was not completed: %+v", got)
+	}
+	counts := 0
+	for i := range uint64(100) {
+		b.Post(now, []protocol.Row{{Server: "g", Scheduler: "a", Revision: 3 + i, CapacityBytes: 100}})
+		if rows := b.Pick(now, 1); !rows[0].Brief {
+			counts++
+		}
+	}
+	if want := 2*repeatsPerDoubling + 100/(briefBetweenFull+1); counts > want || counts <= 2*repeatsPerDoubling {
+		t.Errorf("%d of 100 rows were sent in full, want above %d and at most %d", counts, 2*repeatsPerDoubling, want)
+	}
+}
