--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
@@ -22,6 +23,7 @@
 var measurements = []measurement{
 	{"latency", latency.Run},
 	{"overload", overload.Run},
+	{"claims", claims.Run},
 }
 
 func main() {
--- /dev/null
+++ b/internal/grant/grant_test.go
@@ -0,0 +1,184 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+)
+
+func ask(name string, tokens int64, queue bool) protocol.Ask {
+	return protocol.Ask{
+		ID: protocol.AttemptID{Host: "e1", Request: name}, Model: "m", PromptTokens: tokens, OutputTokens: 10,
+		TimeLeft: 20 * time.Second, Queue: queue,
+	}
+}
+
+func kind(d []Decision) protocol.RefusalKind {
+	switch {
+	case len(d) == 0:
+		return "waits"
+	case d[0].Grant != nil:
+		return "granted"
+	}
+	return d[0].Refusal.Kind
+}
+
+func TestAsk(t *testing.T) {
+	suspect := ask("b", 1000, false)
+	suspect.Suspect = true
+	other := ask("b", 1000, false)
+	other.Model = "x"
+	tests := []struct {
+		name   string
+		before func(*Scheduler)
+		ask    protocol.Ask
+		want   protocol.RefusalKind
+	}{
+		{"idle", nil, ask("b", 1000, false), "granted"},
+		{"busy", func(s *Scheduler) { s.Ask(start, ask("a", 4000, false)) }, ask("b", 1000, false), protocol.RefusalBusy},
+		{"busy and queues", func(s *Scheduler) { s.Ask(start, ask("a", 4000, false)) }, ask("b", 1000, true), "waits"},
+		{"before a longer one", func(s *Scheduler) { s.Ask(start, ask("a", 20_000, false)) }, ask("b", 1000, false), "granted"},
+		{"larger than the memory", nil, ask("b", capacity, true), protocol.RefusalMemory},
+		{"no time", func(s *Scheduler) { s.load.PrefillPerSecond = 10 }, ask("b", 1000, true), protocol.RefusalDeadline},
+		{"other model", nil, other, protocol.RefusalModel},
+		{"leaving", func(s *Scheduler) { s.Report(start, engineapi.Load{Leaving: true}) }, ask("b", 1, true), protocol.RefusalLeaving},
+		{"down", func(s *Scheduler) { s.Unhealthy(start, true) }, ask("b", 1, true), protocol.RefusalUnhealthy},
+		{"withdrawn before it came", func(s *Scheduler) { s.Finish(start, protocol.Finish{ID: ask("b", 1, true).ID}) }, ask("b", 1, true), protocol.RefusalBusy},
+		{"suspect beside another", func(s *Scheduler) {
+			a := ask("a", 1, false)
+			a.Suspect = true
+			s.Ask(start, a)
+		}, suspect, protocol.RefusalSuspect},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScheduler(start)
+			if tt.before != nil {
+				tt.before(s)
+			}
+			if got := kind(s.Ask(start, tt.ask)); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestQueuedAskIsGrantedAndExpires(t *testing.T) {
+	s := newScheduler(start)
+	s.Ask(start, ask("a", 4000, false))
+	s.Ask(start, ask("b", 4000, true))
+	if got := kind(s.Prefilled(start.Add(200*time.Millisecond), ask("a", 0, false).ID)); got != "granted" {
+		t.Errorf("after the first token: %s", got)
+	}
+	s.Tick(start.Add(time.Minute))
+	if held := s.Held(start.Add(time.Minute)); len(held) != 0 {
+		t.Errorf("held after expiry: %v", held)
+	}
+}
+
+func TestTakeover(t *testing.T) {
+	s := &Scheduler{Server: protocol.Server{Name: "g1"}}
+	if got := kind(s.Ask(start, ask("a", 1000, false))); got != protocol.RefusalBusy {
+		t.Errorf("before the first report: %s", got)
+	}
+	s.Report(start, report(95_000))
+	if got := kind(s.Ask(start, ask("b", 10_000, false))); got != protocol.RefusalBusy {
+		t.Errorf("with memory held by unknown grants: %s", got)
+	}
+	old := protocol.Held{ID: protocol.AttemptID{Request: "old"}, Model: "m", PromptTokens: 90_000, Bytes: 95_000, Expiry: time.Second}
+	s.Refresh(start, protocol.Refresh{Held: []protocol.Held{old}})
+	if held := s.Held(start); len(held) != 1 || held[0].Bytes != 95_000 {
+		t.Errorf("held after the refresh: %v", held)
+	}
+	s.Finish(start, protocol.Finish{ID: old.ID})
+	if got := kind(s.Ask(start, ask("c", 10_000, false))); got != "granted" {
+		t.Errorf("after the old grant ended: %s", got)
+	}
+}
+
+func TestCache(t *testing.T) {
+	s := newScheduler(start)
+	a := ask("a", 4000, false)
+	a.Blocks, a.BlockTokens = []uint64{1, 2, 3}, 1000
+	s.Ask(start, a)
+	s.Prefilled(start, a.ID)
+	b := a
+	b.ID.Request = "b"
+	if d := s.Ask(start.Add(time.Second), b); d[0].Grant.CachedTokens != 3000 {
+		t.Errorf("%d tokens cached by the first prompt", d[0].Grant.CachedTokens)
+	}
+	s.Cached(start, engineapi.CacheEvents{Events: []engineapi.CacheEvent{{Block: 2}}})
+	if got := s.cached(a); got != 1000 {
+		t.Errorf("%d tokens cached after an eviction", got)
+	}
+}
+
+func TestSubsetFollowsDemand(t *testing.T) {
+	rows := func(long float64) []protocol.Row {
+		list := make([]protocol.Row, 5)
+		for i := range list {
+			list[i] = protocol.Row{Server: fmt.Sprint("g", i), LongDemand: long, ShortDemand: 100 - long}
+		}
+		return list
+	}
+	size := func(now time.Time, long float64, s []*Scheduler) int {
+		n := 0
+		for _, x := range s {
+			x.Domain(now, rows(long))
+			if x.Row(now).Long {
+				n++
+			}
+		}
+		return n
+	}
+	var all []*Scheduler
+	for i := range 5 {
+		all = append(all, &Scheduler{Server: protocol.Server{Name: fmt.Sprint("g", i)}})
+	}
+	steps := []struct {
+		at   time.Duration
+		long float64
+		want int
+	}{
+		{0, 0, 0},
+		{time.Second, 40, 2},
+		{2 * time.Second, 50, 2},
+		{30 * time.Second, 54, 2},
+		{31 * time.Second, 80, 2},
+		{32 * time.Second, 80, 2},
+		{42 * time.Second, 80, 4},
+		{43 * time.Second, 100, 4},
+	}
+	for _, step := range steps {
+		if got := size(start.Add(step.at), step.long, all); got != step.want {
+			t.Errorf("%v with %v%% long: %d engines, want %d", step.at, step.long, got, step.want)
+		}
+	}
+}
+
+func benchmarkAsk(b *testing.B, held int) {
+	s := newScheduler(start)
+	s.MaxRunning = held + 2
+	for i := range held {
+		s.Ask(start, ask(fmt.Sprint(i), 100, false))
+		s.Prefilled(start, ask(fmt.Sprint(i), 100, false).ID)
+	}
+	x := ask("x", 100, false)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		x.ID.Attempt = uint32(i)
+		s.Ask(start, x)
+		s.Finish(start, protocol.Finish{ID: x.ID})
+		if len(s.finished) > 1000 {
+			clear(s.finished)
+			s.freed = s.freed[:0]
+		}
+	}
+}
+
+func BenchmarkAskAndFinishBeside4(b *testing.B)  { benchmarkAsk(b, 4) }
+func BenchmarkAskAndFinishBeside64(b *testing.B) { benchmarkAsk(b, 64) }
--- a/internal/grant/room.go
+++ b/internal/grant/room.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) hole(now time.Time) hole {
 	for _, it := range s.queue.Items() {
 		w := s.waiting[it.ID]
-		if it.Steps(now) == 0 || s.mayStart(w) {
+		if !it.Aged(now) || s.mayStart(w) {
 			continue
 		}
 		wait, spare := s.room(now, w)
--- a/internal/host/views.go
+++ b/internal/host/views.go
@@ -30,6 +30,7 @@
 
 // Takes a change of the membership into account.
 func (h *Host) membersChanged() {
+	h.losses.observe(time.Now(), h.members.All())
 	alive := h.members.Alive()
 	own := inDomain(alive, h.self.FailureDomain)
 	h.news.setHosts(len(own))
@@ -87,7 +88,7 @@
 	rows := h.news.all()
 	alive := h.members.Alive()
 	hosts := h.inventory.Hosts()
-	view := &fleet.View{FailureDomain: h.self.FailureDomain}
+	view := &fleet.View{FailureDomain: h.self.FailureDomain, Aggregates: h.news.aggregates()}
 	for _, x := range hosts {
 		if x.Kind != platformapi.KindEngine {
 			continue
--- a/internal/spread/start.go
+++ b/internal/spread/start.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
 	"github.com/turmericshunt/turmericshunt/internal/platform"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
@@ -21,35 +19,45 @@
 		PullConfig(ctx context.Context, host protocol.Host, have protocol.ManifestVersion) (*protocol.Config, error)
 	}
 
-	// sources tells which sources have answered a host that starts.
+	// sources tells what the sources gave a host that starts.
 	sources struct {
-		store, peers bool
+		store error // nil when the platform's manifest is in force or superseded
+		peers bool  // a peer had a configuration
 	}
 )
 
 // Start fetches the configuration before the host takes requests, again and again until it is certain or ctx ends.
 //
 // The host asks the platform and all given hosts, those of its failure domain, and takes the highest revision, so
-// that neither a stale read nor one peer that lags puts an older one in force. If no peer with a configuration
-// answers, the platform's answer has to be proved fresh by a write. It returns an *Error when ctx ends first.
+// that one peer that lags puts no older one in force. The platform's answer may be a stale read and has to be proved
+// by a write; only while the platform does not answer do peers suffice. It returns an *Error when ctx ends first.
 func (k *Keeper) Start(ctx context.Context, peers Peers, hosts func() []protocol.Host) error {
 	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
 	pause := newBackoff()
 	for {
 		got := k.ask(ctx, peers, hosts())
-		switch {
-		case got.peers:
-			return nil
-		case got.store && k.prove(ctx) == nil:
+		if got.store == nil {
+			got.store = k.prove(ctx)
+		}
+		if got.store == nil {
 			return nil
 		}
 		if ctx.Err() != nil {
-			return &Error{Op: "start", Kind: KindUnavailable, Err: errors.New("neither the platform nor a peer answered")}
+			return &Error{Op: "start", Kind: KindUnavailable, Err: got.store}
+		}
+		if got.peers && unreachable(got.store) {
+			return nil
 		}
 		sleep(ctx, pause.NextBackOff())
 	}
 }
 
+// Reports whether the platform gave no answer; peers stand in for no other failure, such as a stale read.
+func unreachable(err error) bool {
+	kind := platform.KindOf(err)
+	return kind == platform.KindUnavailable || kind == platform.KindThrottled
+}
+
 // Asks all sources at once and waits for each, so that the highest revision of those that answer is in force.
 func (k *Keeper) ask(ctx context.Context, peers Peers, hosts []protocol.Host) sources {
 	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
@@ -58,11 +66,10 @@
 	var mu sync.Mutex // guards got
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if k.readStore(ctx) == nil {
-			mu.Lock()
-			defer mu.Unlock()
-			got.store = true
-		}
+		err := k.readStore(ctx)
+		mu.Lock()
+		defer mu.Unlock()
+		got.store = err
 	})
 	for _, host := range hosts {
 		wg.Go(func() {
