--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -27,13 +27,13 @@
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
 	{"latency", latency.Run},
-	{"claims", claims.Run},
 	{"overload", overload.Run},
 	{"crash", crash.Run},
 	{"spread", spread.Run},
 	{"converge", converge.Run},
 	{"membership", membership.Run},
 	{"summaries", summaries.Run},
+	{"claims", claims.Run},
 }
 
 func main() {
--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -7,8 +7,8 @@
 	"github.com/turmericshunt/turmericshunt/internal/queue"
 )
 
-// agingSteps is the number of classes by which an ask rises in its time.
-const agingSteps = 2
+// agingPart is the part of its time after which an ask counts as aged.
+const agingPart = 2
 
 // Ask decides on a request for a grant. Without ask.Queue it is decided at once; otherwise the Decision
 // may come out of a later call. A repeated ask has the same answer.
@@ -110,7 +110,7 @@
 func (s *Scheduler) item(w *waiter) queue.Item {
 	return queue.Item{
 		ID: w.ask.ID, Workspace: w.ask.Workspace, Priority: s.basePriority(w.ask), Enqueued: w.enqueued,
-		Due: s.due(w), Aging: w.ask.TimeLeft / agingSteps,
+		Due: s.due(w), Aging: w.ask.TimeLeft / agingPart,
 	}
 }
 
@@ -138,7 +138,7 @@
 		},
 	}
 	s.hold(r)
-	if s.basePriority(w.ask)%queue.AgingStep >= middlePriority {
+	if s.basePriority(w.ask)%queue.AgedStep >= middlePriority {
 		s.demand.give(now, int64(r.left))
 	}
 	s.queue.Usage.Charge(w.ask.Workspace, w.ask.PromptTokens+w.ask.OutputTokens)
--- a/internal/grant/predict.go
+++ b/internal/grant/predict.go
@@ -58,9 +58,9 @@
 	return list
 }
 
-// priority is what the engine orders prefills by; it rises with each aging period.
+// priority is what the engine orders prefills by.
 func (s *Scheduler) priority(now time.Time, w *waiter) int {
-	return s.basePriority(w.ask) + queue.AgingStep*s.item(w).Steps(now)
+	return s.item(w).Current(now)
 }
 
 // basePriority puts the class first, then the shorter prompt.
@@ -147,7 +147,7 @@
 
 // stretch adds to a long wait what prompts of higher priority that are still to come will take of it.
 func (s *Scheduler) stretch(ask protocol.Ask, wait time.Duration) time.Duration {
-	if s.basePriority(ask)%queue.AgingStep >= middlePriority {
+	if s.basePriority(ask)%queue.AgedStep >= middlePriority {
 		return wait
 	}
 	return seconds(wait.Seconds() / (1 - min(s.demand.urgent/s.rate(ask.Model), mostUrgent)))
