--- a/internal/longprompt/reservation.go
+++ b/internal/longprompt/reservation.go
@@ -82,7 +82,8 @@
 	current int       // member that is being reserved
 	since   time.Time // when its first try was sent
 	due     time.Time // when the try is repeated
-	refused bool      // the last try was refused, so that the member holds nothing
+	refused bool      // the last try was refused
+	unsure  bool      // an earlier try had no answer, so that the member may hold the reservation in spite of a refusal
 
 	keep bool // keeps what is held when giving up; for tests
 }
@@ -112,6 +113,7 @@
 	}
 	r.current++
 	r.refused = false
+	r.unsure = false
 	if r.current == len(r.Members) {
 		r.state = stateHeld
 		return []Action{{Kind: ActionRun}}
@@ -138,6 +140,7 @@
 		return nil
 	}
 	r.refused = false
+	r.unsure = true
 	return r.later(now, ReasonMember)
 }
 
@@ -168,6 +171,7 @@
 	if now.Sub(r.since) >= r.patience() {
 		return r.giveUp(ReasonMember, true)
 	}
+	r.unsure = r.unsure || !r.refused
 	return r.reserve(now)
 }
 
@@ -240,7 +244,7 @@
 		return nil
 	}
 	last := min(r.current, len(r.Members)-1)
-	if r.state == stateReserving && r.refused {
+	if r.state == stateReserving && r.refused && !r.unsure {
 		last--
 	}
 	var actions []Action
