--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,6 +10,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 )
 
@@ -24,6 +25,7 @@
 	{"latency", latency.Run},
 	{"claims", claims.Run},
 	{"crash", crash.Run},
+	{"leak", leak.Run},
 }
 
 func main() {
--- a/internal/bench/crash/request.go
+++ b/internal/bench/crash/request.go
@@ -42,10 +42,10 @@
 
 // arrive sends a bystander's request and sets the next one.
 func (w *world) arrive() {
-	if w.now.After(w.last) {
+	if w.Now.After(w.last) {
 		return
 	}
-	w.after(time.Duration(w.rand.ExpFloat64()*float64(time.Second)/arrivalsPerSec), w.arrive)
+	w.After(time.Duration(w.rand.ExpFloat64()*float64(time.Second)/arrivalsPerSec), w.arrive)
 	content := w.rand.Uint64()
 	if w.rand.IntN(10) == 0 {
 		content = uint64(w.rand.IntN(popular))
@@ -57,7 +57,7 @@
 func (w *world) sendCrasher(content uint64, resends int) {
 	w.send(&request{content: content, crashes: true, resends: resends})
 	if w.Resend && resends < maxResends {
-		w.after(time.Second+w.spread(3*time.Second), func() { w.sendCrasher(content, resends+1) })
+		w.After(time.Second+w.spread(3*time.Second), func() { w.sendCrasher(content, resends+1) })
 	}
 }
 
@@ -67,11 +67,11 @@
 		return
 	}
 	w.names++
-	r.w, r.name, r.deadline = w, fmt.Sprint(w.names), w.now.Add(requestTime)
+	r.w, r.name, r.deadline = w, fmt.Sprint(w.names), w.Now.Add(requestTime)
 	if !r.crashes {
 		w.result.Bystanders++
 	}
-	r.entry.policy.Began(w.now, workspace)
+	r.entry.policy.Began(w.Now, workspace)
 	r.attempt = 1
 	r.try()
 }
@@ -83,18 +83,18 @@
 		r.orphaned()
 		return
 	}
-	verdict := r.entry.ledger.Check(w.now, workspace, r.content)
+	verdict := r.entry.ledger.Check(w.Now, workspace, r.content)
 	switch {
-	case verdict == suspect.Condemned || !w.now.Before(r.deadline):
+	case verdict == suspect.Condemned || !w.Now.Before(r.deadline):
 		r.decide(retry.Failure{Kind: retry.KindNoGrant, Verdict: verdict})
 		return
 	case verdict == suspect.Held:
-		w.after(recheck, r.try)
+		w.After(recheck, r.try)
 		return
 	}
 	i, ok := r.choose(verdict)
 	if !ok {
-		w.after(recheck, r.try)
+		w.After(recheck, r.try)
 		return
 	}
 	s := w.servers[i]
@@ -105,22 +105,22 @@
 	}
 	if !scheduler.dead {
 		ask := &protocol.Ask{Workspace: workspace, Fingerprint: r.content, Suspect: verdict == suspect.Suspected}
-		verdict = scheduler.ledger.CheckAsk(w.now, ask)
+		verdict = scheduler.ledger.CheckAsk(w.Now, ask)
 		if verdict == suspect.Condemned {
 			r.decide(retry.Failure{Kind: retry.KindNoGrant, Grant: protocol.RefusalCrashing, Verdict: verdict})
 			return
 		}
 		if verdict == suspect.Held || verdict == suspect.Suspected && s.suspects > 0 {
-			w.after(recheck, r.try)
+			w.After(recheck, r.try)
 			return
 		}
-		scheduler.ledger.Started(w.now, s.name, a.id, workspace, r.content, verdict == suspect.Suspected)
+		scheduler.ledger.Started(w.Now, s.name, a.id, workspace, r.content, verdict == suspect.Suspected)
 	}
 	a.apart = verdict == suspect.Suspected
 	if a.apart {
 		s.suspects++
 	}
-	w.after(time.Millisecond, a.run)
+	w.After(time.Millisecond, a.run)
 }
 
 // choose picks a backend server that is not known to be dead and, for a suspect, runs no other one.
@@ -129,7 +129,7 @@
 	var free []int
 	for i, s := range w.servers {
 		at, refused := r.entry.refused[i]
-		if refused && w.now.Sub(at) < avoidRefused {
+		if refused && w.Now.Sub(at) < avoidRefused {
 			continue
 		}
 		if verdict == suspect.Suspected && s.suspects > 0 {
@@ -160,20 +160,20 @@
 	}
 	if s.dead {
 		a.leave()
-		a.entry.refused[a.server] = w.now
-		a.entry.ledger.Withdrawn(w.now, s.name, a.id)
-		w.hosts[s.scheduler].ledger.Withdrawn(w.now, s.name, a.id)
+		a.entry.refused[a.server] = w.Now
+		a.entry.ledger.Withdrawn(w.Now, s.name, a.id)
+		w.hosts[s.scheduler].ledger.Withdrawn(w.Now, s.name, a.id)
 		a.decide(retry.Failure{Kind: retry.KindConnectRefused, Server: s.name})
 		return
 	}
 	a.ran = true
 	s.attempts[a.id] = a
-	a.entry.ledger.Started(w.now, s.name, a.id, workspace, a.content, a.apart)
+	a.entry.ledger.Started(w.Now, s.name, a.id, workspace, a.content, a.apart)
 	if a.crashes {
-		w.after(20*time.Millisecond+w.spread(400*time.Millisecond), a.crash)
+		w.After(20*time.Millisecond+w.spread(400*time.Millisecond), a.crash)
 		return
 	}
-	w.after(200*time.Millisecond+time.Duration(w.rand.ExpFloat64()*float64(1500*time.Millisecond)), a.complete)
+	w.After(200*time.Millisecond+time.Duration(w.rand.ExpFloat64()*float64(1500*time.Millisecond)), a.complete)
 }
 
 func (a *attempt) crash() {
@@ -195,9 +195,9 @@
 		a.orphaned()
 		return
 	}
-	a.entry.ledger.Completed(w.now, s.name, a.id)
-	w.hosts[s.scheduler].ledger.Completed(w.now, s.name, a.id)
-	a.entry.policy.Succeeded(w.now, workspace)
+	a.entry.ledger.Completed(w.Now, s.name, a.id)
+	w.hosts[s.scheduler].ledger.Completed(w.Now, s.name, a.id)
+	a.entry.policy.Succeeded(w.Now, workspace)
 	w.result.Answered++
 }
 
@@ -209,7 +209,7 @@
 		return
 	}
 	w.noticed(a.entry, a.server)
-	a.entry.ledger.Ended(w.now, s.name, a.id)
+	a.entry.ledger.Ended(w.Now, s.name, a.id)
 	a.decide(retry.Failure{Kind: retry.KindCrashed, Server: s.name, Sent: true})
 }
 
@@ -224,21 +224,21 @@
 func (r *request) decide(f retry.Failure) {
 	w := r.w
 	if f.Verdict == suspect.Clear {
-		f.Verdict = r.entry.ledger.Check(w.now, workspace, r.content)
+		f.Verdict = r.entry.ledger.Check(w.Now, workspace, r.content)
 	}
 	f.Idempotent, f.MayHaveRun, f.Attempt = true, r.ran, r.attempt
-	f.TimeLeft = r.deadline.Sub(w.now)
-	d := r.entry.policy.Decide(w.now, workspace, f)
+	f.TimeLeft = r.deadline.Sub(w.Now)
+	d := r.entry.policy.Decide(w.Now, workspace, f)
 	if d.Action == retry.ActionRetry {
 		r.attempt++
-		w.after(d.Backoff, r.try)
+		w.After(d.Backoff, r.try)
 		return
 	}
 	if d.Kind == outcome.KindCrashing && !r.crashes {
 		w.result.Wrong++
 	}
 	if r.crashes && r.resends < maxResends && !w.Resend {
-		w.after(w.spread(3*time.Second), func() { w.sendCrasher(r.content, r.resends+1) })
+		w.After(w.spread(3*time.Second), func() { w.sendCrasher(r.content, r.resends+1) })
 	}
 }
 
--- a/internal/bench/crash/world.go
+++ b/internal/bench/crash/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/virtual"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/internal/retry"
 	"github.com/turmericshunt/turmericshunt/internal/suspect"
@@ -64,7 +65,7 @@
 	}
 
 	world struct {
-		clock
+		virtual.Clock
 		Scenario
 		rand    *rand.Rand
 		hosts   []*host
@@ -79,11 +80,11 @@
 // Simulate runs a scenario in virtual time; configure changes each host's ledger before the start.
 func Simulate(s Scenario, seed uint64, configure func(*suspect.Ledger)) Result {
 	w := &world{Scenario: s, rand: rand.New(rand.NewPCG(seed, seed)), lost: make(map[uint64]int)}
-	w.now = time.Unix(1_000_000, 0)
-	end := w.now.Add(duration)
+	w.Now = time.Unix(1_000_000, 0)
+	end := w.Now.Add(duration)
 	w.build(configure)
 	w.schedule()
-	w.runUntil(end)
+	w.RunUntil(end)
 	for _, n := range w.lost {
 		w.result.Lost += n
 		w.result.MostLost = max(w.result.MostLost, n)
@@ -112,21 +113,21 @@
 
 func (w *world) schedule() {
 	for i := range w.hosts {
-		w.after(w.spread(gossipEvery), func() { w.gossip(i) })
+		w.After(w.spread(gossipEvery), func() { w.gossip(i) })
 	}
 	for i := range w.servers {
 		w.start(i)
 	}
-	w.after(0, w.arrive)
-	w.last = w.now.Add(arrivals)
+	w.After(0, w.arrive)
+	w.last = w.Now.Add(arrivals)
 	for i := range w.Crashers {
-		w.after(5*time.Second+w.spread(10*time.Second), func() { w.sendCrasher(uint64(1_000_000+i), 0) })
+		w.After(5*time.Second+w.spread(10*time.Second), func() { w.sendCrasher(uint64(1_000_000+i), 0) })
 	}
 	for range max(w.Kills, min(1, w.Killed)) {
-		w.after(3*time.Second+w.spread(20*time.Second), w.kill)
+		w.After(3*time.Second+w.spread(20*time.Second), w.kill)
 	}
 	for range w.DeadHosts {
-		w.after(3*time.Second+w.spread(20*time.Second), func() { w.hosts[w.rand.IntN(hostCount)].dead = true })
+		w.After(3*time.Second+w.spread(20*time.Second), func() { w.hosts[w.rand.IntN(hostCount)].dead = true })
 	}
 }
 
@@ -136,12 +137,12 @@
 // gossip exchanges news with one random peer, as probes do.
 func (w *world) gossip(i int) {
 	a, b := w.hosts[i], w.hosts[w.rand.IntN(hostCount)]
-	w.after(gossipEvery, func() { w.gossip(i) })
+	w.After(gossipEvery, func() { w.gossip(i) })
 	if a == b || a.dead || b.dead || w.rand.Float64() < gossipLoss {
 		return
 	}
-	b.ledger.Merge(w.now, a.ledger.Recent(w.now))
-	a.ledger.Merge(w.now, b.ledger.Recent(w.now))
+	b.ledger.Merge(w.Now, a.ledger.Recent(w.Now))
+	a.ledger.Merge(w.Now, b.ledger.Recent(w.Now))
 }
 
 // start brings a backend server up with a new epoch, which its scheduler reads from its load report.
@@ -149,7 +150,7 @@
 	s := w.servers[i]
 	s.dead = false
 	s.epoch = w.rand.Uint64()
-	w.hosts[s.scheduler].ledger.Epoch(w.now, s.name, s.epoch)
+	w.hosts[s.scheduler].ledger.Epoch(w.Now, s.name, s.epoch)
 }
 
 // crash ends a backend server and breaks its streams; hosts notice one after the other.
@@ -159,8 +160,8 @@
 		return
 	}
 	s.dead = true
-	w.after(restart+w.spread(restart), func() { w.start(i) })
-	w.after(w.spread(500*time.Millisecond), func() {
+	w.After(restart+w.spread(restart), func() { w.start(i) })
+	w.After(w.spread(500*time.Millisecond), func() {
 		if h := w.hosts[s.scheduler]; !h.dead {
 			w.noticed(h, i)
 		}
@@ -169,22 +170,22 @@
 	clear(s.attempts)
 	for _, a := range broken {
 		a.leave()
-		w.after(w.spread(50*time.Millisecond), func() { a.broke() })
+		w.After(w.spread(50*time.Millisecond), func() { a.broke() })
 	}
 }
 
 // noticed records a crash at one host, which tells all others at once.
 func (w *world) noticed(h *host, i int) {
-	h.refused[i] = w.now
-	h.ledger.Crashed(w.now, w.servers[i].name)
-	news := h.ledger.Recent(w.now)
+	h.refused[i] = w.Now
+	h.ledger.Crashed(w.Now, w.servers[i].name)
+	news := h.ledger.Recent(w.Now)
 	for _, peer := range w.hosts {
 		if peer == h || w.rand.Float64() < gossipLoss {
 			continue
 		}
-		w.after(w.spread(broadcastTime), func() {
+		w.After(w.spread(broadcastTime), func() {
 			if !peer.dead {
-				peer.ledger.Merge(w.now, news)
+				peer.ledger.Merge(w.Now, news)
 			}
 		})
 	}
@@ -200,6 +201,6 @@
 	}
 	w.rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 	for _, i := range alive[:min(w.Killed, len(alive))] {
-		w.after(w.spread(killSpread), func() { w.crash(i) })
+		w.After(w.spread(killSpread), func() { w.crash(i) })
 	}
 }
--- a/internal/bench/crash/clock.go
+++ b/internal/bench/virtual/clock.go
@@ -1,4 +1,4 @@
-package crash
+package virtual
 
 import (
 	"container/heap"
@@ -12,23 +12,25 @@
 	run   func()
 }
 
-// clock runs events in order of their times; those of the same time run in the order in which they were set.
-type clock struct {
-	now    time.Time
+// Clock runs events in order of their times; those of the same time run in the order in which they were set.
+type Clock struct {
+	Now time.Time
+
 	order  uint64
 	events events
 }
 
-func (c *clock) after(d time.Duration, run func()) {
+// After lets run be called once d has passed.
+func (c *Clock) After(d time.Duration, run func()) {
 	c.order++
-	heap.Push(&c.events, event{at: c.now.Add(d), order: c.order, run: run})
+	heap.Push(&c.events, event{at: c.Now.Add(d), order: c.order, run: run})
 }
 
-// runUntil runs all events up to the end.
-func (c *clock) runUntil(end time.Time) {
+// RunUntil runs all events up to the end.
+func (c *Clock) RunUntil(end time.Time) {
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
 		e := heap.Pop(&c.events).(event)
-		c.now = e.at
+		c.Now = e.at
 		e.run()
 	}
 }
--- /dev/null
+++ b/internal/bench/virtual/doc.go
@@ -0,0 +1,2 @@
+// Package virtual runs events in virtual time for measurements.
+package virtual
