--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -26,6 +27,7 @@
 	{"claims", claims.Run},
 	{"crash", crash.Run},
 	{"leak", leak.Run},
+	{"storm", storm.Run},
 }
 
 func main() {
--- /dev/null
+++ b/internal/retry/policy_test.go
@@ -0,0 +1,138 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/suspect"
+	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
+	"github.com/turmericshunt/turmericshunt/pkg/outcome"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name    string
+		f       Failure
+		action  Action
+		outcome outcome.Outcome
+		kind    outcome.Kind
+	}{
+		{"connection refused", Failure{Kind: KindConnectRefused, Idempotent: true}, ActionRetry, "", ""},
+		{"crashed before output", Failure{Kind: KindCrashed, Sent: true, Idempotent: true}, ActionRetry, "", ""},
+		{
+			"crashed after output",
+			Failure{Kind: KindCrashed, Sent: true, Idempotent: true, Streaming: true, Delivered: 3},
+			ActionGiveUp, outcome.Failed, outcome.KindBroken,
+		},
+		{
+			"output kept back",
+			Failure{Kind: KindCrashed, Sent: true, Idempotent: true, Delivered: 3},
+			ActionRetry, "", "",
+		},
+		{
+			"silent but alive",
+			Failure{Kind: KindSilent, Sent: true, Idempotent: true, Streaming: true, Delivered: 3, ServerAlive: true},
+			ActionResume, "", "",
+		},
+		{
+			"resumed in vain",
+			Failure{
+				Kind: KindSilent, Sent: true, Idempotent: true, Streaming: true, Delivered: 3, ServerAlive: true, Resumes: 3,
+			},
+			ActionGiveUp, outcome.Failed, outcome.KindBroken,
+		},
+		{
+			"plain service keeps no answers",
+			Failure{Kind: KindBroken, Sent: true, Idempotent: true, ServerAlive: true, NoResume: true},
+			ActionRetry, "", "",
+		},
+		{"order not sent", Failure{Kind: KindConnectRefused}, ActionRetry, "", ""},
+		{
+			"order sent to a service",
+			Failure{Kind: KindBroken, Sent: true, NoResume: true},
+			ActionGiveUp, outcome.Unknown, outcome.KindOutcomeUnknown,
+		},
+		{"order sent to an engine", Failure{Kind: KindBroken, Sent: true, ServerAlive: true}, ActionReadBack, "", ""},
+		{
+			"order refused",
+			Failure{Kind: KindRefused, Engine: engineapi.RefusalBusy, Sent: true},
+			ActionGiveUp, outcome.NotRun, outcome.KindUnavailable,
+		},
+		{
+			"too late",
+			Failure{Kind: KindSilent, Sent: true, Idempotent: true, TimeLeft: -1},
+			ActionGiveUp, outcome.Failed, outcome.KindDeadline,
+		},
+		{
+			"no grant in time",
+			Failure{Kind: KindNoGrant, Grant: protocol.RefusalDeadline, Idempotent: true},
+			ActionGiveUp, outcome.NotRun, outcome.KindOverloaded,
+		},
+		{
+			"no grant after a run",
+			Failure{Kind: KindNoGrant, Grant: protocol.RefusalBusy, Idempotent: true, MayHaveRun: true},
+			ActionGiveUp, outcome.Failed, outcome.KindOverloaded,
+		},
+		{
+			"server leaves",
+			Failure{Kind: KindNoGrant, Grant: protocol.RefusalLeaving, Idempotent: true},
+			ActionRetry, "", "",
+		},
+		{
+			"condemned",
+			Failure{Kind: KindCrashed, Sent: true, Idempotent: true, Verdict: suspect.Condemned},
+			ActionGiveUp, outcome.Failed, outcome.KindCrashing,
+		},
+		{
+			"condemned at once",
+			Failure{Kind: KindNoGrant, Grant: protocol.RefusalCrashing, Idempotent: true},
+			ActionGiveUp, outcome.NotRun, outcome.KindCrashing,
+		},
+		{
+			"last attempt",
+			Failure{Kind: KindConnectRefused, Idempotent: true, Attempt: DefaultMaxAttempts},
+			ActionGiveUp, outcome.NotRun, outcome.KindUnavailable,
+		},
+	}
+	for _, tt := range tests {
+		p := &Policy{}
+		if tt.f.TimeLeft == 0 {
+			tt.f.TimeLeft = time.Minute
+		}
+		d := p.Decide(start, "w", tt.f)
+		if d.Action != tt.action || d.Outcome != tt.outcome || d.Kind != tt.kind {
+			t.Errorf("%s: got %+v", tt.name, d)
+		}
+		if e := (&outcome.Error{Kind: d.Kind}); d.Action == ActionGiveUp && e.Retryable() != (d.RetryAfter > 0) {
+			t.Errorf("%s: retry after %v", tt.name, d.RetryAfter)
+		}
+	}
+}
+
+func TestBudgetIsPerWorkspace(t *testing.T) {
+	p := &Policy{BudgetBurst: 2}
+	f := Failure{Kind: KindCrashed, Sent: true, Idempotent: true, TimeLeft: time.Minute}
+	for range 2 {
+		p.Began(start, "a")
+		if d := p.Decide(start, "a", f); d.Action != ActionRetry {
+			t.Fatalf("within the budget: got %+v", d)
+		}
+	}
+	if d := p.Decide(start, "a", f); d.Kind != outcome.KindUnavailable || d.Outcome != outcome.Failed || d.RetryAfter == 0 {
+		t.Errorf("over the budget: got %+v", d)
+	}
+	later := start.Add(time.Minute)
+	if d := p.Decide(later, "b", f); d.Action != ActionRetry {
+		t.Errorf("another workspace: got %+v", d)
+	}
+}
+
+func TestSuspectsRunAlone(t *testing.T) {
+	f := Failure{Kind: KindCrashed, Sent: true, Idempotent: true, TimeLeft: time.Minute, Verdict: suspect.Suspected}
+	if d := new(Policy).Decide(start, "w", f); !d.Alone || !d.MayHaveRun {
+		t.Errorf("got %+v", d)
+	}
+}
