--- /dev/null
+++ b/internal/longprompt/plan_test.go
@@ -0,0 +1,88 @@
+package longprompt
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/turmericshunt/turmericshunt/internal/fleet"
+	"github.com/turmericshunt/turmericshunt/internal/protocol"
+)
+
+var start = time.Unix(1000, 0)
+
+// engines builds a view of engines with the given free tokens, each with a capacity of 1,000.
+func engines(free ...int64) *fleet.View {
+	v := &fleet.View{FailureDomain: "d"}
+	for i, tokens := range free {
+		name := string(rune('a' + i))
+		v.Entries = append(v.Entries, fleet.Entry{
+			Server: protocol.Server{Name: name, FailureDomain: "d"},
+			Row: protocol.Row{
+				Server: name, Models: []string{"m"}, CapacityBytes: 2000, FreeBytes: 2 * tokens, BytesPerToken: 2,
+				PrefillRate: 100, DecodeRate: 10,
+			},
+		})
+	}
+	return v
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name    string
+		free    []int64
+		ask     protocol.Ask
+		members string
+		kind    Kind
+	}{
+		{"fewest engines", []int64{600, 1000, 1000}, protocol.Ask{Model: "m", PromptTokens: 1500}, "bc", ""},
+		{"ascending names", []int64{1000, 200, 900, 800}, protocol.Ask{Model: "m", PromptTokens: 2200}, "acd", ""},
+		{"room for output", []int64{1000, 1000}, protocol.Ask{Model: "m", PromptTokens: 1000, OutputTokens: 800}, "ab", ""},
+		{"not now", []int64{1000, 100}, protocol.Ask{Model: "m", PromptTokens: 1500}, "", KindNow},
+		{"never", []int64{1000, 1000}, protocol.Ask{Model: "m", PromptTokens: 2100}, "", KindNever},
+		{"other model", []int64{1000}, protocol.Ask{Model: "x", PromptTokens: 1}, "", KindModel},
+		{"too slow", []int64{1000, 1000}, protocol.Ask{Model: "m", PromptTokens: 1500, TimeLeft: time.Second}, "", KindTime},
+	}
+	for _, tt := range tests {
+		members, err := new(Planner).Plan(start, engines(tt.free...), tt.ask)
+		var failure *Error
+		if errors.As(err, &failure) != (tt.kind != "") || failure != nil && failure.Kind != tt.kind {
+			t.Errorf("%s: got error %v", tt.name, err)
+		}
+		names := ""
+		for _, m := range members {
+			names += m.Server
+		}
+		if names != tt.members {
+			t.Errorf("%s: got members %q", tt.name, names)
+		}
+	}
+}
+
+func TestPlanFits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		free := rapid.SliceOfN(rapid.Int64Range(0, 1000), 1, 10).Draw(rt, "free")
+		ask := protocol.Ask{
+			Model: "m", PromptTokens: rapid.Int64Range(100, 5000).Draw(rt, "prompt"),
+			OutputTokens: rapid.Int64Range(0, 500).Draw(rt, "output"),
+		}
+		view := engines(free...)
+		members, err := new(Planner).Plan(start, view, ask)
+		if err != nil {
+			return
+		}
+		var tokens int64
+		for i, m := range members {
+			e, _ := view.Find(m.Server)
+			if m.Bytes > e.Row.FreeBytes || m.Tokens <= 0 || i > 0 && members[i-1].Server >= m.Server {
+				rt.Fatalf("member %+v of %+v", m, members)
+			}
+			tokens += m.Tokens
+		}
+		if tokens != ask.PromptTokens {
+			rt.Fatalf("%d of %d tokens planned", tokens, ask.PromptTokens)
+		}
+	})
+}
