--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,11 +8,16 @@
 	"strings"
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
+	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
+	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
+	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
+	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -25,9 +30,13 @@
 var measurements = []measurement{
 	{"latency", latency.Run},
 	{"claims", claims.Run},
+	{"overload", overload.Run},
 	{"crash", crash.Run},
 	{"leak", leak.Run},
 	{"storm", storm.Run},
+	{"spread", spread.Run},
+	{"converge", converge.Run},
+	{"membership", membership.Run},
 }
 
 func main() {
