--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,9 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
+	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
 	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
@@ -29,6 +32,8 @@
 	{"latency", latency.Run},
 	{"overload", overload.Run},
 	{"crash", crash.Run},
+	{"leak", leak.Run},
+	{"storm", storm.Run},
 	{"spread", spread.Run},
 	{"converge", converge.Run},
 	{"membership", membership.Run},
