spread: prove that no restart brings an older revision, and give nothing while starting

Cause: a host that starts could pass an unproved, older manifest to another one that starts in an outage. Change: pulls from a host that starts get nothing; a property test restarts real keepers under outages, stale reads and cuts between peers. Conclusion: reversion across a restart is left only where the platform is down and no reachable host has it.

--- a/internal/spread/keeper.go
+++ b/internal/spread/keeper.go
@@ -51,9 +51,12 @@
 		Log      *slog.Logger
 		OnChange func(*Snapshot) // called after each change, in order, and must not block; may be nil
 
-		mu      sync.Mutex // serializes changes
-		state   manifest.State
-		current atomic.Pointer[Snapshot]
+		mu       sync.Mutex // serializes changes
+		state    manifest.State
+		current  atomic.Pointer[Snapshot]
+		starting atomic.Bool // what is in force may be older than what was in force before
+
+		unproved bool // lets tests show what the proof of a read at the start prevents
 	}
 )
 
@@ -82,10 +85,12 @@
 	return k.offer(m, c.Bodies, SourcePeer)
 }
 
-// Pull returns what a peer that has have in force lacks; the result's Version is always that of this host.
+// Pull returns what a peer that has have in force lacks; the result's Version is that of this host.
+//
+// While this host starts it gives nothing, so that two hosts that start don't take each other's word.
 func (k *Keeper) Pull(have protocol.ManifestVersion) *protocol.Config {
 	s := k.Current()
-	if s == nil {
+	if s == nil || k.starting.Load() {
 		return &protocol.Config{}
 	}
 	c := &protocol.Config{Version: s.Version}
--- a/internal/spread/start.go
+++ b/internal/spread/start.go
@@ -33,19 +33,18 @@
 // by a write; only while the platform does not answer do peers suffice. It returns an *Error when ctx ends first.
 func (k *Keeper) Start(ctx context.Context, peers Peers, hosts func() []protocol.Host) error {
 	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
+	k.starting.Store(true)
 	pause := newBackoff()
 	for {
 		got := k.ask(ctx, peers, hosts())
-		if got.store == nil {
+		if got.store == nil && !k.unproved {
 			got.store = k.prove(ctx)
 		}
-		if got.store == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
+		if got.store != nil && ctx.Err() != nil {
 			return &Error{Op: "start", Kind: KindUnavailable, Err: got.store}
 		}
-		if got.peers && unreachable(got.store) {
+		if got.store == nil || got.peers && unreachable(got.store) {
+			k.starting.Store(false)
 			return nil
 		}
 		sleep(ctx, pause.NextBackOff())
--- a/internal/violation/violation.go
+++ b/internal/violation/violation.go
@@ -28,14 +28,20 @@
 	if err := shrink.Set("0s"); err != nil {
 		t.Fatal(err)
 	}
-	r := &recorder{T: t}
+	r := &recorder{TB: t}
 	rapid.Check(r, property)
 	return r.failed
 }
 
+// Check is rapid.Check for tests in a bubble of testing/synctest, which may not ask for the test's deadline.
+func Check(t *testing.T, property func(*rapid.T)) {
+	t.Helper()
+	rapid.Check(struct{ rapid.TB }{t}, property)
+}
+
 // recorder notes failures instead of failing the test.
 type recorder struct {
-	*testing.T
+	rapid.TB
 	failed bool
 }
 
