--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,7 +9,10 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
+	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
+	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 )
@@ -24,8 +27,11 @@
 var measurements = []measurement{
 	{"latency", latency.Run},
 	{"claims", claims.Run},
+	{"overload", overload.Run},
+	{"crash", crash.Run},
 	{"spread", spread.Run},
 	{"converge", converge.Run},
+	{"membership", membership.Run},
 }
 
 func main() {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -13,23 +13,24 @@
 
 // Defaults of the fields of List.
 const (
-	DefaultProbeInterval  = 500 * time.Millisecond
-	DefaultProbeTimeout   = 200 * time.Millisecond
-	DefaultSuspectTimeout = 600 * time.Millisecond
-	DefaultDeadRetention  = time.Minute
+	DefaultProbeInterval   = 500 * time.Millisecond
+	DefaultProbeTimeout    = 150 * time.Millisecond
+	DefaultIndirectTimeout = 350 * time.Millisecond
+	DefaultSuspectTimeout  = 600 * time.Millisecond
+	DefaultDeadRetention   = time.Minute
 )
 
 const (
 	ringProbes    = 2 // hosts that each host probes in every interval
 	randomFactor  = 2 // probe intervals between probes of a random host
-	crossFactor   = 2 // probe intervals between probes of other failure domains
+	crossFactor   = 4 // probe intervals between probes of other failure domains
 	seedFactor    = 2 // probe intervals between searches while no other host is known
 	searchFactor  = 10
 	searchProbes  = 2
 	helpers       = 3 // hosts asked to probe one that does not answer
 	pushes        = 3 // hosts that news is sent to at once
 	pushDelay     = 20 * time.Millisecond
-	maxLag        = 100 * time.Millisecond
+	maxLag        = 10 * time.Millisecond
 	edges         = 2
 	maxMembers    = 12 // rows in one message that is not an answer to a join
 	syncMismatch  = 6  // unequal digests in a row until the members are fetched
@@ -60,12 +61,13 @@
 
 // List holds the members that a host knows; it is not safe for concurrent use.
 type List struct {
-	Self           protocol.Host
-	Rand           *rand.Rand
-	ProbeInterval  time.Duration
-	ProbeTimeout   time.Duration // until others are asked to probe, and again until the host is suspected
-	SuspectTimeout time.Duration // until a suspected host is taken for dead
-	DeadRetention  time.Duration // for which a dead host is remembered, so that old news can't revive it
+	Self            protocol.Host
+	Rand            *rand.Rand
+	ProbeInterval   time.Duration
+	ProbeTimeout    time.Duration // until others are asked to probe a host that does not answer
+	IndirectTimeout time.Duration // from then until it is suspected
+	SuspectTimeout  time.Duration // until a suspected host is taken for dead
+	DeadRetention   time.Duration // for which a dead host is remembered, so that old news can't revive it
 
 	off      protections
 	ready    bool
@@ -77,6 +79,8 @@
 	revision uint64
 	version  uint64 // grows with each change of a row
 	digests  digests
+	ring     ring
+	unsent   int // members whose row has copies left to send
 	sync     syncState
 
 	ringAt   time.Time
@@ -226,10 +230,16 @@
 	}
 }
 
-// postpone gives others the time for which this host was itself too slow to hear them.
+// postpone gives others the time for which this host was itself too slow to hear them, and once for each probe time
+// to take in the answers that have come meanwhile.
 func (l *List) postpone(late time.Duration) {
 	for i := range l.pending {
-		l.pending[i].deadline = l.pending[i].deadline.Add(late)
+		p := &l.pending[i]
+		p.deadline = p.deadline.Add(late)
+		if !p.postponed {
+			p.postponed = true
+			p.deadline = p.deadline.Add(l.ProbeTimeout)
+		}
 	}
 	for _, e := range l.members {
 		if e.State == protocol.StateSuspect {
@@ -251,6 +261,7 @@
 	}{
 		{&l.ProbeInterval, DefaultProbeInterval},
 		{&l.ProbeTimeout, DefaultProbeTimeout},
+		{&l.IndirectTimeout, DefaultIndirectTimeout},
 		{&l.SuspectTimeout, DefaultSuspectTimeout},
 		{&l.DeadRetention, DefaultDeadRetention},
 	} {
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -62,9 +62,11 @@
 		}
 	}
 	// A host taken for dead elsewhere, as during a partition, gets the time to refute that here too.
-	if row.State == protocol.StateDead && own && e.State == protocol.StateAlive &&
-		row.Host.Incarnation == e.Host.Incarnation && !l.off.suspicion {
+	if row.State == protocol.StateDead && own && e.alive() && row.Host.Incarnation == e.Host.Incarnation && !l.off.suspicion {
 		row.State = protocol.StateSuspect
+		if !newer(row, e.Member) {
+			return
+		}
 	}
 	e.Member = row
 	l.changed(now, e)
@@ -105,6 +107,9 @@
 	case protocol.StateDead:
 		e.diedAt = now
 	}
+	if e.sends == 0 {
+		l.unsent++
+	}
 	e.sends = l.copies()
 	e.fresh = true
 	if l.pushAt.IsZero() {
@@ -142,6 +147,12 @@
 		retention = 0
 	}
 	l.members = slices.DeleteFunc(l.members, func(e *entry) bool {
-		return e.State == protocol.StateDead && now.Sub(e.diedAt) >= retention
+		if e.State != protocol.StateDead || now.Sub(e.diedAt) < retention {
+			return false
+		}
+		if e.sends > 0 {
+			l.unsent--
+		}
+		return true
 	})
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -9,9 +9,10 @@
 
 // pending is a probe of a member of this failure domain that has not been answered yet.
 type pending struct {
-	host     protocol.Host
-	deadline time.Time
-	indirect bool // others have been asked
+	host      protocol.Host
+	deadline  time.Time
+	indirect  bool // others have been asked
+	postponed bool
 }
 
 // direct probes a member of this failure domain.
@@ -20,7 +21,7 @@
 		return nil
 	}
 	l.pending = append(l.pending, pending{host: h, deadline: now.Add(l.ProbeTimeout)})
-	return []Action{l.action(h, 2*l.ProbeTimeout)}
+	return []Action{l.action(h, l.ProbeTimeout+l.IndirectTimeout)}
 }
 
 func (l *List) action(to protocol.Host, timeout time.Duration) Action {
@@ -65,10 +66,10 @@
 // askOthers probes a host once more, and through others.
 func (l *List) askOthers(now time.Time, p *pending) []Action {
 	p.indirect = true
-	p.deadline = now.Add(l.ProbeTimeout)
-	actions := []Action{l.action(p.host, l.ProbeTimeout)}
+	p.deadline = now.Add(l.IndirectTimeout)
+	actions := []Action{l.action(p.host, l.IndirectTimeout)}
 	for _, h := range l.pick(helpers, p.host.Name) {
-		a := l.action(h, l.ProbeTimeout)
+		a := l.action(h, l.IndirectTimeout)
 		a.Probe.Target = p.host.Name
 		actions = append(actions, a)
 	}
@@ -89,7 +90,7 @@
 	var actions []Action
 	if p.Target != "" {
 		if e := l.find(p.Target); e != nil && e.State != protocol.StateDead {
-			a := l.action(e.Host, l.ProbeTimeout-l.ProbeTimeout/relayFraction)
+			a := l.action(e.Host, l.IndirectTimeout-l.IndirectTimeout/relayFraction)
 			a.Kind = ActionRelay
 			actions = append(actions, a)
 		}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -34,7 +34,7 @@
 func (l *Ledger) lose(c crash, at, now time.Time) *loss {
 	lost := l.losses[c]
 	if lost == nil {
-		lost = &loss{at: at, changed: now, contents: make(map[content]bool)}
+		lost = &loss{crash: c, at: at, changed: now, contents: make(map[content]bool)}
 		l.losses[c] = lost
 	}
 	if at.Before(lost.at) {
@@ -109,56 +109,64 @@
 type charge struct {
 	content     content
 	first, last cause
+	ripe        bool // has stood for long enough
 }
 
-// settle condemns the contents whose evidence has stood for long enough.
+// settle condemns the contents whose evidence has stood for long enough; crashes that several contents claim condemn
+// none of them.
 func (l *Ledger) settle(now time.Time) {
 	charges := l.charges(now)
-	claims := make(map[crash]int, len(charges))
+	claims := make(map[crash]content, len(charges))
+	contested := make(map[crash]bool)
 	for _, c := range charges {
-		claims[c.first.crash]++
+		for _, at := range []crash{c.first.crash, c.last.crash} {
+			owner, ok := claims[at]
+			contested[at] = contested[at] || ok && owner != c.content
+			claims[at] = c.content
+		}
 	}
 	for i := range charges {
 		c := &charges[i]
-		if claims[c.first.crash] > 1 && !l.simple {
-			continue
+		doubtful := contested[c.first.crash] || contested[c.last.crash]
+		if c.ripe && (!doubtful || l.simple) {
+			l.condemn(now, c)
 		}
-		s := l.contents[c.content]
-		s.condemned = true
-		s.changed = now
-		l.losses[c.first.crash].blamed = &c.content
-		l.losses[c.last.crash].blamed = &c.content
 	}
 }
 
-// charges lists the proven cases, at most one for each content.
+func (l *Ledger) condemn(now time.Time, c *charge) {
+	s := l.contents[c.content]
+	if s.condemned {
+		return
+	}
+	s.condemned = true
+	s.changed = now
+	l.attribute(c.content, s)
+}
+
+// charges lists the proven cases in the order of the contents.
 func (l *Ledger) charges(now time.Time) []charge {
 	var charges []charge
 	for k, s := range l.contents {
-		if s.condemned {
-			continue
-		}
-		if c, ok := l.charge(now, k, s); ok {
-			charges = append(charges, c)
+		if !s.condemned && len(s.causes) >= crashesToCondemn {
+			charges = append(charges, l.against(now, k, s)...)
 		}
 	}
-	slices.SortFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
+	slices.SortStableFunc(charges, func(a, b charge) int { return compare(a.content, b.content) })
 	return charges
 }
 
-// charge finds two crashes that a content alone explains.
-func (l *Ledger) charge(now time.Time, k content, s *suspicion) (charge, bool) {
+// against lists the pairs of crashes that a content alone explains.
+func (l *Ledger) against(now time.Time, k content, s *suspicion) []charge {
+	var charges []charge
 	for _, last := range s.causes {
-		if l.waiting(now, last) {
-			continue
-		}
 		for _, first := range s.causes {
 			if l.follows(k, first, last) && l.proven(k, first, last) {
-				return charge{content: k, first: first, last: last}, true
+				charges = append(charges, charge{content: k, first: first, last: last, ripe: !l.waiting(now, last)})
 			}
 		}
 	}
-	return charge{}, false
+	return charges
 }
 
 // unsettled reports whether the verdict on a content's latest crash may still change with the news to come.
@@ -287,17 +295,32 @@
 	return repeated
 }
 
-// neighbors counts the crashes that came together with one and involved neither content.
-func (l *Ledger) neighbors(lost *loss, a, b content) int {
+// neighbors counts the crashes that came together with one and that neither k nor the successive attempts of a content
+// account for.
+func (l *Ledger) neighbors(lost *loss, a, k content) int {
 	n := 0
 	for _, other := range l.losses {
-		if other != lost && l.near(other, lost) && !other.contents[a] && !other.contents[b] {
+		if other != lost && l.near(other, lost) && !other.contents[k] && !l.successive(a, other, lost) {
 			n++
 		}
 	}
 	return n
 }
 
+// successive reports whether a content ran in both crashes one after the other.
+func (l *Ledger) successive(k content, a, b *loss) bool {
+	if !a.contents[k] || !b.contents[k] {
+		return false
+	}
+	for _, c := range l.contents[k].causes {
+		later := c.crash == a.crash && !c.began.Before(b.at) || c.crash == b.crash && !c.began.Before(a.at)
+		if later {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) near(a, b *loss) bool {
 	return a.at.Sub(b.at).Abs() <= cmp.Or(l.Window, DefaultWindow)
 }
