document: name the base of a file in its first line, and spread: bound the time of a change

Cause: a file that was edited for a while is applied over what another team accepted meanwhile, unless its author gives the base; a change to a platform that is down was tried for as long as the caller listened. Change: Header and Base, for the command line; changes end after 20 s; manifests that name a section twice are refused; a fuzz target for manifests.

--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -152,3 +152,26 @@
 		}
 	})
 }
+
+func TestBase(t *testing.T) {
+	tests := []struct {
+		text     string
+		section  Section
+		revision uint64
+		ok       bool
+	}{
+		{Header(SectionModels, 7) + "\n[]", SectionModels, 7, true},
+		{Header(SectionModels, 0) + "\r\n[]", SectionModels, 0, true},
+		{"[]", "", 0, false},
+		{"// section models, revision x", "", 0, false},
+		{"// section models revision 7", SectionModels, 7, false},
+	}
+	for _, test := range tests {
+		t.Run(test.text, func(t *testing.T) {
+			section, revision, ok := Base([]byte(test.text))
+			if section != test.section || revision != test.revision || ok != test.ok {
+				t.Errorf("got %q, %d, %v", section, revision, ok)
+			}
+		})
+	}
+}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -80,8 +80,11 @@
 	if err := json.Unmarshal(text, &m); err != nil {
 		return Manifest{}, &Error{Op: "parse manifest", Kind: KindInvalid, Err: errors.WithStack(err)}
 	}
+	seen := make(map[document.Section]bool, len(m.Sections))
 	for _, s := range m.Sections {
-		if s.Section == "" || s.Digest == "" || s.Revision > m.Revision {
+		twice := seen[s.Section]
+		seen[s.Section] = true
+		if twice || s.Section == "" || s.Digest == "" || s.Revision > m.Revision {
 			return Manifest{}, &Error{Op: "parse manifest", Kind: KindInvalid, Err: errors.Errorf("section %q is faulty", s.Section)}
 		}
 	}
--- a/internal/manifest/state_test.go
+++ b/internal/manifest/state_test.go
@@ -105,3 +105,26 @@
 		t.Errorf("got %s", m.Encode())
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	manifests, bodies := chain()
+	for _, m := range manifests {
+		f.Add(m.Encode())
+	}
+	f.Add([]byte(`{"revision":1,"sections":[{"section":"a","revision":2,"digest":"d"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m, err := Parse(text)
+		if err != nil {
+			return
+		}
+		s := new(State)
+		if changed, _ := s.Offer(m, bodies...); changed && s.Version() != m.Version() {
+			t.Errorf("%s came into force as %v", text, s.Version())
+		}
+		s.Offer(manifests[0], bodies...)
+		s.Missing(m)
+		if next := m.With(Change{Section: "services"}); next.Revision != m.Revision+1 {
+			t.Errorf("revision %d follows %d", next.Revision, m.Revision)
+		}
+	})
+}
--- a/internal/spread/apply.go
+++ b/internal/spread/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
@@ -13,6 +14,9 @@
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
+// ApplyTimeout bounds the time that a change may take.
+const ApplyTimeout = 20 * time.Second
+
 type (
 	// Change is a new body for one section; Base is the section's revision that the author started from.
 	Change struct {
@@ -31,12 +35,13 @@
 	}
 )
 
-// Apply takes a change through the platform's store until it is accepted or refused or ctx ends.
+// Apply takes a change through the platform's store until it is accepted or refused, ctx ends or ApplyTimeout is over.
 //
 // It returns an *Error; KindUnknown means that the change may have been accepted, which repeating it with the
 // same ID settles.
 func (k *Keeper) Apply(ctx context.Context, change Change) (Accepted, error) {
-	ctx = platform.WithPriority(ctx, platform.PriorityConfig)
+	ctx, cancel := context.WithTimeout(platform.WithPriority(ctx, platform.PriorityConfig), ApplyTimeout)
+	defer cancel()
 	body, err := document.ParseSection(change.Section, change.Body)
 	if err == nil && len(body) > platformapi.MaxValueBytes {
 		err = errors.Errorf("the section has %d bytes, at most %d are allowed", len(body), platformapi.MaxValueBytes)
