--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -103,6 +103,8 @@
 		switch failure.Kind {
 		case longprompt.KindNever:
 			f.Grant = protocol.RefusalMemory
+		case longprompt.KindDown:
+			f.Grant = protocol.RefusalUnhealthy
 		case longprompt.KindTime:
 			f.Grant = protocol.RefusalDeadline
 		case longprompt.KindModel:
--- a/internal/longprompt/plan.go
+++ b/internal/longprompt/plan.go
@@ -21,6 +21,7 @@
 const (
 	KindNever Kind = "never" // all engines together are too small
 	KindNow   Kind = "now"   // too little memory is free at the moment
+	KindDown  Kind = "down"  // engines that would be needed do not answer at the moment
 	KindTime  Kind = "time"  // the engines are too slow for the time left
 	KindModel Kind = "model" // no engine here has the model loaded
 )
@@ -71,13 +72,18 @@
 
 // Plan returns the members in ascending order of their servers' names, or an *Error.
 func (p *Planner) Plan(_ time.Time, view *fleet.View, ask protocol.Ask) ([]Member, error) {
-	rooms := p.rooms(view, ask.Model)
-	if len(rooms) == 0 {
+	tokens := ask.PromptTokens + ask.OutputTokens
+	all := p.rooms(view, ask.Model)
+	if len(all) == 0 {
 		return nil, &Error{Op: "plan", Kind: KindModel}
 	}
-	if !p.everFits(rooms, ask.PromptTokens+ask.OutputTokens) {
+	if !p.everFits(all, tokens) {
 		return nil, &Error{Op: "plan", Kind: KindNever}
 	}
+	rooms := slices.DeleteFunc(slices.Clone(all), func(r room) bool { return r.entry.Row.Unhealthy })
+	if !p.everFits(rooms, tokens) {
+		return nil, &Error{Op: "plan", Kind: KindDown}
+	}
 	chosen, ok := p.choose(rooms, ask)
 	if !ok {
 		return nil, &Error{Op: "plan", Kind: KindNow}
@@ -88,14 +94,14 @@
 	return members(chosen, ask), nil
 }
 
-// rooms lists the engines of this failure domain that can take part, those with most free memory first.
+// rooms lists the engines of this failure domain that have the model, those with most free memory first.
 func (p *Planner) rooms(view *fleet.View, model string) []room {
 	var rooms []room
 	for i := range view.Entries {
 		e := &view.Entries[i]
 		r := &e.Row
 		local := view.FailureDomain == "" || e.Server.FailureDomain == view.FailureDomain
-		if !local || r.Leaving || r.Unhealthy || r.BytesPerToken <= 0 || !slices.Contains(r.Models, model) {
+		if !local || r.Leaving || r.BytesPerToken <= 0 || !slices.Contains(r.Models, model) {
 			continue
 		}
 		spare := int64(float64(r.CapacityBytes) * cmp.Or(p.Headroom, DefaultHeadroom))
