--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,10 +11,13 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
 	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
+	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
+	"github.com/turmericshunt/turmericshunt/internal/bench/summaries"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -26,12 +29,15 @@
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
 	{"latency", latency.Run},
-	{"claims", claims.Run},
 	{"overload", overload.Run},
 	{"crash", crash.Run},
+	{"leak", leak.Run},
+	{"storm", storm.Run},
 	{"spread", spread.Run},
 	{"converge", converge.Run},
 	{"membership", membership.Run},
+	{"summaries", summaries.Run},
+	{"claims", claims.Run},
 }
 
 func main() {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -11,8 +11,8 @@
 // ClassStep is the difference of priority between urgency classes. Aging raises an ask within its class only.
 const ClassStep = 100
 
-// AgingStep is what an aging period adds to the priority of an ask; it is more than any length step.
-const AgingStep = 10
+// AgedStep is the priority of aged asks within their class; it is more than that of any length.
+const AgedStep = 10
 
 // DefaultAging is the aging period of an Item that names none.
 const DefaultAging = 5 * time.Second
@@ -24,7 +24,7 @@
 		Workspace string
 		Priority  int // higher goes first
 		Enqueued  time.Time
-		Aging     time.Duration // waiting time that raises Priority by AgingStep; 0 means DefaultAging
+		Aging     time.Duration // waiting time after which the ask goes before others of its class; 0 means DefaultAging
 		Due       time.Time     // the ask with the earliest Due has the least slack
 	}
 
@@ -33,7 +33,7 @@
 		Usage Usage
 
 		items   []Item
-		noAging bool // tests turn aging off
+		NoAging bool // keeps the order of arrival within a length; starves long asks, for tests
 		noShare bool // tests turn fair shares off
 	}
 
@@ -111,20 +111,28 @@
 	}
 }
 
-// Steps is the number of aging periods for which an ask has waited, as far as it stays in its class.
-func (it Item) Steps(now time.Time) int {
+// Aged reports whether an ask has waited for its aging period.
+func (it Item) Aged(now time.Time) bool {
 	aging := it.Aging
 	if aging <= 0 {
 		aging = DefaultAging
 	}
-	return min(int(now.Sub(it.Enqueued)/aging), ClassStep/AgingStep-1)
+	return now.Sub(it.Enqueued) >= aging
 }
 
-// key orders by class, then by the workspaces' shares, then by length, age and slack.
+// Current is the priority after aging: aged asks of a class go before the others of any length.
+func (it Item) Current(now time.Time) int {
+	if !it.Aged(now) {
+		return it.Priority
+	}
+	return it.Priority/ClassStep*ClassStep + AgedStep
+}
+
+// key orders by class, then by the workspaces' shares, then aged asks by their arrival and others by length and slack.
 func (q *Queue) key(now time.Time, it Item) key {
 	k := key{class: it.Priority / ClassStep, priority: it.Priority, due: it.Due}
-	if !q.noAging {
-		k.priority += AgingStep * it.Steps(now)
+	if !q.NoAging && it.Aged(now) {
+		k.priority, k.due = it.Current(now), it.Enqueued
 	}
 	if !q.noShare {
 		k.over = q.Usage.Over(now, it.Workspace)
--- a/internal/queue/usage.go
+++ b/internal/queue/usage.go
@@ -70,6 +70,9 @@
 
 // evaluate lets old use decay and compares each workspace with its share.
 func (u *Usage) evaluate(now time.Time) {
+	if u.at.IsZero() {
+		u.at = now.Add(-evaluateEvery)
+	}
 	elapsed := now.Sub(u.at)
 	if elapsed < evaluateEvery {
 		return
@@ -82,9 +85,10 @@
 	u.at = now
 	var tokens, shares float64
 	for _, w := range u.workspaces {
-		w.tokens = math.Floor(w.tokens * decay)
+		w.tokens *= decay
 		if now.Sub(w.asked) < window {
-			tokens += w.tokens
+			// Whole numbers have the same sum in any order.
+			tokens += math.Floor(w.tokens)
 			shares += w.share
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,9 +1,7 @@
 package routing
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,19 +68,22 @@
 // Candidates returns the backend servers to ask, the best first, without those named in exclude.
 func (r *Router) Candidates(now time.Time, view *fleet.View, ask protocol.Ask, exclude []string) []Candidate {
 	call := r.calls.Add(1)
-	usable := r.usable(view, ask, exclude)
-	if len(usable) == 0 {
-		return r.elsewhere(view, ask, exclude)
-	}
 	random := rand.New(rand.NewPCG(r.Seed, call))
 	var chosen []scored
 	switch r.Policy {
 	case PolicyRoundRobin:
-		chosen = []scored{usable[call%uint64(len(usable))]}
+		if usable := r.usable(view, ask, exclude); len(usable) > 0 {
+			chosen = []scored{usable[call%uint64(len(usable))]}
+		}
 	case PolicyPowerOfTwo:
-		chosen = r.powerOfTwo(usable, random)
+		if usable := r.usable(view, ask, exclude); len(usable) > 0 {
+			chosen = r.powerOfTwo(usable, random)
+		}
 	default:
-		chosen = r.scheduled(now, view, usable, ask, random)
+		chosen = r.scheduled(now, view, ask, exclude, random)
+	}
+	if len(chosen) == 0 {
+		return r.elsewhere(view, ask, exclude)
 	}
 	return candidates(chosen)
 }
@@ -101,18 +102,21 @@
 func (r *Router) usable(view *fleet.View, ask protocol.Ask, exclude []string) []scored {
 	usable := make([]scored, 0, len(view.Entries))
 	for i := range view.Entries {
-		e := &view.Entries[i]
-		if e.Server.FailureDomain != view.FailureDomain || e.Row.Leaving || e.Row.Unhealthy || excluded(exclude, e.Server.Name) || !serves(e.Row, ask.Model) {
-			continue
-		}
-		if e.Row.CapacityBytes > 0 && need(e.Row, ask) > e.Row.CapacityBytes {
-			continue
+		if e := &view.Entries[i]; can(view, e, ask, exclude) {
+			usable = append(usable, scored{entry: e})
 		}
-		usable = append(usable, scored{entry: e})
 	}
 	return usable
 }
 
+// can reports whether a backend server of the own failure domain can run the ask.
+func can(view *fleet.View, e *fleet.Entry, ask protocol.Ask, exclude []string) bool {
+	if e.Server.FailureDomain != view.FailureDomain || !usableRow(e.Row, ask.Model) || excluded(exclude, e.Server.Name) {
+		return false
+	}
+	return e.Row.CapacityBytes <= 0 || need(e.Row, ask) <= e.Row.CapacityBytes
+}
+
 func (r *Router) powerOfTwo(usable []scored, random *rand.Rand) []scored {
 	a, b := usable[random.IntN(len(usable))], usable[random.IntN(len(usable))]
 	if b.entry.Row.Wait < a.entry.Row.Wait {
@@ -121,22 +125,39 @@
 	return []scored{a}
 }
 
-func (r *Router) scheduled(now time.Time, view *fleet.View, usable []scored, ask protocol.Ask, random *rand.Rand) []scored {
-	for i := range usable {
-		usable[i].cost = r.cost(now, usable[i].entry, ask, random)
-	}
-	slices.SortFunc(usable, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
+// scheduled returns the entries with the least cost.
+func (r *Router) scheduled(now time.Time, view *fleet.View, ask protocol.Ask, exclude []string, random *rand.Rand) []scored {
 	limit := r.MaxCandidates
 	if limit <= 0 {
 		limit = DefaultMaxCandidates
 	}
-	chosen := usable[:min(limit, len(usable))]
-	if e, ok := r.spill(view, chosen, ask); ok {
+	chosen := make([]scored, 0, limit+1)
+	for i := range view.Entries {
+		if e := &view.Entries[i]; can(view, e, ask, exclude) {
+			chosen = insert(chosen, scored{entry: e, cost: r.cost(now, e, ask, random)}, limit)
+		}
+	}
+	if e, ok := r.spill(view, chosen, ask); ok && !excluded(exclude, e.Server.Name) {
 		chosen = append(chosen[:min(limit-1, len(chosen))], scored{entry: e})
 	}
 	return chosen
 }
 
+// insert keeps the limit entries with the least cost in order.
+func insert(chosen []scored, s scored, limit int) []scored {
+	i := len(chosen)
+	for i > 0 && chosen[i-1].cost > s.cost {
+		i--
+	}
+	if i >= limit {
+		return chosen
+	}
+	chosen = append(chosen, scored{})
+	copy(chosen[i+1:], chosen[i:])
+	chosen[i] = s
+	return chosen[:min(len(chosen), limit)]
+}
+
 // cost is the predicted wait in seconds with what speaks for or against a backend server.
 func (r *Router) cost(now time.Time, e *fleet.Entry, ask protocol.Ask, random *rand.Rand) float64 {
 	c := random.Float64() * spreadCost
