longprompt: tell engines that are down from a prompt that never fits

Cause: TestLongPromptLosesMember: after a member had died the plan counted the living engines only, and the caller was told that the prompt is too long, which says not to come back.

--- a/internal/longprompt/plan_test.go
+++ b/internal/longprompt/plan_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+func TestPlanWithEngineDown(t *testing.T) {
+	view := engines(1000, 1000)
+	view.Entries[1].Row.Unhealthy = true
+	_, err := new(Planner).Plan(start, view, protocol.Ask{Model: "m", PromptTokens: 1500})
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Kind != KindDown {
+		t.Errorf("got %v, want kind %s", err, KindDown)
+	}
+}
+
 func TestPlanFits(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		free := rapid.SliceOfN(rapid.Int64Range(0, 1000), 1, 10).Draw(rt, "free")
