routing, quota, admission: add prefix affinity, parts of a limit for each host, and their measurements

Affinity: prompts go by rendezvous of their first two blocks to two backend servers as long as the wait there is below what the cache is worth; the scheduler waits longer for a prompt whose prefix it has. Admission: aggregates of other models counted, and backend servers of other failure domains, which have no rows here, kept it from ever refusing; both found by its new test.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,7 +7,9 @@
 	"os"
 	"strings"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/cache"
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
+	"github.com/turmericshunt/turmericshunt/internal/bench/decision"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
@@ -23,6 +25,8 @@
 var measurements = []measurement{
 	{"latency", latency.Run},
 	{"overload", overload.Run},
+	{"cache", cache.Run},
+	{"decision", decision.Run},
 	{"claims", claims.Run},
 }
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/fleet"
@@ -29,11 +30,15 @@
 	}
 )
 
-// Decide refuses an ask only if fresh rows of all backend servers show that none can finish it in its time.
+// Decide refuses an ask only if fresh rows of all backend servers of the failure domain show that none can finish it
+// in its time, and the aggregates of the other failure domains show no better.
 func (c *Controller) Decide(now time.Time, view *fleet.View, ask protocol.Ask) Verdict {
 	least := time.Duration(-1)
 	for i := range view.Entries {
 		e := &view.Entries[i]
+		if e.Server.FailureDomain != view.FailureDomain || e.Row.Leaving || e.Row.Unhealthy || !serves(e.Row, ask.Model) {
+			continue
+		}
 		late, known := c.late(now, e, ask)
 		if !known || late <= 0 {
 			return Verdict{OK: true}
@@ -43,7 +48,7 @@
 		}
 	}
 	for _, a := range view.Aggregates {
-		if a.Servers > 0 && a.BestWait < ask.TimeLeft {
+		if a.Model == ask.Model && a.Servers > 0 && a.BestWait < ask.TimeLeft {
 			return Verdict{OK: true}
 		}
 	}
@@ -53,6 +58,10 @@
 	return Verdict{Kind: outcome.KindOverloaded, RetryAfter: least}
 }
 
+func serves(row protocol.Row, model string) bool {
+	return len(row.Models) == 0 || model == "" || slices.Contains(row.Models, model)
+}
+
 // late is by how much a backend server would miss the ask's time; it is unknown without a fresh row.
 func (c *Controller) late(now time.Time, e *fleet.Entry, ask protocol.Ask) (late time.Duration, known bool) {
 	fresh := c.Fresh
--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -41,6 +41,8 @@
 	if ask.Queue {
 		limit = orDefault(s.Lead, DefaultLead)
 	}
+	// A wait is worth the prefill that the cache saves.
+	limit += seconds(float64(s.cached(ask)) / s.rate(ask.Model))
 	if wait <= limit && s.mayStart(w) && s.hole(now).admits(now, s, w) {
 		return []Decision{s.give(now, w)}
 	}
--- a/internal/quota/admit.go
+++ b/internal/quota/admit.go
@@ -9,6 +9,9 @@
 // peerAge is the time after which a silent host's requests no longer count as in flight.
 const peerAge = 10 * time.Second
 
+// spreadTime is the time within which a host's use has reached the others.
+const spreadTime = 2 * time.Second
+
 // Admit takes one request with its predicted tokens into account unless a limit is reached.
 // Each admitted request needs one call of Done.
 func (l *Limiter) Admit(now time.Time, workspace string, tokens int64) Verdict {
@@ -19,9 +22,11 @@
 		return Verdict{OK: true}
 	}
 	u.refill(now)
-	if wait := u.wait(now); wait > 0 {
+	if wait := u.wait(now, l.Hosts); wait > 0 {
 		return Verdict{RetryAfter: wait}
 	}
+	u.window.tokens -= float64(tokens)
+	u.window.requests--
 	u.inFlight++
 	u.pending += float64(tokens)
 	return Verdict{OK: true}
@@ -39,6 +44,7 @@
 	// Predictions are settled by their average, so that they add up to nothing when no request is left.
 	u.pending -= u.pending / float64(u.inFlight)
 	u.inFlight--
+	u.window.requests++
 	u.total += float64(tokens)
 	u.level -= float64(tokens)
 }
@@ -91,26 +97,44 @@
 		u.at = now
 	}
 	if now.After(u.at) {
-		u.level = min(u.level+limit*now.Sub(u.at).Minutes(), limit)
+		_, free := u.known(now)
+		u.level += max(min(limit*now.Sub(u.at).Minutes(), limit-free), 0)
 		u.at = now
 	}
 }
 
 // wait is the time until a limit allows the next request.
-func (u *usage) wait(now time.Time) time.Duration {
-	inFlight, pending := u.inFlight, u.pending
+func (u *usage) wait(now time.Time, hosts int) time.Duration {
+	inFlight, level := u.known(now)
+	limit, most := float64(u.limits.TokensPerMinute), u.limits.MaxInFlight
+	switch {
+	case most > 0 && inFlight >= most:
+		return spreadTime
+	case limit > 0 && level <= 0:
+		return time.Duration((1 - level) / limit * float64(time.Minute))
+	case hosts <= 1:
+		return 0
+	}
+	// The others may admit at the same time, so this host takes no more than its part of what is left.
+	if !now.Before(u.window.end) {
+		u.window = window{
+			end: now.Add(spreadTime), tokens: level / float64(hosts), requests: (most - inFlight + hosts - 1) / hosts,
+		}
+	}
+	if most > 0 && u.window.requests <= 0 || limit > 0 && u.window.tokens <= 0 {
+		return u.window.end.Sub(now)
+	}
+	return 0
+}
+
+// known is the use of the workspace as far as this host knows.
+func (u *usage) known(now time.Time) (inFlight int, level float64) {
+	inFlight, level = u.inFlight, u.level-u.pending
 	for _, p := range u.peers {
 		if now.Sub(p.at) <= peerAge {
 			inFlight += p.inFlight
-			pending += p.pending
+			level -= p.pending
 		}
 	}
-	if limit := u.limits.MaxInFlight; limit > 0 && inFlight >= limit {
-		return time.Second
-	}
-	level := u.level - pending
-	if limit := float64(u.limits.TokensPerMinute); limit > 0 && level <= 0 {
-		return time.Duration((1 - level) / limit * float64(time.Minute))
-	}
-	return 0
+	return inFlight, level
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,6 +33,14 @@
 		pending  float64 // tokens predicted for the requests in flight through this host
 		inFlight int
 		peers    map[string]peer
+		window   window
+	}
+
+	// window is what this host may admit until it has heard from the others again.
+	window struct {
+		end      time.Time
+		tokens   float64
+		requests int
 	}
 
 	// peer is what another host has told of its use of a workspace.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -21,17 +21,18 @@
 const (
 	DefaultMaxCandidates = 3
 	DefaultStale         = 3 * time.Second
-	DefaultAffinityBlock = 1
 )
 
-// What speaks against a backend server, in seconds of wait.
+// What speaks against or for a backend server, in seconds of wait.
 const (
-	spreadCost  = 0.05 // random, so that hosts with equal rows don't all choose the same
-	staleCost   = 2.0  // its row is old
-	outsideCost = 60.0 // a long prompt outside the subset for long prompts
-	borrowCost  = 0.1  // another prompt inside that subset
-	backlogCost = 0.1  // for each second of prompts of lower priority
-	memoryCost  = 1.0  // too little memory is free
+	spreadCost     = 0.05 // random, so that hosts with equal rows don't all choose the same
+	staleCost      = 2.0  // its row is old
+	outsideCost    = 60.0 // a long prompt outside the subset for long prompts
+	borrowCost     = 0.1  // another prompt inside that subset
+	backlogCost    = 0.1  // for each second of prompts of lower priority
+	firstAffinity  = 0.3  // for the backend server that a prompt's prefix belongs to
+	secondAffinity = 0.15 // for the one that takes over when the first is busy
+	memoryCost     = 1.0  // too little memory is free
 )
 
 type (
@@ -52,7 +53,7 @@
 		MaxCandidates int           // 0 means DefaultMaxCandidates
 		Stale         time.Duration // age from which a row counts for less; 0 means DefaultStale
 		LongTokens    int64         // prompts above this are long; 0 follows Weight
-		Affinity      time.Duration // longer wait that is accepted for a cached prefix
+		NoAffinity    bool          // ignore which backend servers may have a prompt's prefix in their cache
 		Seed          uint64
 
 		calls atomic.Uint64
@@ -132,10 +133,20 @@
 		limit = DefaultMaxCandidates
 	}
 	chosen := make([]scored, 0, limit+1)
+	first, second := r.affine(view, ask, exclude)
 	for i := range view.Entries {
-		if e := &view.Entries[i]; can(view, e, ask, exclude) {
-			chosen = insert(chosen, scored{entry: e, cost: r.cost(now, e, ask, random)}, limit)
+		e := &view.Entries[i]
+		if !can(view, e, ask, exclude) {
+			continue
+		}
+		cost := r.cost(now, e, ask, random)
+		switch e {
+		case first:
+			cost -= firstAffinity
+		case second:
+			cost -= secondAffinity
 		}
+		chosen = insert(chosen, scored{entry: e, cost: cost}, limit)
 	}
 	if e, ok := r.spill(view, chosen, ask); ok && !excluded(exclude, e.Server.Name) {
 		chosen = append(chosen[:min(limit-1, len(chosen))], scored{entry: e})
