--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,9 +10,16 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/cache"
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/decision"
+	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
+	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
+	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
+	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
+	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
+	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
+	"github.com/turmericshunt/turmericshunt/internal/bench/summaries"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -27,6 +34,13 @@
 	{"overload", overload.Run},
 	{"cache", cache.Run},
 	{"decision", decision.Run},
+	{"crash", crash.Run},
+	{"leak", leak.Run},
+	{"storm", storm.Run},
+	{"spread", spread.Run},
+	{"converge", converge.Run},
+	{"membership", membership.Run},
+	{"summaries", summaries.Run},
 	{"claims", claims.Run},
 }
 
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	finishTimeout  = 2 * time.Second
-	finishTries    = 3
-	ownerTimeout   = time.Second
-	refreshPeriod  = time.Second
-	refreshTimeout = 500 * time.Millisecond
+	finishTimeout    = 2 * time.Second
+	finishTries      = 3
+	ownerTimeout     = time.Second
+	refreshPeriod    = time.Second
+	suspicionTimeout = time.Second
+	refreshTimeout   = 500 * time.Millisecond
 )
 
 // HandlePeer answers a message of another host.
@@ -24,7 +25,7 @@
 	switch {
 	case m.Ask != nil:
 		g, refused := h.schedulers.Ask(ctx, *m.Ask)
-		return &protocol.Message{Grant: g, Refusal: refused}
+		return &protocol.Message{Grant: g, Refusal: refused, Rows: h.news.answerRows()}
 	case m.Finish != nil:
 		h.schedulers.Finish(*m.Finish)
 		return &protocol.Message{Done: &protocol.Done{}}
@@ -55,6 +56,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	h.news.takeRows(answer.Rows)
 	if answer.Grant == nil && answer.Refusal == nil {
 		return nil, nil, errors.New("neither a grant nor a refusal")
 	}
@@ -89,6 +91,9 @@
 			return nil
 		case <-ticker.C:
 		}
+		sent, received := h.transport.Traffic()
+		h.metrics.Scope.Gauge("peer_bytes_sent").Update(float64(sent))
+		h.metrics.Scope.Gauge("peer_bytes_received").Update(float64(received))
 		view := h.fleet.View()
 		for _, r := range h.dispatcher.Refreshes() {
 			if entry, ok := view.Find(r.Server); ok && entry.Scheduler.Name != "" {
@@ -133,6 +138,17 @@
 	return false, errors.Errorf("host %s is not a member", id.Host)
 }
 
+// TellSuspicions sends the suspicions to all hosts of the failure domain without waiting for the next probes.
+func (h *Host) TellSuspicions() {
+	for _, x := range others(inDomain(h.members.Alive(), h.self.FailureDomain), h.self.Name) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), suspicionTimeout)
+			defer cancel()
+			h.members.Announce(ctx, x)
+		}()
+	}
+}
+
 // Do sends a call that may be repeated to a plain service.
 func (h *Host) Do(ctx context.Context, call *service.Call) (service.Answer, error) {
 	return h.services.Do(ctx, call)
--- a/internal/manifest/state_test.go
+++ b/internal/manifest/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -17,7 +18,7 @@
 	var m Manifest
 	for _, change := range changes[1:] {
 		body := []byte(change.body)
-		m = m.with(Change{ID: change.body, Section: change.section, After: document.Digest(body)})
+		m = m.With(Change{ID: change.body, Section: change.section, After: document.Digest(body)})
 		manifests, bodies = append(manifests, m), append(bodies, body)
 	}
 	return manifests, bodies
@@ -61,9 +62,8 @@
 func TestOfferFaults(t *testing.T) {
 	manifests, bodies := chain()
 	last := manifests[len(manifests)-1]
-	other := last
-	other.Change.Author = "other"
-	invalid := Manifest{}.with(Change{ID: "x", Section: document.SectionNonIdempotent, After: document.Digest(bodies[2])})
+	other, _ := Parse([]byte(strings.Replace(string(last.Encode()), `"author":""`, `"author":"other"`, 1)))
+	invalid := Manifest{}.With(Change{ID: "x", Section: document.SectionNonIdempotent, After: document.Digest(bodies[2])})
 	tests := []struct {
 		name   string
 		drive  func(*State) error
@@ -105,3 +105,26 @@
 		t.Errorf("got %s", m.Encode())
 	}
 }
+
+func FuzzParse(f *testing.F) {
+	manifests, bodies := chain()
+	for _, m := range manifests {
+		f.Add(m.Encode())
+	}
+	f.Add([]byte(`{"revision":1,"sections":[{"section":"a","revision":2,"digest":"d"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m, err := Parse(text)
+		if err != nil {
+			return
+		}
+		s := new(State)
+		if changed, _ := s.Offer(m, bodies...); changed && s.Version() != m.Version() {
+			t.Errorf("%s came into force as %v", text, s.Version())
+		}
+		s.Offer(manifests[0], bodies...)
+		s.Missing(m)
+		if next := m.With(Change{Section: "services"}); next.Revision != m.Revision+1 {
+			t.Errorf("revision %d follows %d", next.Revision, m.Revision)
+		}
+	})
+}
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -49,7 +49,11 @@
 func (l *List) rowsFor(to protocol.Host, limit int) []protocol.Member {
 	own := to.FailureDomain == l.Self.FailureDomain
 	var list []*entry
-	for _, e := range l.members {
+	members := l.members
+	if l.unsent == 0 {
+		members = nil
+	}
+	for _, e := range members {
 		if e.sends > 0 && e.Host.Name != to.Name && (own || l.isForeignNews(e)) {
 			list = append(list, e)
 		}
@@ -63,6 +67,9 @@
 		if own {
 			e.sends--
 		}
+		if e.sends == 0 {
+			l.unsent--
+		}
 		rows = append(rows, e.Member)
 	}
 	return rows
@@ -103,7 +110,7 @@
 	var actions []Action
 	if own {
 		for _, h := range l.pick(pushes, "") {
-			actions = append(actions, l.action(h, 2*l.ProbeTimeout))
+			actions = append(actions, l.action(h, l.IndirectTimeout))
 		}
 		actions = append(actions, l.tellSuspects()...)
 	}
@@ -112,7 +119,7 @@
 	}
 	for _, domain := range l.domains() {
 		for _, h := range l.Edges(domain) {
-			actions = append(actions, l.action(h, 2*l.ProbeTimeout))
+			actions = append(actions, l.action(h, l.IndirectTimeout))
 		}
 	}
 	return actions
@@ -123,7 +130,7 @@
 	var actions []Action
 	for _, e := range l.members {
 		if e.State == protocol.StateSuspect && l.isOwn(e.Host) && len(actions) < pushes {
-			actions = append(actions, l.action(e.Host, 2*l.ProbeTimeout))
+			actions = append(actions, l.action(e.Host, l.IndirectTimeout))
 		}
 	}
 	return actions
@@ -174,7 +181,7 @@
 
 // compare fetches the members of a host whose digest has differed for a while.
 func (l *List) compare(now time.Time, from protocol.Host, digest uint64) []Action {
-	if from.Name == "" {
+	if from.Name == "" || digest == 0 {
 		return nil
 	}
 	if from.FailureDomain != l.Self.FailureDomain {
@@ -194,7 +201,7 @@
 		return nil
 	}
 	l.sync = syncState{at: now.Add(syncInterval)}
-	a := l.action(from, 2*l.ProbeTimeout)
+	a := l.action(from, l.IndirectTimeout)
 	a.Probe.Join = true
 	return []Action{a}
 }
