--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,9 +9,9 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/cache"
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
-	"github.com/turmericshunt/turmericshunt/internal/bench/decision"
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
+	"github.com/turmericshunt/turmericshunt/internal/bench/decision"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
 	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
--- a/internal/bench/overload/limits.go
+++ b/internal/bench/overload/limits.go
@@ -7,7 +7,6 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/document"
-	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/internal/quota"
 )
 
@@ -27,6 +26,7 @@
 	limitRate    = 0.15 // requests of each step
 	requestTime  = 5 * time.Second
 	spreadEvery  = time.Second
+	slowSpread   = limitHosts * spreadEvery
 )
 
 // running is one request of the measurement of limits.
@@ -36,13 +36,18 @@
 	end    time.Time
 }
 
-// limits measures what a workspace gets that asks for several times its limits through all entry hosts,
-// which tell one another each second what they have admitted.
+// limits measures what a workspace gets that asks for several times its limits through all entry hosts.
 func limits(r *report.Report) {
+	limit(r, "all hosts told each second", spreadEvery)
+	limit(r, "one host told each second", slowSpread)
+}
+
+// limit measures with hosts that tell all others what they have admitted within the time given.
+func limit(r *report.Report, name string, every time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	end := now.Add(limitMinutes * time.Minute)
-	hosts := makeLimiters()
+	hosts := makeLimiters(2 * every)
 	var active []running
 	var used int64
 	most := 0
@@ -56,21 +61,19 @@
 			}
 		}
 		most = max(most, len(active))
-		if step%int(spreadEvery/limitStep) == 0 {
-			spread(now, hosts)
-		}
+		tell(now, step, hosts, every)
 	}
 	// The bucket is full at the start, so the limit allows one more minute's tokens.
 	allowed := float64(limitTokens * (limitMinutes + 1))
-	r.AtMost("workspace_limit", "tokens used over allowed", "part", float64(used)/allowed, tokensTarget)
-	r.AtLeast("workspace_limit", "tokens used over allowed", "part", float64(used)/allowed, tokensLeast)
-	r.AtMost("workspace_limit", "requests in flight above the limit", "requests", float64(most-limitFlight), inFlightTarget)
+	r.AtMost("workspace_limit", name+", tokens used over allowed", "part", float64(used)/allowed, tokensTarget)
+	r.AtLeast("workspace_limit", name+", tokens used over allowed", "part", float64(used)/allowed, tokensLeast)
+	r.AtMost("workspace_limit", name+", requests in flight above the limit", "requests", float64(most-limitFlight), inFlightTarget)
 }
 
-func makeLimiters() []*quota.Limiter {
+func makeLimiters(spread time.Duration) []*quota.Limiter {
 	hosts := make([]*quota.Limiter, limitHosts)
 	for i := range hosts {
-		hosts[i] = &quota.Limiter{Host: strconv.Itoa(i), Incarnation: 1, Hosts: limitHosts}
+		hosts[i] = &quota.Limiter{Host: strconv.Itoa(i), Incarnation: 1, Hosts: limitHosts, Spread: spread}
 		hosts[i].Set([]document.Workspace{{Name: "w", TokensPerMinute: limitTokens, MaxInFlight: limitFlight}})
 	}
 	return hosts
@@ -89,12 +92,14 @@
 	return kept, used
 }
 
-func spread(now time.Time, hosts []*quota.Limiter) {
-	var rows []protocol.Usage
-	for _, h := range hosts {
-		rows = append(rows, h.Usage(now)...)
-	}
-	for _, h := range hosts {
-		h.Merge(now, rows)
+// tell lets each host tell each other host once in every.
+func tell(now time.Time, step int, hosts []*quota.Limiter, every time.Duration) {
+	slots := int(every / limitStep)
+	for i, from := range hosts {
+		for j, to := range hosts {
+			if i != j && (step+(i*limitHosts+j)*slots/(limitHosts*limitHosts))%slots == 0 {
+				to.Merge(now, from.Usage(now))
+			}
+		}
 	}
 }
--- a/internal/grant/scheduler.go
+++ b/internal/grant/scheduler.go
@@ -32,15 +32,16 @@
 type (
 	// Scheduler decides which attempts run on one backend server; it is not safe for concurrent use.
 	Scheduler struct {
-		Server     protocol.Server
-		Weight     document.Weight
-		TokenGap   time.Duration // bound on the time between output tokens; 0 means DefaultTokenGap
-		Lead       time.Duration // prefill work that the engine gets ahead of time; 0 means DefaultLead
-		Idle       time.Duration // predicted wait up to which an ask that does not queue is granted; 0 means DefaultIdle
-		Rebuild    time.Duration // after the start, reports of held memory go before own knowledge; 0 means DefaultRebuild
-		LongTokens int64         // prompts above this are long; 0 follows Weight
-		MaxRunning int           // bound on concurrent grants; 0 follows TokenGap
-		MaxQueued  int           // bound on waiting asks; 0 means DefaultMaxQueued
+		Server      protocol.Server
+		Weight      document.Weight
+		TokenGap    time.Duration // bound on the time between output tokens; 0 means DefaultTokenGap
+		Lead        time.Duration // prefill work that the engine gets ahead of time; 0 means DefaultLead
+		Idle        time.Duration // predicted wait up to which an ask that does not queue is granted; 0 means DefaultIdle
+		Rebuild     time.Duration // after the start, reports of held memory go before own knowledge; 0 means DefaultRebuild
+		LongTokens  int64         // prompts above this are long; 0 follows Weight
+		MaxRunning  int           // bound on concurrent grants; 0 follows TokenGap
+		LongEngines int           // backend servers for long prompts in the failure domain; 0 follows demand
+		MaxQueued   int           // bound on waiting asks; 0 means DefaultMaxQueued
 
 		started   time.Time
 		clock     time.Time // time up to which the prefill progress is worked out
@@ -121,6 +122,9 @@
 	}
 }
 
+// SetEngines sets a fixed size of the subset for long prompts, if there is one.
+func (s *Scheduler) SetEngines(c document.Engines) { s.LongEngines = c.LongEngines }
+
 // Next returns when Tick must be called; it is zero when nothing is held and nothing waits.
 func (s *Scheduler) Next() time.Time {
 	if len(s.held) == 0 && len(s.waiting) == 0 {
--- a/internal/grant/subset.go
+++ b/internal/grant/subset.go
@@ -38,7 +38,11 @@
 	if total > 0 {
 		wanted = long / total * float64(len(names))
 	}
-	s.subset.resize(now, wanted, len(names))
+	if s.LongEngines > 0 {
+		s.subset.size = min(s.LongEngines, max(len(names)-1, 0))
+	} else {
+		s.subset.resize(now, wanted, len(names))
+	}
 	sort.Strings(names)
 	was := s.subset.long
 	place := sort.SearchStrings(names, s.Server.Name)
--- a/internal/quota/admit.go
+++ b/internal/quota/admit.go
@@ -9,9 +9,6 @@
 // peerAge is the time after which a silent host's requests no longer count as in flight.
 const peerAge = 10 * time.Second
 
-// spreadTime is the time within which a host's use has reached the others.
-const spreadTime = 2 * time.Second
-
 // Admit takes one request with its predicted tokens into account unless a limit is reached.
 // Each admitted request needs one call of Done.
 func (l *Limiter) Admit(now time.Time, workspace string, tokens int64) Verdict {
@@ -22,7 +19,7 @@
 		return Verdict{OK: true}
 	}
 	u.refill(now)
-	if wait := u.wait(now, l.Hosts); wait > 0 {
+	if wait := u.wait(now, l.Hosts, l.spread()); wait > 0 {
 		return Verdict{RetryAfter: wait}
 	}
 	u.window.tokens -= float64(tokens)
@@ -49,6 +46,13 @@
 	u.level -= float64(tokens)
 }
 
+func (l *Limiter) spread() time.Duration {
+	if l.Spread > 0 {
+		return l.Spread
+	}
+	return DefaultSpread
+}
+
 // Usage returns what the workspaces have used through this host, for the other hosts of the failure domain.
 func (l *Limiter) Usage(_ time.Time) []protocol.Usage {
 	l.mu.Lock()
@@ -104,12 +108,12 @@
 }
 
 // wait is the time until a limit allows the next request.
-func (u *usage) wait(now time.Time, hosts int) time.Duration {
+func (u *usage) wait(now time.Time, hosts int, spread time.Duration) time.Duration {
 	inFlight, level := u.known(now)
 	limit, most := float64(u.limits.TokensPerMinute), u.limits.MaxInFlight
 	switch {
 	case most > 0 && inFlight >= most:
-		return spreadTime
+		return spread
 	case limit > 0 && level <= 0:
 		return time.Duration((1 - level) / limit * float64(time.Minute))
 	case hosts <= 1:
@@ -118,7 +122,7 @@
 	// The others may admit at the same time, so this host takes no more than its part of what is left.
 	if !now.Before(u.window.end) {
 		u.window = window{
-			end: now.Add(spreadTime), tokens: level / float64(hosts), requests: (most - inFlight + hosts - 1) / hosts,
+			end: now.Add(spread), tokens: level / float64(hosts), requests: (most - inFlight + hosts - 1) / hosts,
 		}
 	}
 	if most > 0 && u.window.requests <= 0 || limit > 0 && u.window.tokens <= 0 {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -7,12 +7,16 @@
 	"github.com/turmericshunt/turmericshunt/internal/document"
 )
 
+// DefaultSpread is the default of Limiter.Spread.
+const DefaultSpread = 2 * time.Second
+
 type (
 	// Limiter holds the limits of the workspaces over a failure domain; it is safe for concurrent use.
 	Limiter struct {
 		Host        string
 		Incarnation uint64
-		Hosts       int // entry hosts of the failure domain, this one included
+		Hosts       int           // entry hosts of the failure domain, this one included
+		Spread      time.Duration // time within which a host's use reaches the others; 0 means DefaultSpread
 
 		mu         sync.Mutex
 		workspaces map[string]*usage
