--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,9 +7,11 @@
 	"os"
 	"strings"
 
+	"github.com/turmericshunt/turmericshunt/internal/bench/cache"
 	"github.com/turmericshunt/turmericshunt/internal/bench/claims"
 	"github.com/turmericshunt/turmericshunt/internal/bench/converge"
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
+	"github.com/turmericshunt/turmericshunt/internal/bench/decision"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
 	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
@@ -30,6 +32,8 @@
 var measurements = []measurement{
 	{"latency", latency.Run},
 	{"overload", overload.Run},
+	{"cache", cache.Run},
+	{"decision", decision.Run},
 	{"crash", crash.Run},
 	{"leak", leak.Run},
 	{"storm", storm.Run},
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -7,12 +7,16 @@
 	"github.com/turmericshunt/turmericshunt/internal/document"
 )
 
+// DefaultSpread is the default of Limiter.Spread.
+const DefaultSpread = 2 * time.Second
+
 type (
 	// Limiter holds the limits of the workspaces over a failure domain; it is safe for concurrent use.
 	Limiter struct {
 		Host        string
 		Incarnation uint64
-		Hosts       int // entry hosts of the failure domain, this one included
+		Hosts       int           // entry hosts of the failure domain, this one included
+		Spread      time.Duration // time within which a host's use reaches the others; 0 means DefaultSpread
 
 		mu         sync.Mutex
 		workspaces map[string]*usage
@@ -33,6 +37,14 @@
 		pending  float64 // tokens predicted for the requests in flight through this host
 		inFlight int
 		peers    map[string]peer
+		window   window
+	}
+
+	// window is what this host may admit until it has heard from the others again.
+	window struct {
+		end      time.Time
+		tokens   float64
+		requests int
 	}
 
 	// peer is what another host has told of its use of a workspace.
