--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,12 +12,11 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/crash"
 	"github.com/turmericshunt/turmericshunt/internal/bench/latency"
 	"github.com/turmericshunt/turmericshunt/internal/bench/leak"
-	"github.com/turmericshunt/turmericshunt/internal/bench/report"
-	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
 	"github.com/turmericshunt/turmericshunt/internal/bench/membership"
 	"github.com/turmericshunt/turmericshunt/internal/bench/overload"
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
+	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
