--- a/internal/bench/crash/world.go
+++ b/internal/bench/crash/world.go
@@ -17,7 +17,7 @@
 	arrivals       = 26 * time.Second // then no request comes
 	duration       = 40 * time.Second
 	restart        = 12 * time.Second
-	gossipEvery    = 500 * time.Millisecond
+	gossipEvery    = time.Second
 	broadcastTime  = 5 * time.Millisecond
 	gossipLoss     = 0.1
 	arrivalsPerSec = 20
