--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/bench/report"
 	"github.com/turmericshunt/turmericshunt/internal/bench/spread"
 	"github.com/turmericshunt/turmericshunt/internal/bench/storm"
+	"github.com/turmericshunt/turmericshunt/internal/bench/summaries"
 )
 
 // A measurement is one named set of figures; it must give the same figures each time.
@@ -28,7 +29,6 @@
 // The measurements that the command runs, each in a package of its own under internal/bench.
 var measurements = []measurement{
 	{"latency", latency.Run},
-	{"claims", claims.Run},
 	{"overload", overload.Run},
 	{"crash", crash.Run},
 	{"leak", leak.Run},
@@ -36,6 +36,8 @@
 	{"spread", spread.Run},
 	{"converge", converge.Run},
 	{"membership", membership.Run},
+	{"summaries", summaries.Run},
+	{"claims", claims.Run},
 }
 
 func main() {
