--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -35,6 +35,7 @@
 	maxCauses        = 4
 	maxNews          = 32
 	maxAttemptAge    = 2 * time.Hour
+	maxCopyWait      = 30 * time.Second // for a copy that runs, whose host may have died
 	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
 	newsAge          = 8 * time.Second  // how long a change is sent before older ones
 	sweepEvery       = 10 * time.Second
@@ -291,7 +292,7 @@
 // runsElsewhere reports whether another copy of a suspected content runs now or is about to.
 func (l *Ledger) runsElsewhere(now time.Time, k content) bool {
 	for _, r := range l.runs {
-		if r.content == k && r.ended.IsZero() {
+		if r.content == k && r.ended.IsZero() && now.Sub(r.began) < maxCopyWait {
 			return true
 		}
 	}
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -108,6 +108,9 @@
 	if got := a.Check(now, "w", 1); got != Held {
 		t.Errorf("copy at the same host: got %v", got)
 	}
+	if got := a.Check(now.Add(maxCopyWait), "w", 1); got != Suspected {
+		t.Errorf("copy after a long wait: got %v", got)
+	}
 }
 
 func TestAttemptThatNeverRanIsNoEvidence(t *testing.T) {
