suspect: spread at most 16 suspicions, those with most evidence first

A server that dies under 256 sequences makes as many suspects; the news of its scheduler was cut by name. 16 keep a probe under 2 KB.

--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -33,7 +33,7 @@
 const (
 	maxContents      = 4096
 	maxCauses        = 4
-	maxNews          = 32
+	maxNews          = 16
 	maxAttemptAge    = 2 * time.Hour
 	maxCopyWait      = 30 * time.Second // for a copy that runs, whose host may have died
 	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -123,3 +123,22 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+func TestNewsPreferEvidence(t *testing.T) {
+	l := &Ledger{Host: "e1"}
+	for i := range uint64(100) {
+		l.Started(at(0), "s1", attempt("e2", "r", uint32(i)), "w", 100+i, false)
+	}
+	crashTwice(l)
+	now := at(6 * time.Second)
+	news := l.Recent(now)
+	found := 0
+	for _, n := range news {
+		if n.Fingerprint == 1 && n.Alone || n.Fingerprint == 2 {
+			found++
+		}
+	}
+	if len(news) > maxNews || found != 2 {
+		t.Errorf("%d of 2 own contents among %d", found, len(news))
+	}
+}
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -74,9 +74,7 @@
 		}
 	}
 	if len(fresh) > maxNews {
-		slices.SortFunc(fresh, func(a, b content) int {
-			return cmp.Or(l.contents[b].changed.Compare(l.contents[a].changed), compare(a, b))
-		})
+		slices.SortFunc(fresh, l.moreUrgent)
 		fresh = fresh[:maxNews]
 	}
 	slices.SortFunc(old, compare)
@@ -87,6 +85,28 @@
 	return append(l.export(now, fresh), l.bare(now)...)
 }
 
+// moreUrgent orders contents for the news: those with most evidence first, then this host's own, then the latest.
+func (l *Ledger) moreUrgent(a, b content) int {
+	x, y := l.contents[a], l.contents[b]
+	return cmp.Or(
+		cmp.Compare(y.weight(), x.weight()),
+		y.changed.Compare(x.changed),
+		compare(a, b),
+	)
+}
+
+// weight grows with the evidence against a content and with this host's own part in it.
+func (s *suspicion) weight() int {
+	w := 2 * len(s.causes)
+	if s.condemned {
+		w += 2 * maxCauses
+	}
+	if slices.ContainsFunc(s.causes, func(c cause) bool { return c.own }) {
+		w++
+	}
+	return w
+}
+
 // bare tells of recent crashes with nothing in flight, which show that several crashes have a common cause.
 func (l *Ledger) bare(now time.Time) []protocol.Suspicion {
 	var causes []protocol.CrashCause
