--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -22,6 +23,7 @@
 	maxChangeBytes      = 4 << 20
 	defaultHistoryLimit = 20
 	maxHistoryLimit     = 500
+	applyTimeout        = 20 * time.Second // under the time that clients wait, so that they are told what is known
 )
 
 const operatorKey = "operator"
@@ -42,9 +44,11 @@
 
 // Operator is who may change the sections, or all when there are none.
 type Operator struct {
-	Name     string
-	SHA256   string // hexadecimal digest of the token
+	Name     string // also the common name in the operator's certificate
+	SHA256   string // hexadecimal digest of the token; empty when only the certificate lets the operator in
 	Sections []string
+
+	readOnly bool
 }
 
 // Server serves the operators' interface.
@@ -99,7 +103,7 @@
 		if i := slices.IndexFunc(s.Operators, func(o Operator) bool { return o.Name == name }); i >= 0 {
 			return s.Operators[i], true
 		}
-		return Operator{Name: name}, true
+		return Operator{Name: name, readOnly: len(s.Operators) > 0}, true
 	}
 	if len(s.Operators) == 0 {
 		return Operator{Name: "local"}, !s.ClientCerts
@@ -119,7 +123,7 @@
 }
 
 func (o Operator) mayChange(section document.Section) bool {
-	return len(o.Sections) == 0 || slices.Contains(o.Sections, string(section))
+	return !o.readOnly && len(o.Sections) == 0 || slices.Contains(o.Sections, string(section))
 }
 
 func (s *Server) versions(c echo.Context) error {
--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -1,10 +1,11 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -53,15 +54,13 @@
 	if !operator.mayChange(name) {
 		return &Error{Op: "apply", Kind: KindForbidden, Err: errors.Errorf("%s may not change section %s", operator.Name, name)}
 	}
-	var change adminapi.Change
-	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes))
-	if err == nil {
-		err = json.Unmarshal(text, &change)
-	}
+	change, err := readChange(c)
 	if err != nil {
-		return &Error{Op: "read change", Kind: KindInvalid, Err: errors.WithStack(err)}
+		return err
 	}
-	accepted, err := s.Configuration.Apply(c.Request().Context(), spread.Change{
+	ctx, cancel := context.WithTimeout(c.Request().Context(), applyTimeout)
+	defer cancel()
+	accepted, err := s.Configuration.Apply(ctx, spread.Change{
 		ID: change.ID, Section: name, Body: []byte(change.Body), Base: change.Base,
 		Author: operator.Name, Reason: change.Reason,
 	})
@@ -71,6 +70,23 @@
 	return c.JSON(http.StatusOK, adminapi.Accepted{ID: accepted.ID, Revision: accepted.Revision})
 }
 
+func readChange(c echo.Context) (adminapi.Change, error) {
+	var change adminapi.Change
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&change)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return change, &Error{Op: "read change", Kind: KindTooLarge, Err: errors.Errorf("the change is over %d bytes", maxChangeBytes)}
+	case err != nil:
+		return change, &Error{Op: "read change", Kind: KindInvalid, Err: errors.WithStack(err)}
+	case strings.TrimSpace(change.Reason) == "":
+		return change, &Error{Op: "read change", Kind: KindInvalid, Err: errors.New("reason: must be set")}
+	}
+	return change, nil
+}
+
 func sectionOf(c echo.Context) (document.Section, error) {
 	name := document.Section(c.Param("section"))
 	if !slices.Contains(document.Sections(), name) {
--- a/internal/admin/error.go
+++ b/internal/admin/error.go
@@ -21,6 +21,7 @@
 	KindForbidden    Kind = "forbidden"
 	KindInvalid      Kind = "invalid"
 	KindNotFound     Kind = "not_found"
+	KindTooLarge     Kind = "too_large"
 )
 
 // Error is a refused call of an operator.
@@ -79,6 +80,8 @@
 		return http.StatusForbidden
 	case KindNotFound:
 		return http.StatusNotFound
+	case KindTooLarge:
+		return http.StatusRequestEntityTooLarge
 	default:
 		return http.StatusBadRequest
 	}
--- a/internal/certificate/certificate.go
+++ b/internal/certificate/certificate.go
@@ -36,7 +36,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Keys that stay the same are read from memory for this long.
+// Files are looked at this often at most.
 const checkInterval = 2 * time.Second
 
 // A certificate made in memory is used by hosts without key files.
@@ -50,7 +50,7 @@
 
 	mu      sync.Mutex
 	checked time.Time
-	changed time.Time
+	loaded  version
 	pair    *tls.Certificate
 	pool    *x509.CertPool
 }
@@ -124,7 +124,7 @@
 	defer s.mu.Unlock()
 	if s.CertFile != "" && time.Since(s.checked) > checkInterval {
 		s.checked = time.Now()
-		if s.modified().After(s.changed) {
+		if s.version() != s.loaded {
 			_ = s.load()
 		}
 	}
@@ -135,7 +135,7 @@
 	if s.CertFile == "" {
 		return s.makePair()
 	}
-	changed := s.modified()
+	loaded := s.version()
 	pair, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
 	if err != nil {
 		return &Error{Op: "load key pair", Kind: KindUnreadable, Err: errors.WithStack(err)}
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	s.pair, s.pool, s.changed = &pair, pool, changed
+	s.pair, s.pool, s.loaded = &pair, pool, loaded
 	return nil
 }
 
@@ -163,14 +163,22 @@
 	return pool, nil
 }
 
-func (s *Source) modified() time.Time {
-	var newest time.Time
-	for _, file := range []string{s.CertFile, s.KeyFile, s.CAFile} {
-		if info, err := os.Stat(file); err == nil && info.ModTime().After(newest) {
-			newest = info.ModTime()
+// Tells whether files changed; a file may be replaced by one that is older, as at a rollback.
+type version [3]fileVersion
+
+type fileVersion struct {
+	modified time.Time
+	size     int64
+}
+
+func (s *Source) version() version {
+	var v version
+	for i, file := range []string{s.CertFile, s.KeyFile, s.CAFile} {
+		if info, err := os.Stat(file); err == nil {
+			v[i] = fileVersion{info.ModTime(), info.Size()}
 		}
 	}
-	return newest
+	return v
 }
 
 func (s *Source) makePair() error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"log/slog"
 	"net/netip"
@@ -76,7 +77,7 @@
 		Tokens []Token        `json:"tokens"`
 	}
 
-	// Token lets an operator in; SHA256 is the hexadecimal digest of the secret.
+	// Token lets an operator in; SHA256 is the hexadecimal digest of the secret, and Name also that in a certificate.
 	Token struct {
 		Name     string   `json:"name"`
 		SHA256   string   `json:"sha256"`
@@ -258,7 +259,10 @@
 		if token.Name == "" {
 			return &mistake{path + ".name", errors.New("must be set")}
 		}
-		if digest, err := hex.DecodeString(token.SHA256); err != nil || len(digest) != 32 {
+		if token.SHA256 == "" && s.Operators.TLS.CAFile != "" {
+			continue // the operator shows a certificate
+		}
+		if digest, err := hex.DecodeString(token.SHA256); err != nil || len(digest) != sha256.Size {
 			return &mistake{path + ".sha256", errors.New("must be 64 hexadecimal digits")}
 		}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -85,3 +85,17 @@
 		}
 	})
 }
+
+func TestOperatorWithCertificateNeedsNoToken(t *testing.T) {
+	source := strings.Replace(sample(t), `"sha256": "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",`, ``, 1)
+	want := "line 34, column 7: operators.tokens[0].sha256: must be 64 hexadecimal digits"
+	if _, err := Parse([]byte(source)); err == nil || err.Error() != want {
+		t.Errorf("got  %v\nwant %s", err, want)
+	}
+	const files = `"tls": {"cert_file": "", "key_file": "", "ca_file": ""}`
+	at := strings.LastIndex(source, files)
+	source = source[:at] + strings.ReplaceAll(files, `""`, `"x"`) + source[at+len(files):]
+	if _, err := Parse([]byte(source)); err != nil {
+		t.Error(err)
+	}
+}
