--- a/internal/member/choose.go
+++ b/internal/member/choose.go
@@ -19,6 +19,12 @@
 	syncAt     time.Time
 }
 
+// ring caches the order of the other hosts of this failure domain for a version of the members.
+type ring struct {
+	version uint64
+	hosts   []protocol.Host
+}
+
 // Edges returns the two hosts of a failure domain that exchange its news with other failure domains; fewer if it
 // has fewer hosts.
 func (l *List) Edges(domain string) []protocol.Host {
@@ -51,6 +57,9 @@
 
 // others returns the members of this failure domain that are not dead, without this host, in ring order after it.
 func (l *List) others() []protocol.Host {
+	if l.ring.version == l.version {
+		return l.ring.hosts
+	}
 	list := []protocol.Host{l.Self}
 	for _, e := range l.members {
 		if l.isOwn(e.Host) && e.State != protocol.StateDead {
@@ -59,12 +68,14 @@
 	}
 	slices.SortFunc(list, byHash)
 	i := slices.IndexFunc(list, func(h protocol.Host) bool { return h.Name == l.Self.Name })
-	return append(slices.Clone(list[i+1:]), list[:i]...)
+	l.ring = ring{version: l.version, hosts: append(slices.Clone(list[i+1:]), list[:i]...)}
+	return l.ring.hosts
 }
 
 // pick returns up to count random members of this failure domain other than the named one.
 func (l *List) pick(count int, except string) []protocol.Host {
-	list := slices.DeleteFunc(l.others(), func(h protocol.Host) bool { return h.Name == except })
+	list := slices.Clone(l.others())
+	list = slices.DeleteFunc(list, func(h protocol.Host) bool { return h.Name == except })
 	l.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(count, len(list))]
 }
@@ -115,7 +126,7 @@
 		if !ok {
 			continue
 		}
-		a := l.action(h, 2*l.ProbeTimeout)
+		a := l.action(h, l.IndirectTimeout)
 		c := l.crossing[domain]
 		if h.Name == "" || c.mismatches >= syncMismatch && !now.Before(c.syncAt) {
 			c.mismatches = 0
@@ -186,7 +197,7 @@
 	l.Rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	var actions []Action
 	for _, h := range candidates[:min(searchProbes, len(candidates))] {
-		a := l.action(h, 2*l.ProbeTimeout)
+		a := l.action(h, l.IndirectTimeout)
 		a.Probe.Join = true
 		actions = append(actions, a)
 	}
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -20,7 +20,7 @@
 // Defaults of a Ledger's exported fields.
 const (
 	DefaultExpiry = 10 * time.Minute
-	DefaultHold   = time.Second
+	DefaultHold   = 2 * time.Second
 	DefaultWindow = time.Second
 	DefaultGrace  = 2 * time.Second
 	DefaultFirm   = 500 * time.Millisecond
@@ -36,7 +36,7 @@
 	maxNews          = 32
 	maxAttemptAge    = 2 * time.Hour
 	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
-	newsAge          = 15 * time.Second // how long a change is sent before older ones
+	newsAge          = 8 * time.Second  // how long a change is sent before older ones
 	sweepEvery       = 10 * time.Second
 	crashesToCondemn = 2
 	manyLosses       = 2 // further crashes at once that show a common cause
@@ -97,6 +97,7 @@
 
 	// loss is one crash with the contents that were in flight.
 	loss struct {
+		crash    crash
 		at       time.Time
 		changed  time.Time
 		contents map[content]bool
