dispatch: notice a crash behind a quick restart by the process's epoch

Cause: an engine that is up again within 100 ms answers the status question with not found, which looked like a request that never arrived; the prompt that had crashed it was retried at once. Change: grants carry the epoch of the backend server's process; after a broken connection it is compared with the load report's.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,6 +40,7 @@
 	Submit(ctx context.Context, server protocol.Server, s engineapi.Submit) (*engine.Stream, error)
 	Resume(ctx context.Context, server protocol.Server, o engineapi.Owner, offset int64) (*engine.Stream, error)
 	Status(ctx context.Context, server protocol.Server, o engineapi.Owner) (engineapi.Status, error)
+	Load(ctx context.Context, server protocol.Server) (engineapi.Load, error)
 	Reserve(ctx context.Context, server protocol.Server, r engineapi.Reserve) (engineapi.Allocation, error)
 	Export(ctx context.Context, server protocol.Server, o engineapi.Owner, expiry time.Duration) (engineapi.Allocation, error)
 }
--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -206,6 +206,7 @@
 	return f
 }
 
+// Asks whether the backend server still knows the attempt, or whether its process has ended in the meantime.
 func (a *attempt) inquire(ctx context.Context, f *retry.Failure) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
@@ -214,9 +215,18 @@
 	switch {
 	case err == nil:
 		f.ServerAlive = true
-	case errors.As(err, &failure) && (failure.Kind == engine.KindConnect || failure.Kind == engine.KindNotFound && a.pieces):
+	case !errors.As(err, &failure):
+	case failure.Kind == engine.KindConnect, failure.Kind == engine.KindNotFound && a.restarted(ctx):
 		f.Kind = retry.KindCrashed
 		a.run.d.Suspects.Crashed(time.Now(), a.server.Name)
 		a.run.d.Peers.TellSuspicions()
 	}
 }
+
+func (a *attempt) restarted(ctx context.Context) bool {
+	if a.pieces {
+		return true
+	}
+	load, err := a.run.d.Engines.Load(ctx, a.server)
+	return err == nil && a.held.epoch != 0 && load.Epoch != a.held.epoch
+}
--- a/internal/dispatch/holdings.go
+++ b/internal/dispatch/holdings.go
@@ -19,6 +19,7 @@
 	server    string
 	scheduler protocol.Host
 	expiry    time.Time
+	epoch     uint64 // of the backend server's process; 0 when unknown
 	held      protocol.Held
 }
 
--- a/internal/dispatch/obtain.go
+++ b/internal/dispatch/obtain.go
@@ -120,6 +120,7 @@
 func (r *run) hold(c routing.Candidate, ask protocol.Ask, g *protocol.Grant) *holding {
 	x := newHolding(c.Server, ask, g.Expiry)
 	x.scheduler = c.Scheduler
+	x.epoch = g.Epoch
 	r.d.holdings.add(x)
 	return x
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -98,6 +98,7 @@
 		Expiry       time.Duration  `cbor:"4,keyasint"`
 		CachedTokens int64          `cbor:"5,keyasint"`
 		Priority     int            `cbor:"6,keyasint"`
+		Epoch        uint64         `cbor:"7,keyasint"` // of the backend server's process
 	}
 
 	// Refusal denies a grant; Wait is the predicted time until it would be given.
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -96,13 +96,25 @@
 	select {
 	case d := <-answer:
 		r.note(ask, d)
-		return d.Grant, d.Refusal
+		return r.withEpoch(d.Grant), d.Refusal
 	case <-ctx.Done():
 		r.withdraw(ask, answer)
 		return nil, &protocol.Refusal{ID: ask.ID, Kind: protocol.RefusalDeadline}
 	}
 }
 
+// Tells the asker which process of the backend server the grant is for, so that it notices a restart.
+func (r *runner) withEpoch(g *protocol.Grant) *protocol.Grant {
+	if g == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := *g
+	told.Epoch = r.epoch
+	return &told
+}
+
 // The asker is gone; a grant that was given at the same moment is given back.
 func (r *runner) withdraw(ask protocol.Ask, answer chan grant.Decision) {
 	r.update(func(now time.Time) []grant.Decision {
