--- a/internal/proofs/host_test.go
+++ b/internal/proofs/host_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/standin/caller"
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
 
@@ -39,6 +40,30 @@
 	t.Logf("memory free after %v", c.awaitNoMemory(40*time.Second))
 }
 
+// TestEntryHostKilledWithReservations kills an entry host while a long prompt of its holds memory on several engines;
+// the memory is freed long before it expires.
+func TestEntryHostKilledWithReservations(t *testing.T) {
+	const expiry = time.Minute
+	c := start(t, 2)
+	victim := c.entries[0]
+	go (&caller.Caller{}).Send(context.Background(), &caller.Prompt{
+		Entry: victim.url(), Workspace: workspace, Model: "tender-1", Deadline: expiry, Text: "digest",
+		PromptTokens: 600_000, OutputTokens: 8_000, Stream: true,
+	})
+	c.await(10*time.Second, "memory held on two engines", func() bool {
+		holding := 0
+		for _, e := range c.engines {
+			var held engineapi.Allocations
+			if get(e.direct, "/v1/allocations", &held) == nil && len(held.Allocations) > 0 {
+				holding++
+			}
+		}
+		return holding == 2
+	})
+	victim.kill()
+	t.Logf("memory free after %v, it would expire after %v", c.awaitNoMemory(expiry/3), expiry)
+}
+
 // scheduling returns an entry host that schedules a backend server.
 func (c *cluster) scheduling() *entryHost {
 	c.t.Helper()
