dispatch, engine: find out about a crash also while the process is ending

Cause: TestCrashingPrompt: after an engine's crash the status question was reset as well, on pooled connections and on new ones to the ending process, so the crash was not recorded and the prompt ran on the next engine at once. Ruled out: treating each broken connection as a crash, which would make suspects of bystanders of a cut connection. Change: a broken connection replaces the engine's pool like a silent one; the status question is repeated for its 500 ms while it is reset.

--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -15,7 +15,10 @@
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
 
-const statusTimeout = 500 * time.Millisecond
+const (
+	statusTimeout  = 500 * time.Millisecond
+	statusInterval = 20 * time.Millisecond
+)
 
 // One attempt on one backend server.
 type attempt struct {
@@ -210,7 +213,7 @@
 func (a *attempt) inquire(ctx context.Context, f *retry.Failure) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	_, err := a.run.d.Engines.Status(ctx, a.server, a.owner)
+	err := a.askStatus(ctx)
 	var failure *engine.Error
 	switch {
 	case err == nil:
@@ -223,6 +226,18 @@
 	}
 }
 
+// A process that is ending resets new connections too, so that a broken one says nothing yet.
+func (a *attempt) askStatus(ctx context.Context) error {
+	for {
+		_, err := a.run.d.Engines.Status(ctx, a.server, a.owner)
+		var failure *engine.Error
+		if !errors.As(err, &failure) || failure.Kind != engine.KindBroken || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, statusInterval)
+	}
+}
+
 func (a *attempt) restarted(ctx context.Context) bool {
 	if a.pieces {
 		return true
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -184,7 +184,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		e := callError(ctx, caller, x.op, x.server.Name, true, err)
-		c.dropSilent(x.server, transport, e)
+		c.dropFaulty(x.server, transport, e)
 		return e
 	}
 	if err := json.Unmarshal(body, into); err != nil {
@@ -205,7 +205,7 @@
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		e := callError(ctx, caller, x.op, x.server.Name, sent.Load(), err)
-		c.dropSilent(x.server, transport, e)
+		c.dropFaulty(x.server, transport, e)
 		return nil, nil, e
 	}
 	return resp, transport, nil
@@ -218,9 +218,9 @@
 	return c.pools.get(x.server.Address, func() *http.Transport { return c.newTransport(true) })
 }
 
-// dropSilent replaces the pool of a server whose connection went silent.
-func (c *Client) dropSilent(server protocol.Server, transport *http.Transport, e *Error) {
-	if e.Kind == KindSilent {
+// dropFaulty replaces the pool of a server whose connection went silent or broke, since its idle siblings may have too.
+func (c *Client) dropFaulty(server protocol.Server, transport *http.Transport, e *Error) {
+	if e.Kind == KindSilent || e.Kind == KindBroken {
 		c.pools.replace(server.Address, transport)
 	}
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -52,7 +52,7 @@
 	return &Stream{
 		server: server, op: op, body: resp.Body, frames: newFrameReader(resp.Body),
 		ctx: ctx, caller: caller, cancel: cancel, gap: gap, timer: timer,
-		silent: func(e *Error) { c.dropSilent(server, transport, e) },
+		silent: func(e *Error) { c.dropFaulty(server, transport, e) },
 	}, nil
 }
 
