--- a/internal/bench/drive/drive.go
+++ b/internal/bench/drive/drive.go
@@ -45,13 +45,14 @@
 type (
 	// Config is one run.
 	Config struct {
-		Seed     uint64
-		Load     float64 // arrivals over the capacity of the fleet
-		Mix      Mix
-		Policy   routing.Policy
-		Weight   document.Weight
-		Duration time.Duration
-		Warmup   time.Duration // arrivals before it are not measured
+		Seed       uint64
+		Load       float64 // arrivals over the capacity of the fleet
+		Mix        Mix
+		Policy     routing.Policy
+		Weight     document.Weight
+		Prioritize bool // without schedulers, give the engines the shorter prompts first
+		Duration   time.Duration
+		Warmup     time.Duration // arrivals before it are not measured
 
 		CacheLag  time.Duration // delay of cache events
 		CacheLoss float64       // part of the cache events that is lost
--- a/internal/bench/drive/host.go
+++ b/internal/bench/drive/host.go
@@ -114,7 +114,11 @@
 		return
 	}
 	if r.Policy != routing.PolicyScheduled {
-		r.submit(a, r.byName[a.candidates[0].Server], protocol.Grant{})
+		g := protocol.Grant{}
+		if r.Prioritize {
+			g.Priority = int(Lengths - a.req.length)
+		}
+		r.submit(a, r.byName[a.candidates[0].Server], g)
 		return
 	}
 	r.askNext(a)
--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -45,6 +45,9 @@
 			add(r, fmt.Sprintf("%s %.0f%%", p.name, load*100), res, p.policy == routing.PolicyScheduled && load == targetLoad)
 		}
 	}
+	prioritized := config(targetLoad, routing.PolicyPowerOfTwo, document.WeightShortSlowdown)
+	prioritized.Prioritize = true
+	add(r, "power_of_two_prioritized 80%", drive.Run(prioritized), false)
 	add(r, "one_idle_engine", drive.Bound(seed, drive.DefaultMix(), alone), false)
 	slowdown(r)
 }
