--- a/internal/bench/drive/host.go
+++ b/internal/bench/drive/host.go
@@ -32,6 +32,9 @@
 	over       bool
 	spread     *spread
 	part       int
+	tokens     int64 // of the part
+	bytes      int64
+	before     int64     // tokens of the parts before it
 	decidedAt  time.Time // by the last scheduler that answered
 }
 
--- a/internal/bench/drive/spread.go
+++ b/internal/bench/drive/spread.go
@@ -1,51 +1,93 @@
 package drive
 
 import (
+	"errors"
 	"sort"
 	"strconv"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/grant"
+	"github.com/turmericshunt/turmericshunt/internal/longprompt"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/internal/routing"
 	"github.com/turmericshunt/turmericshunt/internal/standin/batch"
 )
 
-// partTokens bounds what one member of a spread prompt takes.
+// partTokens bounds what one member of a spread prompt takes with the baselines.
 const partTokens = memoryTokens * 6 / 10
 
-const reserveRetry = 100 * time.Millisecond
+const (
+	reserveRetry = 100 * time.Millisecond
+	planRetry    = 250 * time.Millisecond
+)
 
 // spread is a prompt that is larger than one engine's memory. Its members are asked for in ascending order
 // and prefill one after the other, each with the memory of those before it.
 type spread struct {
 	members []*attempt
-	engines []*engine
-	share   int64
 	held    int
 }
 
 func (r *run) beginSpread(a *attempt) {
-	n := int((a.req.prompt + maxOutputTokens + partTokens - 1) / partTokens)
-	s := &spread{share: (a.req.prompt + int64(n) - 1) / int64(n)}
-	for range n {
-		ask := r.ask(a)
-		ask.PromptTokens, ask.Bytes = s.share, (s.share+maxOutputTokens)*kvBytesPerToken
-		candidates := a.host.router.Candidates(r.now, a.host.view, ask, a.excluded)
+	if a.arrived.Add(a.req.deadline).Before(r.now) {
+		r.expire(a)
+		return
+	}
+	parts, kind := r.plan(a)
+	switch kind {
+	case "":
+		r.reserve(r.newSpread(a, parts))
+	case longprompt.KindNow, longprompt.KindDown:
+		r.after(planRetry, func() { r.beginSpread(a) })
+	default:
+		r.refused(a)
+	}
+}
+
+// plan chooses the members, or says why there are none.
+func (r *run) plan(a *attempt) ([]longprompt.Member, longprompt.Kind) {
+	if r.Policy != routing.PolicyScheduled {
+		return r.planDirect(a), ""
+	}
+	parts, err := (&longprompt.Planner{}).Plan(r.now, a.host.view, r.ask(a))
+	var failure *longprompt.Error
+	if errors.As(err, &failure) {
+		return nil, failure.Kind
+	}
+	return parts, ""
+}
+
+// planDirect shares a prompt out evenly over backend servers that the baseline chooses.
+func (r *run) planDirect(a *attempt) []longprompt.Member {
+	n := (a.req.prompt + maxOutputTokens + partTokens - 1) / partTokens
+	share := (a.req.prompt + n - 1) / n
+	var parts []longprompt.Member
+	for left := a.req.prompt; left > 0; left -= share {
+		candidates := a.host.router.Candidates(r.now, a.host.view, r.ask(&attempt{req: &request{prompt: share}, host: a.host}), a.excluded)
 		if len(candidates) == 0 {
-			r.refused(a)
-			return
+			break
 		}
 		a.excluded = append(a.excluded, candidates[0].Server)
-		s.engines = append(s.engines, r.byName[candidates[0].Server])
+		tokens := min(share, left)
+		parts = append(parts, longprompt.Member{
+			Server: candidates[0].Server, Tokens: tokens, Bytes: (tokens + maxOutputTokens) * kvBytesPerToken,
+		})
 	}
-	sort.Slice(s.engines, func(i, j int) bool { return s.engines[i].name < s.engines[j].name })
-	for i := range s.engines {
+	sort.Slice(parts, func(i, j int) bool { return parts[i].Server < parts[j].Server })
+	return parts
+}
+
+func (r *run) newSpread(a *attempt, parts []longprompt.Member) *spread {
+	s := &spread{}
+	var before int64
+	for i, part := range parts {
 		s.members = append(s.members, &attempt{
-			req: a.req, host: a.host, arrived: a.arrived, spread: s, part: i, number: uint32(i + 1), engine: s.engines[i],
+			req: a.req, host: a.host, arrived: a.arrived, spread: s, part: i, number: uint32(i + 1),
+			engine: r.byName[part.Server], tokens: part.Tokens, bytes: part.Bytes, before: before,
 		})
+		before += part.Tokens
 	}
-	r.reserve(s)
+	return s
 }
 
 // reserve takes the next member's memory.
@@ -65,7 +107,7 @@
 	}
 	ask := r.ask(m)
 	ask.Queue, ask.Server = true, m.engine.name
-	ask.PromptTokens, ask.Bytes = s.share, (s.share+maxOutputTokens)*kvBytesPerToken
+	ask.PromptTokens, ask.Bytes = m.tokens, m.bytes
 	if s.held < len(s.members)-1 {
 		ask.OutputTokens = 0
 	}
@@ -77,7 +119,7 @@
 // reserveDirect asks the engine itself, again and again until it has the memory.
 func (r *run) reserveDirect(m *attempt) {
 	s := m.spread
-	err := m.engine.batch.Reserve(r.now, r.reservation(m), (s.share+maxOutputTokens)*kvBytesPerToken, m.arrived.Add(m.req.deadline))
+	err := m.engine.batch.Reserve(r.now, r.reservation(m), m.bytes, m.arrived.Add(m.req.deadline))
 	r.touch(m.engine)
 	if err != nil {
 		r.after(reserveRetry, func() { r.reserve(s) })
@@ -106,10 +148,10 @@
 
 // startPart prefills the tokens of one member.
 func (r *run) startPart(m *attempt) {
-	s, last := m.spread, m.part == len(m.spread.members)-1
+	last := m.part == len(m.spread.members)-1
 	job := batch.Job{
 		ID: strconv.Itoa(m.req.id) + "." + strconv.Itoa(m.part), Priority: int(m.number) - 1,
-		PromptTokens: min(s.share*int64(m.part+1), m.req.prompt), Imported: s.share * int64(m.part),
+		PromptTokens: m.before + m.tokens, Imported: m.before,
 		PrefillOnly: !last, Expiry: m.arrived.Add(m.req.deadline),
 	}
 	if last {
