grant: refuse nothing by a guess before the engine's first report

Before it the scheduler predicted from assumed rates and could refuse for lack of time what the engine could do. Now only the deadline itself refuses. An ask that its withdrawal has overtaken is refused with a wait, so that its host does not take the backend server for idle.

--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -22,7 +22,8 @@
 		return nil
 	}
 	if _, ok := s.finished[ask.ID]; ok && !s.noIdentity {
-		return []Decision{refuse(ask.ID, protocol.RefusalBusy, 0, 0)}
+		// The withdrawal has overtaken the ask; no one waits for an answer.
+		return []Decision{refuse(ask.ID, protocol.RefusalBusy, tombstoneAge, 0)}
 	}
 	if ask.TimeLeft <= 0 {
 		ask.TimeLeft = DefaultTimeLimit
@@ -34,7 +35,7 @@
 	}
 	w := &waiter{ask: ask, bytes: s.bytes(ask), enqueued: now, deadline: now.Add(ask.TimeLeft)}
 	wait := s.wait(now, w)
-	if late := wait + s.service(ask) - ask.TimeLeft; late > 0 {
+	if late := wait + s.service(ask) - ask.TimeLeft; late > 0 && !s.reported.IsZero() {
 		return []Decision{refuse(ask.ID, protocol.RefusalDeadline, wait, late)}
 	}
 	limit := orDefault(s.Idle, DefaultIdle)
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -84,6 +84,17 @@
 	if got := kind(s.Ask(start, ask("a", 1000, false))); got != protocol.RefusalBusy {
 		t.Errorf("before the first report: %s", got)
 	}
+	hurried := ask("h", 1_000_000, true)
+	hurried.TimeLeft = time.Second
+	if got := kind(s.Ask(start, hurried)); got != "waits" {
+		t.Errorf("refused by a guess: %s", got)
+	}
+	if d := s.Tick(start.Add(500 * time.Millisecond)); len(d) != 0 {
+		t.Errorf("refused by a guess: %+v", d)
+	}
+	if got := kind(s.Tick(start.Add(2 * time.Second))); got != protocol.RefusalDeadline {
+		t.Errorf("after its time: %s", got)
+	}
 	s.Report(start, report(95_000))
 	if got := kind(s.Ask(start, ask("b", 10_000, false))); got != protocol.RefusalBusy {
 		t.Errorf("with memory held by unknown grants: %s", got)
--- a/internal/grant/learn.go
+++ b/internal/grant/learn.go
@@ -10,7 +10,7 @@
 const (
 	learnWeight   = 0.05
 	leastSpeed    = 0.1
-	mostSpeed     = 2.0
+	mostSpeed     = 10.0
 	leastOutput   = 0.05
 	shortestLearn = 10 * time.Millisecond
 	tailPart      = 0.97
--- a/internal/grant/predict.go
+++ b/internal/grant/predict.go
@@ -137,6 +137,9 @@
 // wait is the predicted time until an ask behind those that have passed could start.
 // Asks that wait for room don't keep the engine from one that has it.
 func (l *line) wait(now time.Time, w *waiter) time.Duration {
+	if l.s.reported.IsZero() {
+		return 0
+	}
 	before := l.fit
 	if w.bytes > l.free {
 		before = l.whole
@@ -204,7 +207,11 @@
 }
 
 // service is the time from start to the last token that nearly all asks of this kind keep.
+// It is 0 before the engine's first report, so that nothing is refused by a guess.
 func (s *Scheduler) service(ask protocol.Ask) time.Duration {
+	if s.reported.IsZero() {
+		return 0
+	}
 	c := s.cost(ask.Model)
 	return s.prefill(ask) + seconds(float64(ask.OutputTokens)*c.tail*s.gap(c))
 }
