grant: bound the known cache blocks by the engine's memory

The size of a block was never noted, so that the bound stayed at 4,096 blocks and lost evictions were kept for good.

--- a/internal/grant/ask.go
+++ b/internal/grant/ask.go
@@ -141,6 +141,7 @@
 		},
 	}
 	s.hold(r)
+	s.cache.learn(w.ask.BlockTokens)
 	if s.basePriority(w.ask)%queue.AgedStep >= middlePriority {
 		s.demand.give(now, int64(r.left))
 	}
--- a/internal/grant/cache.go
+++ b/internal/grant/cache.go
@@ -63,7 +63,14 @@
 	return len(blocks)
 }
 
-func (c *cache) store(_ time.Time, blocks []uint64) {
+// learn notes the size of a block, which bounds how many fit the engine's memory.
+func (c *cache) learn(tokens int64) {
+	if tokens > 0 {
+		c.tokens = tokens
+	}
+}
+
+func (c *cache) store(blocks []uint64) {
 	for i := len(blocks) - 1; i >= 0; i-- {
 		c.touch(blocks[i])
 	}
--- a/internal/grant/finish.go
+++ b/internal/grant/finish.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	s.learnPrefill(now, r)
-	s.cache.store(now, r.ask.Blocks)
+	s.cache.store(r.ask.Blocks)
 	r.prefilling, r.left, r.first = false, 0, now
 	s.memo = memo{}
 	return s.drain(now, nil)
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -121,10 +121,21 @@
 	if d := s.Ask(start.Add(time.Second), b); d[0].Grant.CachedTokens != 3000 {
 		t.Errorf("%d tokens cached by the first prompt", d[0].Grant.CachedTokens)
 	}
+	s.Report(start, report(0))
+	for block := range uint64(97) {
+		s.Cached(start, engineapi.CacheEvents{Events: []engineapi.CacheEvent{{Block: 100 + block, Stored: true}}})
+	}
+	if got := s.cached(a); got != 3000 || len(s.cache.blocks) != 100 {
+		t.Errorf("%d tokens cached and %d blocks known where 100 fit", got, len(s.cache.blocks))
+	}
 	s.Cached(start, engineapi.CacheEvents{Events: []engineapi.CacheEvent{{Block: 2}}})
 	if got := s.cached(a); got != 1000 {
 		t.Errorf("%d tokens cached after an eviction", got)
 	}
+	s.Cached(start, engineapi.CacheEvents{Events: []engineapi.CacheEvent{{Block: 500, Stored: true}, {Block: 501, Stored: true}}})
+	if len(s.cache.blocks) != 100 {
+		t.Errorf("%d blocks known where 100 fit", len(s.cache.blocks))
+	}
 }
 
 func TestSubsetFollowsDemand(t *testing.T) {
