--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -109,6 +109,8 @@
 		return p.giveUp(f, outcome.KindDeadline)
 	case f.Kind == KindNoGrant:
 		return p.noGrant(f)
+	case f.Kind == KindRefused && f.Engine == engineapi.RefusalInvalid:
+		return p.giveUp(f, outcome.KindBadRequest)
 	case p.resumable(f):
 		return p.resume(f)
 	case !f.Idempotent && f.Sent:
@@ -141,8 +143,6 @@
 	switch {
 	case f.Kind == KindRefused && f.Engine == engineapi.RefusalMemory:
 		return outcome.KindOverloaded
-	case f.Kind == KindRefused && f.Engine == engineapi.RefusalInvalid:
-		return outcome.KindBadRequest
 	case !f.ran():
 		return outcome.KindUnavailable
 	case !f.Idempotent:
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -61,6 +61,11 @@
 			Failure{Kind: KindRefused, Engine: engineapi.RefusalBusy, Sent: true},
 			ActionGiveUp, outcome.NotRun, outcome.KindUnavailable,
 		},
+		{
+			"invalid",
+			Failure{Kind: KindRefused, Engine: engineapi.RefusalInvalid, Idempotent: true},
+			ActionGiveUp, outcome.NotRun, outcome.KindBadRequest,
+		},
 		{
 			"too late",
 			Failure{Kind: KindSilent, Sent: true, Idempotent: true, TimeLeft: -1},
@@ -136,3 +141,24 @@
 		t.Errorf("got %+v", d)
 	}
 }
+
+func TestDecisionsAllocateNothing(t *testing.T) {
+	p := &Policy{BudgetBurst: 1e9}
+	f := Failure{Kind: KindCrashed, Sent: true, Idempotent: true, TimeLeft: time.Minute}
+	n := testing.AllocsPerRun(100, func() {
+		p.Began(start, "w")
+		p.Decide(start, "w", f)
+		p.Succeeded(start, "w")
+	})
+	if n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	p := &Policy{BudgetBurst: 1e9}
+	f := Failure{Kind: KindCrashed, Sent: true, Idempotent: true, TimeLeft: time.Minute}
+	for b.Loop() {
+		p.Decide(start, "w", f)
+	}
+}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -115,7 +115,14 @@
 // settle condemns the contents whose evidence has stood for long enough; crashes that several contents claim condemn
 // none of them.
 func (l *Ledger) settle(now time.Time) {
+	if now.Before(l.settled.Add(settleEvery)) {
+		return
+	}
+	l.settled = now
 	charges := l.charges(now)
+	if len(charges) == 0 {
+		return
+	}
 	claims := make(map[crash]content, len(charges))
 	contested := make(map[crash]bool)
 	for _, c := range charges {
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -39,6 +39,7 @@
 	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
 	newsAge          = 8 * time.Second  // how long a change is sent before older ones
 	sweepEvery       = 10 * time.Second
+	settleEvery      = 20 * time.Millisecond
 	crashesToCondemn = 2
 	manyLosses       = 2 // further crashes at once that show a common cause
 )
@@ -125,6 +126,7 @@
 	contents map[content]*suspicion
 	grants   map[runKey]grant
 	swept    time.Time
+	settled  time.Time
 	cursor   int
 
 	hasty  bool // gives verdicts without waiting for other crashes; for tests
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -142,3 +142,24 @@
 		t.Errorf("%d of 2 own contents among %d", found, len(news))
 	}
 }
+
+func TestCheckAllocatesNothing(t *testing.T) {
+	quiet, busy := &Ledger{Host: "e1"}, &Ledger{Host: "e1"}
+	crashTwice(busy)
+	now := at(6 * time.Second)
+	busy.Check(now, "w", 1)
+	for _, l := range []*Ledger{quiet, busy} {
+		if n := testing.AllocsPerRun(100, func() { l.Check(now, "w", 7) }); n > 0 {
+			t.Errorf("%v allocations", n)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	l := &Ledger{Host: "e1"}
+	crashTwice(l)
+	now := at(6 * time.Second)
+	for b.Loop() {
+		l.Check(now, "w", 7)
+	}
+}
