retry: never run a request again that must not be repeated and may have run

Found by a property test over all failures: after a broken read-back whose new connection was refused, the failure itself had sent nothing, so another attempt was started although the one before may have run. The same held for output that had gone to the caller, followed by a refused grant. Both are decided first now. The test fails on the former order of the cases and passes 20,000 checks on the new one.

--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -107,16 +107,16 @@
 		return Decision{Kind: outcome.KindCrashing}
 	case f.TimeLeft <= 0:
 		return p.giveUp(f, outcome.KindDeadline)
-	case f.Kind == KindNoGrant:
-		return p.noGrant(f)
 	case f.Kind == KindRefused && f.Engine == engineapi.RefusalInvalid:
 		return p.giveUp(f, outcome.KindBadRequest)
 	case p.resumable(f):
 		return p.resume(f)
-	case !f.Idempotent && f.Sent:
+	case !f.Idempotent && (f.Sent || f.MayHaveRun):
 		return p.giveUp(f, lastKind(f))
 	case f.Streaming && f.Delivered > 0:
 		return p.giveUp(f, outcome.KindBroken)
+	case f.Kind == KindNoGrant:
+		return p.noGrant(f)
 	case f.Attempt >= cmp.Or(p.MaxAttempts, DefaultMaxAttempts):
 		return p.giveUp(f, lastKind(f))
 	case f.ran() && !p.spend(now, workspace):
@@ -143,10 +143,10 @@
 	switch {
 	case f.Kind == KindRefused && f.Engine == engineapi.RefusalMemory:
 		return outcome.KindOverloaded
+	case !f.Idempotent && (f.ran() || f.MayHaveRun):
+		return outcome.KindOutcomeUnknown
 	case !f.ran():
 		return outcome.KindUnavailable
-	case !f.Idempotent:
-		return outcome.KindOutcomeUnknown
 	default:
 		return outcome.KindBroken
 	}
