--- a/internal/bench/crash/world.go
+++ b/internal/bench/crash/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/bench/virtual"
@@ -13,12 +14,15 @@
 
 const (
 	serverCount    = 16
-	hostCount      = 20
+	hostCount      = 21
+	domainCount    = 3
+	edgeCount      = 2                // of each failure domain
 	arrivals       = 26 * time.Second // then no request comes
 	duration       = 40 * time.Second
 	restart        = 12 * time.Second
 	gossipEvery    = time.Second
 	broadcastTime  = 5 * time.Millisecond
+	repeatTime     = 300 * time.Millisecond
 	gossipLoss     = 0.1
 	arrivalsPerSec = 20
 	requestTime    = 10 * time.Second // until a request's deadline
@@ -57,6 +61,7 @@
 	}
 
 	host struct {
+		index   int
 		name    string
 		dead    bool
 		ledger  *suspect.Ledger
@@ -96,7 +101,7 @@
 func (w *world) build(configure func(*suspect.Ledger)) {
 	for i := range hostCount {
 		h := &host{
-			name: fmt.Sprintf("host-%02d", i), refused: make(map[int]time.Time),
+			index: i, name: fmt.Sprintf("host-%02d", i), refused: make(map[int]time.Time),
 			ledger: &suspect.Ledger{Host: fmt.Sprintf("host-%02d", i)},
 			policy: &retry.Policy{Rand: rand.New(rand.NewPCG(uint64(i), w.rand.Uint64()))},
 		}
@@ -134,10 +139,30 @@
 // spread returns a random duration below d.
 func (w *world) spread(d time.Duration) time.Duration { return time.Duration(w.rand.Int64N(int64(d))) }
 
-// gossip exchanges news with one random peer, as probes do.
+// domain returns the failure domain of host i.
+func domain(i int) int { return i % domainCount }
+
+// edges lists the first living hosts of each failure domain, which talk to those of the others.
+func (w *world) edges() []int {
+	var list []int
+	var found [domainCount]int
+	for i, h := range w.hosts {
+		if !h.dead && found[domain(i)] < edgeCount {
+			found[domain(i)]++
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// gossip exchanges news with one random peer, as probes do: of the own failure domain or, between edge hosts, of others.
 func (w *world) gossip(i int) {
-	a, b := w.hosts[i], w.hosts[w.rand.IntN(hostCount)]
 	w.After(gossipEvery, func() { w.gossip(i) })
+	j := w.rand.IntN(hostCount/domainCount)*domainCount + domain(i)
+	if edges := w.edges(); slices.Contains(edges, i) && w.rand.IntN(2) == 0 {
+		j = edges[w.rand.IntN(len(edges))]
+	}
+	a, b := w.hosts[i], w.hosts[j]
 	if a == b || a.dead || b.dead || w.rand.Float64() < gossipLoss {
 		return
 	}
@@ -174,18 +199,41 @@
 	}
 }
 
-// noticed records a crash at one host, which tells all others at once.
+// noticed records a crash at one host, which tells the others at once.
 func (w *world) noticed(h *host, i int) {
 	h.refused[i] = w.Now
 	h.ledger.Crashed(w.Now, w.servers[i].name)
+	w.tell(h, func(peer *host) bool { return domain(peer.index) == domain(h.index) }, w.relay)
+}
+
+// relay passes news on to the edge hosts of the other failure domains, which tell their own.
+func (w *world) relay(h *host) {
+	edges := w.edges()
+	if !slices.Contains(edges, h.index) {
+		return
+	}
+	others := func(peer *host) bool {
+		return slices.Contains(edges, peer.index) && domain(peer.index) != domain(h.index)
+	}
+	w.tell(h, others, func(peer *host) {
+		w.tell(peer, func(x *host) bool { return domain(x.index) == domain(peer.index) }, func(*host) {})
+	})
+}
+
+// tell sends a host's news to chosen peers, over connections that repeat what is lost.
+func (w *world) tell(h *host, chosen func(*host) bool, then func(*host)) {
 	news := h.ledger.Recent(w.Now)
 	for _, peer := range w.hosts {
-		if peer == h || w.rand.Float64() < gossipLoss {
+		if peer == h || !chosen(peer) {
 			continue
 		}
-		w.After(w.spread(broadcastTime), func() {
-			if !peer.dead {
-				peer.ledger.Merge(w.Now, news)
+		delay := w.spread(broadcastTime)
+		if w.rand.Float64() < gossipLoss {
+			delay += w.spread(repeatTime)
+		}
+		w.After(delay, func() {
+			if !peer.dead && peer.ledger.Merge(w.Now, news) {
+				then(peer)
 			}
 		})
 	}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -36,6 +36,7 @@
 	if lost == nil {
 		lost = &loss{crash: c, at: at, changed: now, contents: make(map[content]bool)}
 		l.losses[c] = lost
+		l.changes++
 	}
 	if at.Before(lost.at) {
 		lost.at = at
@@ -53,11 +54,11 @@
 	lost.contents[k] = true
 	for i := range s.causes {
 		if s.causes[i].crash == c.crash {
-			s.strengthen(now, &s.causes[i], c)
+			l.strengthen(now, s, &s.causes[i], c)
 			return
 		}
 	}
-	s.changed = now
+	l.touch(now, s)
 	if len(s.causes) == maxCauses {
 		s.causes = s.causes[1:]
 	}
@@ -74,11 +75,17 @@
 	return s
 }
 
+// touch marks a suspicion as changed, so that peers hear of it.
+func (l *Ledger) touch(now time.Time, s *suspicion) {
+	s.changed = now
+	l.changes++
+}
+
 // strengthen adds another host's evidence to a known cause.
-func (s *suspicion) strengthen(now time.Time, known *cause, c cause) {
+func (l *Ledger) strengthen(now time.Time, s *suspicion, known *cause, c cause) {
 	if c.ran && !known.ran {
 		known.ran = true
-		s.changed = now
+		l.touch(now, s)
 	}
 	known.own = known.own || c.own
 	if c.began.Before(known.began) {
@@ -92,7 +99,7 @@
 		return
 	}
 	s.cleared = at
-	s.changed = now
+	l.touch(now, s)
 	s.causes = slices.DeleteFunc(s.causes, func(c cause) bool {
 		lost := l.losses[c.crash]
 		if lost != nil && lost.at.After(at) {
@@ -147,7 +154,7 @@
 		return
 	}
 	s.condemned = true
-	s.changed = now
+	l.touch(now, s)
 	l.attribute(c.content, s)
 }
 
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -50,7 +50,9 @@
 	a, b := &Ledger{Host: "e1"}, &Ledger{Host: "e2"}
 	crashTwice(a)
 	now := at(6 * time.Second)
-	b.Merge(now, a.Recent(now))
+	if !b.Merge(now, a.Recent(now)) || b.Merge(now, a.Recent(now)) {
+		t.Error("news are new once only")
+	}
 	if got := b.Check(now, "w", 1); got != Condemned {
 		t.Errorf("got %v at the other host", got)
 	}
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -8,14 +8,16 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 )
 
-// Merge takes in what other hosts suspect.
-func (l *Ledger) Merge(now time.Time, news []protocol.Suspicion) {
+// Merge takes in what other hosts suspect and reports whether any of it was new, so that a relay passes it on once.
+func (l *Ledger) Merge(now time.Time, news []protocol.Suspicion) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prepare(now)
+	before := l.changes
 	for i := range news {
 		l.merge(now, &news[i])
 	}
+	return l.changes != before
 }
 
 func (l *Ledger) merge(now time.Time, n *protocol.Suspicion) {
@@ -41,7 +43,7 @@
 	}
 	if n.Alone && n.Crashes >= crashesToCondemn && !s.condemned {
 		s.condemned = true
-		s.changed = now
+		l.touch(now, s)
 		l.attribute(k, s)
 	}
 }
