--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -39,6 +39,7 @@
 	sameCrash        = 10 * time.Second // reports of one crash without an epoch come within it
 	newsAge          = 8 * time.Second  // how long a change is sent before older ones
 	sweepEvery       = 10 * time.Second
+	settleEvery      = 20 * time.Millisecond
 	crashesToCondemn = 2
 	manyLosses       = 2 // further crashes at once that show a common cause
 )
@@ -125,7 +126,9 @@
 	contents map[content]*suspicion
 	grants   map[runKey]grant
 	swept    time.Time
+	settled  time.Time
 	cursor   int
+	changes  uint64 // grows with each change that peers should hear of
 
 	hasty  bool // gives verdicts without waiting for other crashes; for tests
 	simple bool // counts crashes without asking what else explains them; for tests
@@ -336,7 +339,7 @@
 		for i := range s.causes {
 			if c := &s.causes[i]; c.crash == g.crash && !c.ran {
 				c.ran = true
-				s.changed = now
+				l.touch(now, s)
 			}
 		}
 	}
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -50,7 +50,9 @@
 	a, b := &Ledger{Host: "e1"}, &Ledger{Host: "e2"}
 	crashTwice(a)
 	now := at(6 * time.Second)
-	b.Merge(now, a.Recent(now))
+	if !b.Merge(now, a.Recent(now)) || b.Merge(now, a.Recent(now)) {
+		t.Error("news are new once only")
+	}
 	if got := b.Check(now, "w", 1); got != Condemned {
 		t.Errorf("got %v at the other host", got)
 	}
@@ -142,3 +144,24 @@
 		t.Errorf("%d of 2 own contents among %d", found, len(news))
 	}
 }
+
+func TestCheckAllocatesNothing(t *testing.T) {
+	quiet, busy := &Ledger{Host: "e1"}, &Ledger{Host: "e1"}
+	crashTwice(busy)
+	now := at(6 * time.Second)
+	busy.Check(now, "w", 1)
+	for _, l := range []*Ledger{quiet, busy} {
+		if n := testing.AllocsPerRun(100, func() { l.Check(now, "w", 7) }); n > 0 {
+			t.Errorf("%v allocations", n)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	l := &Ledger{Host: "e1"}
+	crashTwice(l)
+	now := at(6 * time.Second)
+	for b.Loop() {
+		l.Check(now, "w", 7)
+	}
+}
