entry: let callers mark an order as a resend

The note on orders says that a marked resend is never told not_run while the store is down, yet callers had no way to mark one. Turmericshunt-Resend: true does; another value is refused. Also a test that a caller that stops reading ends its request.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,7 @@
 	order    *order.Request
 	answer   service.Answer
 	replayed bool
+	delivery error // of a piece that the caller did not take
 }
 
 func (b *backend) Document() *document.Document { return b.document }
@@ -48,6 +50,7 @@
 	b.job = job
 	for _, p := range b.pieces {
 		if err := sink.Deliver(p); err != nil {
+			b.delivery = err
 			return dispatch.Answer{}, err
 		}
 	}
@@ -159,6 +162,7 @@
 		{"unknown key", prompt(hello, HeaderWorkspace, "", "Authorization", "Bearer x"), 401, outcome.KindUnauthorized, "unknown bearer key"},
 		{"unknown service", request{"GET", "/v1/services/x/y", "", nil}, 404, outcome.KindNotFound, `unknown service "x"`},
 		{"key too long", request{"POST", "/v1/services/orders/orders", "", map[string]string{HeaderKey: strings.Repeat("k", 256)}}, 400, outcome.KindBadRequest, "Idempotency-Key is over 255 bytes"},
+		{"resend", request{"POST", "/v1/services/orders/orders", "", map[string]string{HeaderResend: "1"}}, 400, outcome.KindBadRequest, `Turmericshunt-Resend must be true or false, not "1"`},
 		{"unknown path", request{"GET", "/v2", "", nil}, 404, outcome.KindNotFound, "Not Found"},
 		{"wrong method", request{"GET", "/v1/chat/completions", "", nil}, 405, outcome.KindMethod, "Method Not Allowed"},
 		{"unknown model by path", request{"GET", "/v1/models/x", "", nil}, 404, outcome.KindNotFound, `unknown model "x"`},
@@ -346,8 +350,8 @@
 	}
 	b := newBackend()
 	b.replayed = true
-	resp := send(t, b, request{"POST", "/v1/services/orders/orders", "{}", map[string]string{HeaderKey: "k"}})
-	if b.order.Key != "k" || b.order.Workspace != "open" || resp.Header.Get(HeaderReplayed) != "true" {
+	resp := send(t, b, request{"POST", "/v1/services/orders/orders", "{}", map[string]string{HeaderKey: "k", HeaderResend: "true"}})
+	if b.order.Key != "k" || !b.order.Resend || b.order.Workspace != "open" || resp.Header.Get(HeaderReplayed) != "true" {
 		t.Errorf("got %+v, %v", b.order, resp.Header)
 	}
 	b.err = &outcome.Error{Op: "order", Kind: outcome.KindOutcomeUnknown, Outcome: outcome.Unknown}
@@ -450,3 +454,21 @@
 	}
 	return nil
 }
+
+// A connection whose peer reads nothing.
+type stuckWriter struct{ boundedWriter }
+
+func (w *stuckWriter) Write([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+func TestCallerStopsReading(t *testing.T) {
+	b := newBackend()
+	w := &stuckWriter{boundedWriter{ResponseRecorder: httptest.NewRecorder()}}
+	q := streamed("")
+	r := httptest.NewRequest(q.method, q.path, strings.NewReader(q.body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(HeaderWorkspace, "open")
+	newServer(b).Handler().ServeHTTP(w, r)
+	if !errors.Is(b.delivery, os.ErrDeadlineExceeded) {
+		t.Errorf("the request was told %v", b.delivery)
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -18,8 +18,12 @@
 	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
 
-// HeaderReplayed marks an answer that was recorded for an earlier sending of the same request.
-const HeaderReplayed = "Turmericshunt-Replayed"
+const (
+	// HeaderReplayed marks an answer that was recorded for an earlier sending of the same request.
+	HeaderReplayed = "Turmericshunt-Replayed"
+	// HeaderResend marks a request that its caller has sent before.
+	HeaderResend = "Turmericshunt-Resend"
+)
 
 const (
 	maxKeyBytes = 255
@@ -77,6 +81,10 @@
 }
 
 func (s *Server) order(ctx context.Context, c echo.Context, workspace string, call *service.Call, deadline time.Time) error {
+	resend, err := isResend(c.Request().Header)
+	if err != nil {
+		return err
+	}
 	key := call.Header.Get(HeaderKey)
 	if len(key) > maxKeyBytes {
 		return refuse("read key", outcome.KindBadRequest, HeaderKey+" is over "+strconv.Itoa(maxKeyBytes)+" bytes")
@@ -89,7 +97,7 @@
 	c.Set(orderMark, true)
 	answer, err := s.Services.Order(ctx, &order.Request{
 		Workspace: workspace, Key: key, Service: call.Service, Method: call.Method, Path: call.Path, Query: call.Query,
-		Header: call.Header, Body: call.Body, Deadline: deadline, NewKey: made,
+		Header: call.Header, Body: call.Body, Deadline: deadline, NewKey: made, Resend: resend,
 	})
 	if err != nil {
 		return err
@@ -100,6 +108,17 @@
 	return reply(c, answer.Status, answer.Header, answer.Body, answer.Outcome)
 }
 
+func isResend(header http.Header) (bool, error) {
+	switch text := header.Get(HeaderResend); text {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	default:
+		return false, refuse("read resend", outcome.KindBadRequest, HeaderResend+" must be true or false, not "+quote(text))
+	}
+}
+
 func reply(c echo.Context, status int, from http.Header, body []byte, told outcome.Outcome) error {
 	header := c.Response().Header()
 	for name, values := range from {
