entry, admin: name the wrong field in each refusal, refuse unknown adapters, and shorten messages

An adapter that the model does not have went on to the schedulers; it is refused with 404 now. Refusals of the length and of the model carry the field in 'param' as those of the parser do. Messages of the administration interface named the operation and the kind twice.

--- a/internal/admin/error.go
+++ b/internal/admin/error.go
@@ -54,13 +54,16 @@
 	var routing *echo.HTTPError
 	switch {
 	case errors.As(err, &own):
-		failure.Kind = string(own.Kind)
+		failure.Kind, failure.Message = string(own.Kind), own.Err.Error()
 		return ownStatus(own.Kind), failure
 	case errors.As(err, &faulty):
 		failure.Kind, failure.Message = "invalid", faulty.Error()
 		return http.StatusBadRequest, failure
 	case errors.As(err, &refused):
 		failure.Kind, failure.Diff = string(refused.Kind), refused.Diff
+		if refused.Err != nil {
+			failure.Message = refused.Err.Error()
+		}
 		return refusedStatus(refused.Kind), failure
 	case errors.As(err, &kept):
 		failure.Kind = string(kept.Kind)
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,29 +39,18 @@
 	if d == nil {
 		return nil, nil, notConfigured("complete")
 	}
-	header := c.Request().Header
-	if kind, _, err := mime.ParseMediaType(header.Get(echo.HeaderContentType)); err != nil || kind != echo.MIMEApplicationJSON {
-		return nil, nil, refuse("read request", outcome.KindBadRequest, "Content-Type must be application/json")
-	}
-	workspace, err := workspaceOf(d, header)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := s.readBody(c)
-	if err != nil {
-		return nil, nil, err
-	}
-	r, err := chat.Parse(body)
+	workspace, asked, err := s.readPrompt(c, d)
 	if err != nil {
 		return nil, nil, err
 	}
 	job := &dispatch.Job{
-		RequestID: requestID(c), Workspace: workspace, Model: r.Model, Adapter: r.Adapter,
-		Prompt: r.Prompt(), OutputTokens: r.OutputTokens(), Streaming: r.Stream,
+		RequestID: requestID(c), Workspace: workspace, Model: asked.Model, Adapter: asked.Adapter,
+		Prompt: asked.Prompt(), OutputTokens: asked.OutputTokens(), Streaming: asked.Stream,
 	}
-	if err := size(job, r, d); err != nil {
+	if err := size(job, asked, d); err != nil {
 		return nil, nil, err
 	}
+	header := c.Request().Header
 	if job.Class, err = classOf(header, job.PromptTokens); err != nil {
 		return nil, nil, err
 	}
@@ -70,14 +59,34 @@
 		return nil, nil, err
 	}
 	job.Deadline = began.Add(left)
-	return job, r, nil
+	return job, asked, nil
+}
+
+// Reads the body and finds out whose it is.
+func (s *Server) readPrompt(c echo.Context, d *document.Document) (workspace string, asked *chat.Request, err error) {
+	header := c.Request().Header
+	if kind, _, err := mime.ParseMediaType(header.Get(echo.HeaderContentType)); err != nil || kind != echo.MIMEApplicationJSON {
+		return "", nil, refuse("read request", outcome.KindBadRequest, "Content-Type must be application/json")
+	}
+	if workspace, err = workspaceOf(d, header); err != nil {
+		return "", nil, err
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return "", nil, err
+	}
+	asked, err = chat.Parse(body)
+	return workspace, asked, err
 }
 
 // Estimates the prompt's tokens and compares the job with its model's limits.
 func size(job *dispatch.Job, asked *chat.Request, d *document.Document) error {
 	m := findModel(d, job.Model)
 	if m == nil {
-		return refuse("find model", outcome.KindNotFound, "model: unknown model "+quote(job.Model))
+		return refuseField("model", outcome.KindNotFound, "unknown model "+quote(job.Model))
+	}
+	if job.Adapter != "" && !slices.Contains(m.Adapters, job.Adapter) {
+		return refuseField("adapter", outcome.KindNotFound, "the model has no adapter "+quote(job.Adapter))
 	}
 	perToken := m.BytesPerToken
 	if perToken <= 0 {
@@ -85,18 +94,22 @@
 	}
 	job.PromptTokens = int64(float64(len(job.Prompt))/perToken) + 1
 	if m.MaxPromptTokens > 0 && job.PromptTokens > m.MaxPromptTokens {
-		return refuse("check length", outcome.KindTooLong, "messages: about "+strconv.FormatInt(job.PromptTokens, 10)+
+		return refuseField("messages", outcome.KindTooLong, "about "+strconv.FormatInt(job.PromptTokens, 10)+
 			" tokens are over the model's "+strconv.FormatInt(m.MaxPromptTokens, 10))
 	}
 	if m.MaxOutputTokens > 0 && !asked.BoundsOutput() {
 		job.OutputTokens = min(job.OutputTokens, m.MaxOutputTokens)
 	}
 	if m.MaxOutputTokens > 0 && job.OutputTokens > m.MaxOutputTokens {
-		return refuse("check length", outcome.KindBadRequest, "max_tokens: over the model's "+strconv.FormatInt(m.MaxOutputTokens, 10))
+		return refuseField("max_tokens", outcome.KindBadRequest, "over the model's "+strconv.FormatInt(m.MaxOutputTokens, 10))
 	}
 	return nil
 }
 
+func refuseField(field string, kind outcome.Kind, message string) *chat.Error {
+	return &chat.Error{Op: "check request", Kind: kind, Field: field, Err: errors.New(message)}
+}
+
 func findModel(d *document.Document, name string) *document.Model {
 	for i := range d.Models {
 		if d.Models[i].Name == name {
@@ -163,74 +176,6 @@
 	return events.finish(answer)
 }
 
-// Writes a streamed answer as server-sent events; the status line goes out with the first piece.
-type eventWriter struct {
-	response *echo.Response
-	job      *dispatch.Job
-	options  chat.Options
-	began    bool
-}
-
-// Deliver sends one piece, or returns an error when the caller is gone.
-func (w *eventWriter) Deliver(text string) error {
-	piece := chat.Text{Content: text}
-	if !w.began {
-		w.start()
-		piece.Role = "assistant"
-	}
-	return w.write(w.chunk(chat.Delta{Delta: piece}))
-}
-
-func (w *eventWriter) start() {
-	w.began = true
-	header := w.response.Header()
-	header.Set(echo.HeaderContentType, "text/event-stream")
-	header.Set(echo.HeaderCacheControl, "no-store")
-	w.response.WriteHeader(http.StatusOK)
-}
-
-func (w *eventWriter) chunk(choices ...chat.Delta) chat.Chunk {
-	return chat.Chunk{
-		ID: w.job.RequestID, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: w.job.Model,
-		Choices: append([]chat.Delta{}, choices...),
-	}
-}
-
-func (w *eventWriter) finish(answer dispatch.Answer) error {
-	if !w.began {
-		w.start()
-	}
-	last := w.chunk(chat.Delta{FinishReason: &answer.FinishReason})
-	u := usage(w.job, answer)
-	last.Usage = &u
-	last.Outcome = outcome.Completed
-	if err := w.write(last); err != nil {
-		return err
-	}
-	if w.options.IncludeUsage {
-		counted := w.chunk()
-		counted.Usage = &u
-		if err := w.write(counted); err != nil {
-			return err
-		}
-	}
-	_, err := w.response.Write([]byte("data: [DONE]\n\n"))
-	return errors.WithStack(err)
-}
-
-func (w *eventWriter) write(event any) error {
-	body, err := json.Marshal(event)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	limitWrite(w.response)
-	line := append(append([]byte("data: "), body...), '\n', '\n')
-	if _, err := w.response.Write(line); err != nil {
-		return errors.WithStack(err)
-	}
-	return errors.WithStack(http.NewResponseController(w.response).Flush())
-}
-
 // Records the time to the first token by the class of prompt lengths.
 func (s *Server) recordFirstToken(job *dispatch.Job, answer dispatch.Answer) {
 	scope := s.Metrics.Tagged(map[string]string{"prompt_length": lengthClass(job.PromptTokens)})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -149,6 +149,7 @@
 	}{
 		{"bad JSON", prompt(`{"model":`), 400, outcome.KindBadRequest, "not JSON at byte 9: unexpected end of JSON input"},
 		{"unknown model", prompt(strings.Replace(hello, `"m"`, `"x"`, 1)), 404, outcome.KindNotFound, `model: unknown model "x"`},
+		{"unknown adapter", prompt(`{"adapter":"a",` + hello[1:]), 404, outcome.KindNotFound, `adapter: the model has no adapter "a"`},
 		{"too long", prompt(long), 413, outcome.KindTooLong, "messages: about 252 tokens are over the model's 200"},
 		{"too much output", prompt(`{"max_tokens":101,` + hello[1:]), 400, outcome.KindBadRequest, "max_tokens: over the model's 100"},
 		{"oversized body", prompt(strings.Repeat(" ", maxBody+1)), 413, outcome.KindTooLarge, "the body is over 4096 bytes"},
@@ -175,6 +176,9 @@
 			if resp.StatusCode != tc.status || f.Kind != tc.kind || f.Message != tc.message {
 				t.Errorf("got %d %s %q", resp.StatusCode, f.Kind, f.Message)
 			}
+			if field, _, ok := strings.Cut(tc.message, ": "); ok && !strings.Contains(field, " ") && field != HeaderWorkspace && f.Param != field {
+				t.Errorf("param is %q", f.Param)
+			}
 			if told := resp.Header.Get(outcome.Header); told != string(outcome.NotRun) || f.Outcome != outcome.NotRun {
 				t.Errorf("outcome is %q and %q", told, f.Outcome)
 			}
