entry, settings: bound the bodies of all requests under way

One body is bounded by callers.max_body_bytes, yet nothing bounded their sum, so that a burst of long prompts could take a small host's memory. callers.max_bodies_bytes (512 MiB unless set) does; above it a request is refused as overloaded with Retry-After before its body is read. The sample has a line more, so that the lines named in tests moved by one.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -216,7 +216,7 @@
 	}
 	file := write(t, strings.Replace(string(sample), `"frame_gap": "1s"`, `"frame_gap": "1"`, 1))
 	r := run(t, nil, "", "check", "--settings", file)
-	want := "turmericshunt: settings: " + file + `: line 59, column 18: timing.frame_gap: "1" is not a duration such as "30s"` + "\n"
+	want := "turmericshunt: settings: " + file + `: line 60, column 18: timing.frame_gap: "1" is not a duration such as "30s"` + "\n"
 	if r.code != ExitInvalid || r.err != want {
 		t.Errorf("exit code %d\ngot  %swant %s", r.code, r.err, want)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,11 +58,14 @@
 	Prompts       Prompts
 	Services      Services
 	MaxBodyBytes  int64
-	Metrics       tally.Scope
-	Log           *slog.Logger
+	// MaxBodiesBytes bounds the bodies of all requests under way; 0 does not.
+	MaxBodiesBytes int64
+	Metrics        tally.Scope
+	Log            *slog.Logger
 
 	requests atomic.Uint64
 	active   atomic.Int64
+	bodies   atomic.Int64 // bytes reserved for the bodies of requests under way
 }
 
 // Handler returns the routes of the callers' interface.
@@ -87,6 +90,7 @@
 	return func(c echo.Context) error {
 		s.active.Add(1)
 		defer s.active.Add(-1)
+		defer s.releaseBody(c)
 		header := c.Response().Header()
 		header.Set(HeaderRequestID, s.newRequestID())
 		header.Set(HeaderHost, s.Host.Name)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -41,13 +41,17 @@
 	order    *order.Request
 	answer   service.Answer
 	replayed bool
-	delivery error // of a piece that the caller did not take
+	during   func() // called while a prompt runs
+	delivery error  // of a piece that the caller did not take
 }
 
 func (b *backend) Document() *document.Document { return b.document }
 
 func (b *backend) Run(_ context.Context, job *dispatch.Job, sink dispatch.Sink) (dispatch.Answer, error) {
 	b.job = job
+	if b.during != nil {
+		b.during()
+	}
 	for _, p := range b.pieces {
 		if err := sink.Deliver(p); err != nil {
 			b.delivery = err
@@ -476,3 +480,33 @@
 		t.Errorf("the request was told %v", b.delivery)
 	}
 }
+
+func TestBodiesUnderWayAreBounded(t *testing.T) {
+	b := newBackend()
+	server := newServer(b)
+	server.MaxBodiesBytes = int64(len(hello)) + 10
+	post := func() *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(hello))
+		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set(HeaderWorkspace, "open")
+		w := httptest.NewRecorder()
+		server.Handler().ServeHTTP(w, r)
+		return w
+	}
+	var inner *httptest.ResponseRecorder
+	b.during = func() {
+		b.during = nil
+		inner = post()
+	}
+	if outer := post(); outer.Code != http.StatusOK {
+		t.Errorf("the first request got %d", outer.Code)
+	}
+	if inner.Code != http.StatusServiceUnavailable || inner.Header().Get(headerRetry) != "1" || inner.Header().Get(outcome.Header) != "not_run" {
+		t.Errorf("a request during the first got %d, %v", inner.Code, inner.Header())
+	}
+	b.panics = true
+	post()
+	if left := server.bodies.Load(); left != 0 {
+		t.Errorf("%d bytes stay reserved", left)
+	}
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -34,12 +34,19 @@
 	standardTokens    = 100_000
 )
 
+const reservedBytes = "reserved_bytes" // name in the context of a request
+
 const (
 	maxHeaderValueBytes = 256
 	maxQuotedBytes      = 64
 )
 
 func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	if !s.reserveBody(c) {
+		e := refuse("read body", outcome.KindOverloaded, "the host has too many large requests under way")
+		e.RetryAfter = time.Second
+		return nil, e
+	}
 	var tooLarge *http.MaxBytesError
 	body, err := s.receive(c)
 	if errors.As(err, &tooLarge) {
@@ -51,6 +58,26 @@
 	return body, nil
 }
 
+// Reserves memory for the body until the request has its final answer.
+func (s *Server) reserveBody(c echo.Context) bool {
+	size := c.Request().ContentLength
+	if size < 0 || size > s.MaxBodyBytes {
+		size = s.MaxBodyBytes
+	}
+	if used := s.bodies.Add(size); s.MaxBodiesBytes > 0 && used > s.MaxBodiesBytes {
+		s.bodies.Add(-size)
+		return false
+	}
+	c.Set(reservedBytes, size)
+	return true
+}
+
+func (s *Server) releaseBody(c echo.Context) {
+	if size, ok := c.Get(reservedBytes).(int64); ok {
+		s.bodies.Add(-size)
+	}
+}
+
 func (s *Server) receive(c echo.Context) ([]byte, error) {
 	if c.Request().ContentLength > s.MaxBodyBytes {
 		return nil, &http.MaxBytesError{Limit: s.MaxBodyBytes}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,9 +58,10 @@
 
 	// Callers is the listener for callers.
 	Callers struct {
-		Listen       netip.AddrPort `json:"listen"`
-		TLS          TLS            `json:"tls"`
-		MaxBodyBytes int64          `json:"max_body_bytes"`
+		Listen         netip.AddrPort `json:"listen"`
+		TLS            TLS            `json:"tls"`
+		MaxBodyBytes   int64          `json:"max_body_bytes"`
+		MaxBodiesBytes int64          `json:"max_bodies_bytes"` // of all requests under way
 	}
 
 	// Peers is the QUIC listener for other hosts, and the hosts that are asked first.
@@ -134,6 +135,7 @@
 // Values for settings that a file leaves out.
 const (
 	defaultMaxBodyBytes    = 16 << 20
+	defaultMaxBodiesBytes  = 512 << 20
 	defaultWritesPerSecond = 15
 	defaultReadsPerSecond  = 60
 	defaultBalancerDelay   = 2 * time.Second
@@ -173,7 +175,7 @@
 
 func defaults() *Settings {
 	return &Settings{
-		Callers:  Callers{MaxBodyBytes: defaultMaxBodyBytes},
+		Callers:  Callers{MaxBodyBytes: defaultMaxBodyBytes, MaxBodiesBytes: defaultMaxBodiesBytes},
 		Platform: Platform{WritesPerSecond: defaultWritesPerSecond, ReadsPerSecond: defaultReadsPerSecond},
 		Log:      Log{Format: "text"},
 		Timing: Timing{
@@ -286,6 +288,9 @@
 	if s.Callers.MaxBodyBytes <= 0 {
 		return &mistake{"callers.max_body_bytes", errors.New("must be above 0")}
 	}
+	if s.Callers.MaxBodiesBytes < s.Callers.MaxBodyBytes {
+		return &mistake{"callers.max_bodies_bytes", errors.New("must be at least max_body_bytes")}
+	}
 	if s.Log.Format != "json" && s.Log.Format != "text" {
 		return &mistake{"log.format", errors.New("must be \"json\" or \"text\"")}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -26,7 +26,7 @@
 	if want := defaults().Log; !reflect.DeepEqual(s.Log, want) {
 		t.Errorf("log is %+v, want the defaults %+v", s.Log, want)
 	}
-	if s.Callers.MaxBodyBytes != defaultMaxBodyBytes || s.Platform.WritesPerSecond != defaultWritesPerSecond || s.Platform.ReadsPerSecond != defaultReadsPerSecond {
+	if s.Callers.MaxBodyBytes != defaultMaxBodyBytes || s.Callers.MaxBodiesBytes != defaultMaxBodiesBytes || s.Platform.WritesPerSecond != defaultWritesPerSecond || s.Platform.ReadsPerSecond != defaultReadsPerSecond {
 		t.Error("a number in the sample is not the default")
 	}
 }
@@ -36,21 +36,22 @@
 		{`"name": "e1",`, ``, "line 4, column 11: host.name: must be set"},
 		{`"region": "nordeste"`, `"regio": "nordeste"`, "line 7, column 5: host.regio: unknown field"},
 		{`"127.0.0.1:8080"`, `"localhost:8080"`, `line 12, column 15: callers.listen: ParseAddr("localhost"): unable to parse IP`},
-		{`"127.0.0.1:7000"`, `"0.0.0.0:7000"`, "line 20, column 15: peers.listen: other hosts are told this address, so it can't be unspecified"},
-		{`"tls": {"cert_file": "", "key_file": ""}`, `"tls": {"cert_file": "a", "key_file": ""}`, "line 15, column 12: callers.tls: cert_file and key_file go together"},
+		{`"127.0.0.1:7000"`, `"0.0.0.0:7000"`, "line 21, column 15: peers.listen: other hosts are told this address, so it can't be unspecified"},
+		{`"tls": {"cert_file": "", "key_file": ""}`, `"tls": {"cert_file": "a", "key_file": ""}`, "line 16, column 12: callers.tls: cert_file and key_file go together"},
 		{`"key_file": "", "ca_file": ""},
   },
 
   // Adm`, `"key_file": "", "ca_file": "x"},
   },
 
-  // Adm`, "line 25, column 57: peers.tls.ca_file: needs cert_file and key_file"},
-		{`2bb80d5`, `2bb`, "line 36, column 19: operators.tokens[0].sha256: must be 64 hexadecimal digits"},
-		{`"writes_per_second": 15`, `"writes_per_second": 0`, "line 46, column 26: platform.writes_per_second: must be above 0"},
-		{`"format": "text"`, `"format": "xml"`, `line 51, column 15: log.format: must be "json" or "text"`},
-		{`"level": "INFO"`, `"level": "LOUD"`, `line 52, column 14: log.level: slog: level string "LOUD": unknown name`},
-		{`"balancer_delay": "2s"`, `"balancer_delay": "2"`, `line 56, column 23: timing.balancer_delay: "2" is not a duration such as "30s"`},
-		{`"frame_gap": "1s"`, `"frame_gap": "-2s"`, `line 59, column 18: timing.frame_gap: must be above 0`},
+  // Adm`, "line 26, column 57: peers.tls.ca_file: needs cert_file and key_file"},
+		{`2bb80d5`, `2bb`, "line 37, column 19: operators.tokens[0].sha256: must be 64 hexadecimal digits"},
+		{`"writes_per_second": 15`, `"writes_per_second": 0`, "line 47, column 26: platform.writes_per_second: must be above 0"},
+		{`"max_bodies_bytes": 536870912`, `"max_bodies_bytes": 1`, "line 14, column 25: callers.max_bodies_bytes: must be at least max_body_bytes"},
+		{`"format": "text"`, `"format": "xml"`, `line 52, column 15: log.format: must be "json" or "text"`},
+		{`"level": "INFO"`, `"level": "LOUD"`, `line 53, column 14: log.level: slog: level string "LOUD": unknown name`},
+		{`"balancer_delay": "2s"`, `"balancer_delay": "2"`, `line 57, column 23: timing.balancer_delay: "2" is not a duration such as "30s"`},
+		{`"frame_gap": "1s"`, `"frame_gap": "-2s"`, `line 60, column 18: timing.frame_gap: must be above 0`},
 	}
 	for _, tc := range tests {
 		t.Run(tc.new, func(t *testing.T) {
@@ -88,7 +89,7 @@
 
 func TestOperatorWithCertificateNeedsNoToken(t *testing.T) {
 	source := strings.Replace(sample(t), `"sha256": "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",`, ``, 1)
-	want := "line 34, column 7: operators.tokens[0].sha256: must be 64 hexadecimal digits"
+	want := "line 35, column 7: operators.tokens[0].sha256: must be 64 hexadecimal digits"
 	if _, err := Parse([]byte(source)); err == nil || err.Error() != want {
 		t.Errorf("got  %v\nwant %s", err, want)
 	}
