--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -212,7 +212,8 @@
 	s := h.Settings
 	h.entry = &entry.Server{
 		Host: h.self, Configuration: h, Prompts: h.dispatcher, Services: h,
-		MaxBodyBytes: s.Callers.MaxBodyBytes, Metrics: h.metrics.Scope, Log: h.Log,
+		MaxBodyBytes: s.Callers.MaxBodyBytes, MaxBodiesBytes: s.Callers.MaxBodiesBytes,
+		Metrics: h.metrics.Scope, Log: h.Log,
 	}
 	h.callers = newHTTPServer(h.entry.Handler())
 	operators := make([]admin.Operator, len(s.Operators.Tokens))
