--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -40,14 +41,20 @@
 	order    *order.Request
 	answer   service.Answer
 	replayed bool
+	during   func() // called while a prompt runs
+	delivery error  // of a piece that the caller did not take
 }
 
 func (b *backend) Document() *document.Document { return b.document }
 
 func (b *backend) Run(_ context.Context, job *dispatch.Job, sink dispatch.Sink) (dispatch.Answer, error) {
 	b.job = job
+	if b.during != nil {
+		b.during()
+	}
 	for _, p := range b.pieces {
 		if err := sink.Deliver(p); err != nil {
+			b.delivery = err
 			return dispatch.Answer{}, err
 		}
 	}
@@ -146,6 +153,7 @@
 	}{
 		{"bad JSON", prompt(`{"model":`), 400, outcome.KindBadRequest, "not JSON at byte 9: unexpected end of JSON input"},
 		{"unknown model", prompt(strings.Replace(hello, `"m"`, `"x"`, 1)), 404, outcome.KindNotFound, `model: unknown model "x"`},
+		{"unknown adapter", prompt(`{"adapter":"a",` + hello[1:]), 404, outcome.KindNotFound, `adapter: the model has no adapter "a"`},
 		{"too long", prompt(long), 413, outcome.KindTooLong, "messages: about 252 tokens are over the model's 200"},
 		{"too much output", prompt(`{"max_tokens":101,` + hello[1:]), 400, outcome.KindBadRequest, "max_tokens: over the model's 100"},
 		{"oversized body", prompt(strings.Repeat(" ", maxBody+1)), 413, outcome.KindTooLarge, "the body is over 4096 bytes"},
@@ -159,6 +167,7 @@
 		{"unknown key", prompt(hello, HeaderWorkspace, "", "Authorization", "Bearer x"), 401, outcome.KindUnauthorized, "unknown bearer key"},
 		{"unknown service", request{"GET", "/v1/services/x/y", "", nil}, 404, outcome.KindNotFound, `unknown service "x"`},
 		{"key too long", request{"POST", "/v1/services/orders/orders", "", map[string]string{HeaderKey: strings.Repeat("k", 256)}}, 400, outcome.KindBadRequest, "Idempotency-Key is over 255 bytes"},
+		{"resend", request{"POST", "/v1/services/orders/orders", "", map[string]string{HeaderResend: "1"}}, 400, outcome.KindBadRequest, `Turmericshunt-Resend must be true or false, not "1"`},
 		{"unknown path", request{"GET", "/v2", "", nil}, 404, outcome.KindNotFound, "Not Found"},
 		{"wrong method", request{"GET", "/v1/chat/completions", "", nil}, 405, outcome.KindMethod, "Method Not Allowed"},
 		{"unknown model by path", request{"GET", "/v1/models/x", "", nil}, 404, outcome.KindNotFound, `unknown model "x"`},
@@ -171,6 +180,9 @@
 			if resp.StatusCode != tc.status || f.Kind != tc.kind || f.Message != tc.message {
 				t.Errorf("got %d %s %q", resp.StatusCode, f.Kind, f.Message)
 			}
+			if field, _, ok := strings.Cut(tc.message, ": "); ok && !strings.Contains(field, " ") && field != HeaderWorkspace && f.Param != field {
+				t.Errorf("param is %q", f.Param)
+			}
 			if told := resp.Header.Get(outcome.Header); told != string(outcome.NotRun) || f.Outcome != outcome.NotRun {
 				t.Errorf("outcome is %q and %q", told, f.Outcome)
 			}
@@ -346,8 +358,8 @@
 	}
 	b := newBackend()
 	b.replayed = true
-	resp := send(t, b, request{"POST", "/v1/services/orders/orders", "{}", map[string]string{HeaderKey: "k"}})
-	if b.order.Key != "k" || b.order.Workspace != "open" || resp.Header.Get(HeaderReplayed) != "true" {
+	resp := send(t, b, request{"POST", "/v1/services/orders/orders", "{}", map[string]string{HeaderKey: "k", HeaderResend: "true"}})
+	if b.order.Key != "k" || !b.order.Resend || b.order.Workspace != "open" || resp.Header.Get(HeaderReplayed) != "true" {
 		t.Errorf("got %+v, %v", b.order, resp.Header)
 	}
 	b.err = &outcome.Error{Op: "order", Kind: outcome.KindOutcomeUnknown, Outcome: outcome.Unknown}
@@ -450,3 +462,51 @@
 	}
 	return nil
 }
+
+// A connection whose peer reads nothing.
+type stuckWriter struct{ boundedWriter }
+
+func (w *stuckWriter) Write([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+func TestCallerStopsReading(t *testing.T) {
+	b := newBackend()
+	w := &stuckWriter{boundedWriter{ResponseRecorder: httptest.NewRecorder()}}
+	q := streamed("")
+	r := httptest.NewRequest(q.method, q.path, strings.NewReader(q.body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(HeaderWorkspace, "open")
+	newServer(b).Handler().ServeHTTP(w, r)
+	if !errors.Is(b.delivery, os.ErrDeadlineExceeded) {
+		t.Errorf("the request was told %v", b.delivery)
+	}
+}
+
+func TestBodiesUnderWayAreBounded(t *testing.T) {
+	b := newBackend()
+	server := newServer(b)
+	server.MaxBodiesBytes = int64(len(hello)) + 10
+	post := func() *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(hello))
+		r.Header.Set("Content-Type", "application/json")
+		r.Header.Set(HeaderWorkspace, "open")
+		w := httptest.NewRecorder()
+		server.Handler().ServeHTTP(w, r)
+		return w
+	}
+	var inner *httptest.ResponseRecorder
+	b.during = func() {
+		b.during = nil
+		inner = post()
+	}
+	if outer := post(); outer.Code != http.StatusOK {
+		t.Errorf("the first request got %d", outer.Code)
+	}
+	if inner.Code != http.StatusServiceUnavailable || inner.Header().Get(headerRetry) != "1" || inner.Header().Get(outcome.Header) != "not_run" {
+		t.Errorf("a request during the first got %d, %v", inner.Code, inner.Header())
+	}
+	b.panics = true
+	post()
+	if left := server.bodies.Load(); left != 0 {
+		t.Errorf("%d bytes stay reserved", left)
+	}
+}
