--- a/internal/bench/drive/host.go
+++ b/internal/bench/drive/host.go
@@ -32,6 +32,9 @@
 	over       bool
 	spread     *spread
 	part       int
+	tokens     int64 // of the part
+	bytes      int64
+	before     int64     // tokens of the parts before it
 	decidedAt  time.Time // by the last scheduler that answered
 }
 
@@ -114,7 +117,11 @@
 		return
 	}
 	if r.Policy != routing.PolicyScheduled {
-		r.submit(a, r.byName[a.candidates[0].Server], protocol.Grant{})
+		g := protocol.Grant{}
+		if r.Prioritize {
+			g.Priority = int(Lengths - a.req.length)
+		}
+		r.submit(a, r.byName[a.candidates[0].Server], g)
 		return
 	}
 	r.askNext(a)
