host, order, cli: take in what the parts ask of their shells

Change: schedulers are told their failure domain's rows each second; probes have the context of the run; sendings under way count as maybe sent; config get writes the revision into the first line and apply needs it. Ruled out for the order test: weakening it; its stub asked the asker itself, which the interface excludes.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/turmericshunt/turmericshunt/internal/document"
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
 	"github.com/turmericshunt/turmericshunt/pkg/adminapi"
 	"github.com/turmericshunt/turmericshunt/pkg/adminclient"
@@ -42,7 +43,8 @@
 		Use:   "apply section file",
 		Short: "Changes a section and may wait until the change is in force on each host",
 		Long: `Changes a section. The change is refused, with the difference, if another change of the same
-section came after the revision that it is based on (--base, by default the one now in force).
+section came after the revision that the file started from: the one in its first line, which
+"config get" writes, or --base. A section that is not there yet needs neither.
 A change without an answer is sent again under the same id, which never changes the section twice.
 With --wait it ends when each live host has the change in force, and otherwise names those that lag.`,
 		Example: "  turmericshunt config apply workspaces workspaces.jsonc --reason 'new customer' --wait 10s",
@@ -72,22 +74,31 @@
 	f := cmd.Flags()
 	f.StringVar(&change.Reason, "reason", "", "why, for the audit trail (required)")
 	f.StringVar(&change.ID, "id", "", "id of the change, made when absent; repeating a change with its id is harmless")
-	f.Int64Var(&base, "base", -1, "revision of the section that the file started from; -1 means the one in force")
+	f.Int64Var(&base, "base", -1, "revision of the section that the file started from; -1 takes it from the file's first line")
 	f.DurationVar(&wait, "wait", defaultWait, "how long to wait until it is in force on each host; 0 does not wait")
 	_ = cmd.MarkFlagRequired("reason")
 	return cmd
 }
 
+// Finds the revision that a change is based on. The one in force is never taken for it, since another team's change may
+// have come after the file was written.
 func setBase(ctx context.Context, client *adminclient.Client, section string, base int64, change *adminapi.Change) error {
 	if base >= 0 {
 		change.Base = uint64(base)
 		return nil
 	}
+	if named, revision, ok := document.Base([]byte(change.Body)); ok && string(named) == section {
+		change.Base = revision
+		return nil
+	}
 	current, err := client.Section(ctx, section)
 	if err != nil {
 		return callError("apply "+section, err)
 	}
-	change.Base = current.Revision
+	if current.Revision != 0 {
+		return &Error{Op: "apply " + section, Kind: KindUsage, Err: errors.New(
+			"the file does not tell which revision it started from; begin with \"config get\", or give --base")}
+	}
 	return nil
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -126,7 +126,7 @@
 	return file
 }
 
-const services = `[{"name": "orders"}, /* new */ {"name": "stock", "deadline": "2s"}]`
+const services = "// section services, revision 3\n" + `[{"name": "orders"}, /* new */ {"name": "stock", "deadline": "2s"}]`
 
 func TestOutputs(t *testing.T) {
 	file := write(t, services)
@@ -181,6 +181,7 @@
 		{"missing argument", nil, []string{"config", "diff", "services"}, ExitUsage, "accepts 2 arg(s), received 1"},
 		{"output", nil, []string{"status", "-o", "xml"}, ExitUsage, `--output must be json or table, not "xml"`},
 		{"key file", nil, []string{"status", "--ca-file", "absent"}, ExitUsage, "open absent: no such file"},
+		{"no base", nil, []string{"config", "apply", "services", write(t, "[]"), "--reason", "r"}, ExitUsage, "the file does not tell which revision it started from"},
 		{"no reason", nil, apply[:4], ExitUsage, `required flag(s) "reason" not set`},
 		{"absent file", nil, []string{"config", "diff", "services", "absent"}, ExitUsage, "open absent: no such file"},
 		{"unknown section", nil, []string{"config", "diff", "x", file}, ExitInvalid, "x"},
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -49,7 +49,10 @@
 			if err != nil {
 				return callError("get "+args[0], err)
 			}
-			return c.print(cmd.OutOrStdout(), section, func(w io.Writer) { fmt.Fprintln(w, section.Body) })
+			return c.print(cmd.OutOrStdout(), section, func(w io.Writer) {
+				fmt.Fprintln(w, document.Header(document.Section(section.Section), section.Revision))
+				fmt.Fprintln(w, section.Body)
+			})
 		},
 	}
 }
--- a/internal/heartbeat/exchange.go
+++ b/internal/heartbeat/exchange.go
@@ -43,6 +43,7 @@
 	revision uint64
 	wake     chan struct{}
 	once     sync.Once
+	running  context.Context // of Run; nil before
 	probing  sync.WaitGroup
 }
 
@@ -51,8 +52,11 @@
 // Run probes other hosts, the seeds first, until ctx ends.
 func (e *Exchange) Run(ctx context.Context, seeds []netip.AddrPort) error {
 	e.init()
+	e.mu.Lock()
+	e.running = ctx
+	e.mu.Unlock()
 	defer e.probing.Wait()
-	e.update(ctx, func(now time.Time) []member.Action { return e.Members.Join(now, seeds) })
+	e.update(func(now time.Time) []member.Action { return e.Members.Join(now, seeds) })
 	for {
 		timer := time.NewTimer(e.untilTick())
 		select {
@@ -64,21 +68,21 @@
 			continue
 		case <-timer.C:
 		}
-		e.update(ctx, e.Members.Tick)
+		e.update(e.Members.Tick)
 	}
 }
 
 // Hint takes in the platform's host list.
 func (e *Exchange) Hint(hosts []platformapi.Host) {
-	e.update(context.Background(), func(now time.Time) []member.Action {
+	e.update(func(now time.Time) []member.Action {
 		e.Members.Hint(now, hosts)
 		return nil
 	})
 }
 
 // Leave tells the other hosts that this one takes no roles any more.
-func (e *Exchange) Leave(ctx context.Context) {
-	e.update(ctx, e.Members.Leave)
+func (e *Exchange) Leave() {
+	e.update(e.Members.Leave)
 }
 
 // Announce sends a host this host's news outside the turn of probes; a lost one is made up for by the next probe.
@@ -111,7 +115,7 @@
 	e.News.Take(p)
 	var ack protocol.Ack
 	var relay *member.Action
-	e.update(ctx, func(now time.Time) []member.Action {
+	e.update(func(now time.Time) []member.Action {
 		var actions []member.Action
 		ack, actions = e.Members.Probed(now, p)
 		return slices.DeleteFunc(actions, func(a member.Action) bool {
@@ -141,17 +145,22 @@
 }
 
 // Runs one step of the decisions and carries out its actions.
-func (e *Exchange) update(ctx context.Context, step func(now time.Time) []member.Action) {
+func (e *Exchange) update(step func(now time.Time) []member.Action) {
 	e.init()
 	e.mu.Lock()
 	actions := step(time.Now())
 	revision := e.Members.Revision()
 	changed := revision != e.revision
 	e.revision = revision
+	ctx := e.running
 	e.mu.Unlock()
 	if changed && e.Changed != nil {
 		e.Changed()
 	}
+	// Probes outlive the message or call that led to them.
+	if ctx == nil {
+		ctx = context.Background()
+	}
 	for _, a := range actions {
 		e.probing.Go(func() { _ = e.probe(ctx, a) })
 	}
@@ -170,10 +179,10 @@
 	answer, err := e.Peers.Call(call, a.To.Address, &protocol.Message{Probe: &probe})
 	if err != nil || answer.Ack == nil {
 		e.Metrics.Counter("probes_failed").Inc(1)
-		e.update(ctx, func(now time.Time) []member.Action { return e.Members.Failed(now, a) })
+		e.update(func(now time.Time) []member.Action { return e.Members.Failed(now, a) })
 		return false
 	}
 	e.News.TakeAck(answer.Ack)
-	e.update(ctx, func(now time.Time) []member.Action { return e.Members.Acked(now, answer.Ack, a) })
+	e.update(func(now time.Time) []member.Action { return e.Members.Acked(now, answer.Ack, a) })
 	return answer.Ack.OK
 }
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -28,13 +28,16 @@
 
 const releaseTimeout = 2 * time.Second
 
+// Usage rows reach all hosts of a failure domain within this time, since they take turns.
+const usageSpread = 14 * time.Second
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (h *Host) buildMembers() {
 	interval := time.Duration(h.Settings.Timing.ProbeInterval)
 	h.fleet = &fleet.Table{}
 	h.suspects = &suspect.Ledger{Host: h.self.Name}
-	h.quota = &quota.Limiter{Host: h.self.Name, Incarnation: h.self.Incarnation, Hosts: 1}
+	h.quota = &quota.Limiter{Host: h.self.Name, Incarnation: h.self.Incarnation, Hosts: 1, Spread: usageSpread}
 	h.news = &news{host: h}
 	h.members = &heartbeat.Exchange{
 		Members: &member.List{Self: h.self, Rand: newRand(), ProbeInterval: interval},
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -19,7 +19,7 @@
 	time.Sleep(time.Duration(h.Settings.Timing.BalancerDelay))
 	limit, cancel := context.WithTimeout(context.Background(), time.Duration(h.Settings.Timing.StopTimeout))
 	defer cancel()
-	h.members.Leave(limit)
+	h.members.Leave()
 	h.duties.notify()
 	if err := h.callers.Shutdown(limit); err != nil {
 		h.Log.Warn("streams cut at the stop's timeout", "active_requests", h.entry.Active())
--- a/internal/host/views.go
+++ b/internal/host/views.go
@@ -16,6 +16,9 @@
 // Rows that have come in are published after this time at most.
 const viewInterval = 100 * time.Millisecond
 
+// The schedulers are told the rows of their failure domain after this time.
+const domainInterval = time.Second
+
 // Publishes views of the backend servers: the servers with their schedulers change with the membership and the host
 // list, their rows all the time.
 type views struct {
@@ -27,14 +30,19 @@
 }
 
 func (v *views) run(ctx context.Context) error {
-	ticker := time.NewTicker(viewInterval)
-	defer ticker.Stop()
+	views := time.NewTicker(viewInterval)
+	defer views.Stop()
+	domains := time.NewTicker(domainInterval)
+	defer domains.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-views.C:
 			v.refresh()
+		case <-domains.C:
+			rows, _ := v.host.news.all()
+			v.host.schedulers.Domain(rows)
 		}
 	}
 }
--- a/internal/order/history_test.go
+++ b/internal/order/history_test.go
@@ -85,6 +85,7 @@
 type peers struct {
 	hosts *[]*mortal
 	cut   *atomic.Bool
+	asker *mortal
 }
 
 func (p peers) Running(_ context.Context, id protocol.AttemptID) (bool, error) {
@@ -100,7 +101,7 @@
 	if p.cut.Load() {
 		return false, errors.New("unreachable")
 	}
-	return slices.ContainsFunc(*p.hosts, func(h *mortal) bool { return !h.dead.Load() && h.Sent(key) }), nil
+	return slices.ContainsFunc(*p.hosts, func(h *mortal) bool { return h != p.asker && !h.dead.Load() && h.Sent(key) }), nil
 }
 
 // trial says how a history is made; blind and alone switch protections off.
@@ -118,7 +119,7 @@
 	for i := range historyHosts {
 		m := &mortal{blind: tr.blind, services: &services{answer: flaky(seed, i)}}
 		m.Runner = newRunner(fmt.Sprintf("e%d", i), p, m, owners{})
-		m.store, m.Store, m.Owners, m.Peers = m.Store, m, peers{&hosts, cut}, peers{&hosts, cut}
+		m.store, m.Store, m.Owners, m.Peers = m.Store, m, peers{&hosts, cut, m}, peers{&hosts, cut, m}
 		if tr.alone {
 			m.Peers = nil
 		}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -42,8 +42,17 @@
 	return o[id.Host].Running(id), nil
 }
 
-func (o owners) Sent(_ context.Context, key string) (bool, error) {
-	for _, r := range o {
+// others are the runners of the same test but for the one that asks.
+type others struct {
+	owners
+	asker string
+}
+
+func (o others) Sent(_ context.Context, key string) (bool, error) {
+	for host, r := range o.owners {
+		if host == o.asker {
+			continue
+		}
 		if r == nil {
 			return false, errors.New("unreachable")
 		}
@@ -60,7 +69,7 @@
 			Endpoint: netip.MustParseAddrPort("127.0.0.1:1"), Host: host,
 			HTTP: &http.Client{Transport: &standin.InProcess{Server: p}},
 		},
-		Services: s, Owners: o, Peers: o, Host: protocol.Host{Name: host, Incarnation: 1},
+		Services: s, Owners: o, Peers: others{o, host}, Host: protocol.Host{Name: host, Incarnation: 1},
 	}
 	o[host] = r
 	return r
@@ -226,7 +235,7 @@
 				r := newRunner("e1", p, s, o)
 				newRunner("e2", p, s, o)
 				if tt.host == "e3" {
-					newRunner("e3", p, s, o).Peers = owners{"e2": nil}
+					newRunner("e3", p, s, o).Peers = others{owners{"e2": nil}, "e3"}
 				}
 				_, _ = r.Do(t.Context(), request("k", "b"))
 				if got := told(r.Do(t.Context(), request("k", "c"))); got != "idempotency_key_reused not_run" {
@@ -267,3 +276,24 @@
 		}
 	})
 }
+
+// A sending that waits for the store may yet run, so that another one of the key must not be told that nothing ran.
+func TestSentCountsSendingsUnderWay(t *testing.T) {
+	r := newRunner("e1", &standin.Server{}, &services{}, owners{})
+	r.init()
+	first, second := r.newTask(t.Context(), request("k", "b")), r.newTask(t.Context(), request("k", "b"))
+	for _, task := range []*task{first, second} {
+		if r.sentByOthers(task.key) {
+			t.Error("the only sending counts as another one")
+		}
+		r.begin(task)
+	}
+	if !r.Sent(first.key) || !r.sentByOthers(first.key) {
+		t.Error("a sending under way does not count")
+	}
+	r.end(first)
+	r.end(second)
+	if r.Sent(first.key) {
+		t.Error("a sending that has ended without a dispatch counts")
+	}
+}
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -95,6 +95,7 @@
 	mu       sync.Mutex // guards the fields below; never held over I/O
 	stopping bool
 	running  map[claim.Owner]bool
+	pending  map[string]int // sendings under way by claim key
 	sent     sentKeys
 }
 
@@ -117,16 +118,26 @@
 
 // Running reports whether this host still works on an attempt, so that its claim may yet change.
 func (r *Runner) Running(id protocol.AttemptID) bool {
+	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.running[claim.OwnerOf(id)]
 }
 
-// Sent reports whether this host has sent the request of a claim's key to a service, as far as it remembers.
+// Sent reports whether this host has sent the request of a claim's key to a service, as far as it remembers, or has a
+// sending of it under way, which may yet send it.
 func (r *Runner) Sent(key string) bool {
+	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sent.count[key] > 0
+	return r.sent.count[key] > 0 || r.pending[key] > 0
+}
+
+// sentByOthers is Sent without the sending that asks.
+func (r *Runner) sentByOthers(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent.count[key] > 0 || r.pending[key] > 1
 }
 
 // Stop refuses new requests and waits until the outcomes of the others are written, or returns ctx's error.
@@ -170,6 +181,7 @@
 			r.LateAnswers = defaultLateAnswers
 		}
 		r.running = make(map[claim.Owner]bool)
+		r.pending = make(map[string]int)
 		r.leases = leases{store: r.Store, retention: r.Retention, now: r.Now, turn: make(chan struct{}, 1)}
 	})
 }
@@ -191,6 +203,7 @@
 		return false
 	}
 	r.running[t.machine.Owner] = true
+	r.pending[t.key]++
 	r.tasks.Add(1)
 	return true
 }
@@ -199,6 +212,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.running, t.machine.Owner)
+	if r.pending[t.key]--; r.pending[t.key] == 0 {
+		delete(r.pending, t.key)
+	}
 	r.tasks.Done()
 }
 
--- a/internal/order/task.go
+++ b/internal/order/task.go
@@ -102,7 +102,7 @@
 	if t.machine.Dispatched() || t.request.NewKey || k == outcome.KindKeyReused {
 		return false // the store told that no earlier sending of this request runs
 	}
-	return t.request.Resend || r.Sent(t.key) || r.maybeSentElsewhere(t)
+	return t.request.Resend || r.sentByOthers(t.key) || r.maybeSentElsewhere(t)
 }
 
 // maybeSentElsewhere asks the other hosts; one that is not reached may have sent the request.
--- a/internal/proofs/cluster_test.go
+++ b/internal/proofs/cluster_test.go
@@ -256,10 +256,15 @@
 
 // apply changes a section at an entry host.
 func (c *cluster) apply(e *entryHost, section, file string) (string, error) {
+	return c.config(e, "apply", section, file, "--reason", "proof", "--wait", "0s")
+}
+
+// config runs a command of the configuration at an entry host.
+func (c *cluster) config(e *entryHost, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), applyTime)
 	defer cancel()
-	out, err := exec.CommandContext(ctx, filepath.Join(binaries, "turmericshunt"), "config", "apply", section, file,
-		"--address", "http://"+e.operators.String(), "--reason", "proof", "--wait", "0s").CombinedOutput()
+	args = append([]string{"config", "--address", "http://" + e.operators.String()}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(binaries, "turmericshunt"), args...).CombinedOutput()
 	return string(out), err
 }
 
--- a/internal/proofs/platform_test.go
+++ b/internal/proofs/platform_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -55,7 +56,12 @@
 // change accepts a change of the workspaces and returns its revision.
 func (c *cluster) change(at *entryHost, share int) (uint64, error) {
 	file := filepath.Join(c.dir, "workspaces.jsonc")
-	body := fmt.Sprintf(`[{"name": "fundiquote", "share": %d, "tokens_per_minute": 0, "max_in_flight": 0}]`, share)
+	base, err := c.config(at, "get", "workspaces")
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s", err, base)
+	}
+	header, _, _ := strings.Cut(base, "\n")
+	body := fmt.Sprintf(header+"\n"+`[{"name": "fundiquote", "share": %d, "tokens_per_minute": 0, "max_in_flight": 0}]`, share)
 	if err := os.WriteFile(file, []byte(body), 0o600); err != nil {
 		return 0, err
 	}
--- a/internal/scheduler/runner.go
+++ b/internal/scheduler/runner.go
@@ -44,6 +44,7 @@
 	r.update(func(time.Time) []grant.Decision {
 		r.decide.SetWorkspaces(d.Workspaces)
 		r.decide.SetScheduling(d.Scheduling)
+		r.decide.SetEngines(d.Engines)
 		return nil
 	})
 }
--- a/internal/scheduler/set.go
+++ b/internal/scheduler/set.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// Domain tells the schedulers the rows of all backend servers of the failure domain.
+func (s *Set) Domain(rows []protocol.Row) {
+	for _, r := range s.list() {
+		r.update(func(now time.Time) []grant.Decision { return r.decide.Domain(now, rows) })
+	}
+}
+
 // Rows summarizes the owned backend servers.
 func (s *Set) Rows() []protocol.Row {
 	owned := s.list()
