--- a/internal/dispatch/obtain.go
+++ b/internal/dispatch/obtain.go
@@ -22,6 +22,8 @@
 
 // Obtains a grant; a suspect waits within its time until a backend server runs no other one.
 func (r *run) obtain(ctx context.Context) (*holding, *retry.Failure) {
+	began := time.Now()
+	defer func() { r.d.Metrics.Timer("queue_wait").Record(time.Since(began)) }()
 	for {
 		h, failure := r.obtainOnce(ctx)
 		if failure == nil || failure.Grant != protocol.RefusalSuspect || time.Until(r.job.Deadline) < apartInterval {
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -17,6 +17,7 @@
 	ownerTimeout     = time.Second
 	refreshPeriod    = time.Second
 	suspicionTimeout = time.Second
+	maxToldOfCrash   = 40 // hosts
 	refreshTimeout   = 500 * time.Millisecond
 )
 
@@ -138,9 +139,14 @@
 	return false, errors.Errorf("host %s is not a member", id.Host)
 }
 
-// TellSuspicions sends the suspicions to all hosts of the failure domain without waiting for the next probes.
+// TellSuspicions sends the suspicions to other hosts without waiting for the next probes: to all of a small fleet, and
+// otherwise to those of the failure domain.
 func (h *Host) TellSuspicions() {
-	for _, x := range others(inDomain(h.members.Alive(), h.self.FailureDomain), h.self.Name) {
+	told := others(h.members.Alive(), h.self.Name)
+	if len(told) > maxToldOfCrash {
+		told = inDomain(told, h.self.FailureDomain)
+	}
+	for _, x := range told {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), suspicionTimeout)
 			defer cancel()
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/fleet"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/pkg/adminapi"
+	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
 const versionTimeout = time.Second
@@ -73,18 +76,31 @@
 	return adminapi.HostVersion{Host: h.self.Name, FailureDomain: h.self.FailureDomain, Revision: v.Revision, Digest: v.Digest}
 }
 
-// Versions asks all live hosts for the configuration that they have in force.
+// Versions asks all live hosts, and those that the platform lists, for the configuration that they have in force.
 func (h *Host) Versions(ctx context.Context) []adminapi.HostVersion {
-	alive := h.members.Alive()
-	versions := make([]adminapi.HostVersion, len(alive))
+	hosts := withListed(h.members.Alive(), h.inventory.Hosts())
+	versions := make([]adminapi.HostVersion, len(hosts))
 	var asking sync.WaitGroup
-	for i, x := range alive {
+	for i, x := range hosts {
 		asking.Go(func() { versions[i] = h.versionOf(ctx, x) })
 	}
 	asking.Wait()
 	return versions
 }
 
+// Adds the entry hosts of the platform's list that are not among the live ones.
+func withListed(alive []protocol.Host, listed []platformapi.Host) []protocol.Host {
+	hosts := slices.Clone(alive)
+	for _, x := range listed {
+		known := slices.ContainsFunc(alive, func(a protocol.Host) bool { return a.Name == x.Name })
+		if x.Kind == platformapi.KindEntry && !x.Leaving && !known {
+			hosts = append(hosts, protocol.Host{Name: x.Name, Address: x.Address, FailureDomain: x.FailureDomain, Region: x.Region})
+		}
+	}
+	slices.SortFunc(hosts, func(a, b protocol.Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
+}
+
 func (h *Host) versionOf(ctx context.Context, x protocol.Host) adminapi.HostVersion {
 	if x.Name == h.self.Name {
 		return h.ownVersion()
--- a/internal/summary/aggregate.go
+++ b/internal/summary/aggregate.go
@@ -7,6 +7,9 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 )
 
+// A host passes the aggregate of another failure domain on after this time.
+const aggregateInterval = time.Second
+
 // PostAggregates takes in aggregates of other failure domains; older ones are dropped.
 func (b *Board) PostAggregates(now time.Time, aggregates []protocol.Aggregate) {
 	for _, a := range aggregates {
@@ -19,7 +22,7 @@
 		case i < 0:
 			b.remote = append(b.remote, remote{aggregate: a, made: made})
 		case made.After(b.remote[i].made):
-			b.remote[i] = remote{aggregate: a, made: made}
+			b.remote[i].aggregate, b.remote[i].made = a, made
 		}
 	}
 }
@@ -35,13 +38,18 @@
 	return aggregates
 }
 
-// PickAggregates returns at most limit aggregates of other failure domains to pass on, in turn.
+// PickAggregates returns at most limit aggregates of other failure domains to pass on, each after an interval only.
 func (b *Board) PickAggregates(now time.Time, limit int) []protocol.Aggregate {
-	all := b.RemoteAggregates(now)
-	picked := make([]protocol.Aggregate, 0, limit)
-	for range min(limit, len(all)) {
-		b.turn = (b.turn + 1) % len(all)
-		picked = append(picked, all[b.turn])
+	var picked []protocol.Aggregate
+	for i := range b.remote {
+		r := &b.remote[i]
+		if len(picked) == limit || now.Sub(r.picked) < aggregateInterval {
+			continue
+		}
+		r.picked = now
+		a := r.aggregate
+		a.Age = now.Sub(r.made)
+		picked = append(picked, a)
 	}
 	return picked
 }
@@ -49,4 +57,5 @@
 type remote struct {
 	aggregate protocol.Aggregate
 	made      time.Time
+	picked    time.Time
 }
--- a/internal/summary/board.go
+++ b/internal/summary/board.go
@@ -43,7 +43,6 @@
 	remote []remote
 
 	version uint64
-	turn    int // of the aggregates that are passed on
 }
 
 type note struct {
--- a/internal/summary/board_test.go
+++ b/internal/summary/board_test.go
@@ -62,6 +62,10 @@
 	if len(kept) != 2 || kept[0].Servers != 2 {
 		t.Errorf("an older aggregate replaced a newer one: %+v", kept)
 	}
+	picked := len(b.PickAggregates(now, 1)) + len(b.PickAggregates(now, 1)) + len(b.PickAggregates(now, 1))
+	if again := len(b.PickAggregates(now.Add(aggregateInterval), 1)); picked != 2 || again != 1 {
+		t.Errorf("%d aggregates passed on at first, %d after the interval", picked, again)
+	}
 	if kept := b.RemoteAggregates(now.Add(2 * forgetAfter)); len(kept) != 0 {
 		t.Errorf("%d aggregates are kept for good", len(kept))
 	}
