--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -28,6 +28,9 @@
 
 const releaseTimeout = 2 * time.Second
 
+// The engines' states are compared with the configuration after this time.
+const controlInterval = 3 * time.Second
+
 // Usage rows reach all hosts of a failure domain within this time, since they take turns.
 const usageSpread = 14 * time.Second
 
@@ -71,7 +74,7 @@
 func (h *Host) buildController() {
 	h.controller = &controller.Controller{
 		Store: h.platform, Engines: h.engines, Host: h.self, Domain: h.self.FailureDomain, Wanted: h.Document,
-		Servers: h.liveEngines, FailureDomains: h.failureDomains, Metrics: h.metrics.Scope, Log: h.Log,
+		Servers: h.liveEngines, FailureDomains: h.failureDomains, Interval: controlInterval, Metrics: h.metrics.Scope, Log: h.Log,
 	}
 }
 
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	maxUsagePerProbe      = 6
+	maxUsagePerProbe      = 2
 	maxAggregatesPerProbe = 1
 	pullTimeout           = 2 * time.Second
 )
--- a/internal/summary/aggregate.go
+++ b/internal/summary/aggregate.go
@@ -7,8 +7,11 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 )
 
-// A host passes the aggregate of another failure domain on after this time.
-const aggregateInterval = time.Second
+// A host passes the aggregate of another failure domain on after this time for each aggregate there is, so that their
+// bytes don't grow with the number of failure domains and models.
+const aggregateShare = 250 * time.Millisecond
+
+const minAggregateInterval = time.Second
 
 // PostAggregates takes in aggregates of other failure domains; older ones are dropped.
 func (b *Board) PostAggregates(now time.Time, aggregates []protocol.Aggregate) {
@@ -41,9 +44,10 @@
 // PickAggregates returns at most limit aggregates of other failure domains to pass on, each after an interval only.
 func (b *Board) PickAggregates(now time.Time, limit int) []protocol.Aggregate {
 	var picked []protocol.Aggregate
+	interval := max(minAggregateInterval, time.Duration(len(b.remote))*aggregateShare)
 	for i := range b.remote {
 		r := &b.remote[i]
-		if len(picked) == limit || now.Sub(r.picked) < aggregateInterval {
+		if len(picked) == limit || now.Sub(r.picked) < interval {
 			continue
 		}
 		r.picked = now
--- a/internal/summary/board_test.go
+++ b/internal/summary/board_test.go
@@ -63,7 +63,7 @@
 		t.Errorf("an older aggregate replaced a newer one: %+v", kept)
 	}
 	picked := len(b.PickAggregates(now, 1)) + len(b.PickAggregates(now, 1)) + len(b.PickAggregates(now, 1))
-	if again := len(b.PickAggregates(now.Add(aggregateInterval), 1)); picked != 2 || again != 1 {
+	if again := len(b.PickAggregates(now.Add(minAggregateInterval), 1)); picked != 2 || again != 1 {
 		t.Errorf("%d aggregates passed on at first, %d after the interval", picked, again)
 	}
 	if kept := b.RemoteAggregates(now.Add(2 * forgetAfter)); len(kept) != 0 {
