dispatch: take a backend server as gone when each new connection breaks

Cause: TestCrashingPrompt with engines back after 2 s: behind something that accepts connections for it, a dead engine's new connections break instead of being refused; the crash was not recorded and the prompt ran on. Ruled out: waiting longer, since nothing else was to come. Change: when the status question broke for its whole 500 ms the process counts as crashed.

--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -219,22 +219,27 @@
 	case err == nil:
 		f.ServerAlive = true
 	case !errors.As(err, &failure):
-	case failure.Kind == engine.KindConnect, failure.Kind == engine.KindNotFound && a.restarted(ctx):
+	case failure.Kind == engine.KindConnect, failure.Kind == engine.KindBroken,
+		failure.Kind == engine.KindNotFound && a.restarted(ctx):
 		f.Kind = retry.KindCrashed
 		a.run.d.Suspects.Crashed(time.Now(), a.server.Name)
 		a.run.d.Peers.TellSuspicions()
 	}
 }
 
-// A process that is ending resets new connections too, so that a broken one says nothing yet.
+// A process that is ending resets new connections too, and so does what stands before one that has ended; only if all
+// of them break for the whole time is the process taken to be gone.
 func (a *attempt) askStatus(ctx context.Context) error {
 	for {
 		_, err := a.run.d.Engines.Status(ctx, a.server, a.owner)
 		var failure *engine.Error
-		if !errors.As(err, &failure) || failure.Kind != engine.KindBroken || ctx.Err() != nil {
+		if !errors.As(err, &failure) || failure.Kind != engine.KindBroken {
 			return err
 		}
 		pause(ctx, statusInterval)
+		if ctx.Err() != nil {
+			return err
+		}
 	}
 }
 
