--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -55,29 +55,28 @@
 
 // Parse reads JSON with comments and trailing commas, or returns an *Error of KindSyntax.
 func Parse(source []byte) (*Text, error) {
-	root, err := hujson.Parse(bytes.Clone(source))
+	// The parser wants a line break after a closing comment.
+	root, err := hujson.Parse(append(bytes.Clone(source), '\n'))
 	if err != nil {
 		return nil, syntaxError(err)
 	}
 	return &Text{source: source, root: root}, nil
 }
 
-// Decode fills the struct that into points to and returns an *Error for an unknown, repeated or wrong field.
-func (t *Text) Decode(into any) error {
-	if err := t.check(&t.root, reflect.TypeOf(into).Elem(), ""); err != nil {
+// Decode fills what into points to and returns an *Error for an unknown, repeated or wrong field.
+func (t *Text) Decode(into any) error { return t.DecodeAt("", into) }
+
+// DecodeAt is Decode for a text that stands at a path of a larger one, which its errors tell.
+func (t *Text) DecodeAt(path string, into any) error {
+	if err := t.check(&t.root, reflect.TypeOf(into).Elem(), path); err != nil {
 		return err
 	}
 	plain := t.root.Clone()
 	plain.Standardize()
-	err := json.Unmarshal(plain.Pack(), into)
-	if err == nil {
-		return nil
-	}
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		return t.failure(KindType, int(wrongType.Offset), wrongType.Field, errors.Errorf("%s is not a %s", wrongType.Value, wrongType.Type))
+	if err := json.Unmarshal(plain.Pack(), into); err != nil {
+		return t.failure(KindValue, 0, path, errors.WithStack(err))
 	}
-	return t.failure(KindValue, 0, "", err)
+	return nil
 }
 
 // Mistake returns an *Error of KindValue at the field with the given path, such as "peers.seeds[1]".
@@ -116,60 +115,51 @@
 	}
 }
 
+// Compares a part of the syntax tree with the type it will be decoded into, so that mistakes carry their place.
 func (t *Text) check(v *hujson.Value, want reflect.Type, path string) error {
-	for want.Kind() == reflect.Pointer {
-		want = want.Elem()
-	}
-	if reflect.PointerTo(want).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
-		return t.checkText(v, want, path)
-	}
-	switch composite := v.Value.(type) {
-	case *hujson.Object:
-		return t.checkObject(composite, v.StartOffset, want, path)
-	case *hujson.Array:
-		if want.Kind() != reflect.Slice {
-			return t.failure(KindType, v.StartOffset, path, errors.Errorf("an array is not a %s", want.Kind()))
-		}
-		for i := range composite.Elements {
-			if err := t.check(&composite.Elements[i], want.Elem(), path+"["+strconv.Itoa(i)+"]"); err != nil {
-				return err
-			}
-		}
-		return nil
+	switch {
+	case reflect.PointerTo(want).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()):
+		return t.checkLiteral(v, want, path)
+	case want.Kind() == reflect.Struct:
+		return t.checkObject(v, want, path)
+	case want.Kind() == reflect.Slice:
+		return t.checkArray(v, want, path)
 	default:
 		return t.checkLiteral(v, want, path)
 	}
 }
 
-func (t *Text) checkText(v *hujson.Value, want reflect.Type, path string) error {
-	literal, ok := v.Value.(hujson.Literal)
-	if !ok || literal.Kind() != '"' {
-		return t.failure(KindType, v.StartOffset, path, errors.New("must be a string"))
+func (t *Text) checkArray(v *hujson.Value, want reflect.Type, path string) error {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		return t.failure(KindType, v.StartOffset, path, errors.New("must be an array"))
 	}
-	value := reflect.New(want).Interface().(encoding.TextUnmarshaler)
-	if err := value.UnmarshalText([]byte(literal.String())); err != nil {
-		return t.failure(KindValue, v.StartOffset, path, err)
+	for i := range array.Elements {
+		if err := t.check(&array.Elements[i], want.Elem(), path+"["+strconv.Itoa(i)+"]"); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-func (t *Text) checkObject(object *hujson.Object, offset int, want reflect.Type, path string) error {
-	if want.Kind() != reflect.Struct {
-		return t.failure(KindType, offset, path, errors.Errorf("an object is not a %s", want.Kind()))
+func (t *Text) checkObject(v *hujson.Value, want reflect.Type, path string) error {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return t.failure(KindType, v.StartOffset, path, errors.New("must be an object"))
 	}
 	seen := make(map[string]struct{}, len(object.Members))
 	for i := range object.Members {
 		member := &object.Members[i]
 		name := member.Name.Value.(hujson.Literal).String()
 		inner := strings.TrimPrefix(path+"."+name, ".")
-		if _, twice := seen[name]; twice {
-			return t.failure(KindTwice, member.Name.StartOffset, inner, errors.New("field stands twice"))
-		}
-		seen[name] = struct{}{}
 		field, ok := fieldByName(want, name)
 		if !ok {
 			return t.failure(KindUnknown, member.Name.StartOffset, inner, errors.New("unknown field"))
 		}
+		if _, twice := seen[name]; twice {
+			return t.failure(KindTwice, member.Name.StartOffset, inner, errors.New("field is given twice"))
+		}
+		seen[name] = struct{}{}
 		if err := t.check(&member.Value, field.Type, inner); err != nil {
 			return err
 		}
@@ -178,13 +168,35 @@
 }
 
 func (t *Text) checkLiteral(v *hujson.Value, want reflect.Type, path string) error {
-	plain := v.Clone()
-	plain.Standardize()
-	text := bytes.TrimSpace(plain.Pack())
-	if err := json.Unmarshal(text, reflect.New(want).Interface()); err != nil {
-		return t.failure(KindType, v.StartOffset, path, errors.Errorf("%s is not a %s", text, want.Kind()))
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || literal.Kind() == 'n' {
+		return t.failure(KindType, v.StartOffset, path, errors.Errorf("must be a %s", typeName(want)))
+	}
+	err := json.Unmarshal(literal, reflect.New(want).Interface())
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &wrongType):
+		return t.failure(KindType, v.StartOffset, path, errors.Errorf("must be a %s", typeName(want)))
+	default:
+		return t.failure(KindValue, v.StartOffset, path, err)
+	}
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t.Kind() == reflect.Int64 && reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()):
+		return `duration such as "30s"`
+	case t.Kind() == reflect.String, t.Kind() == reflect.Struct:
+		return "string"
+	case t.Kind() == reflect.Float64:
+		return "number"
+	case t.Kind() == reflect.Bool:
+		return "boolean"
+	default:
+		return "whole number"
 	}
-	return nil
 }
 
 func fieldByName(of reflect.Type, name string) (reflect.StructField, bool) {
--- a/internal/violation/violation.go
+++ b/internal/violation/violation.go
@@ -1,4 +1,3 @@
-// Package violation lets tests show that a property fails while one protection is switched off.
 package violation
 
 import (
