--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -112,17 +112,6 @@
 	})
 }
 
-// refutes reports whether a whole answer at the given time speaks against a crash that the content is blamed for.
-func (l *Ledger) refutes(s *suspicion, at time.Time) bool {
-	return slices.ContainsFunc(s.causes, func(c cause) bool {
-		lost := l.losses[c.crash]
-		return lost == nil || !lost.at.After(at)
-	})
-}
-
-// clearedDrift is how much later a clearing may look after hosts have passed it on.
-const clearedDrift = time.Second
-
 // charge is a case against a content: two crashes that it alone explains.
 type charge struct {
 	content     content
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -34,9 +34,8 @@
 	if s == nil {
 		return
 	}
-	// A clearing is sent as an age, so that each host that passes it on makes it look a little later.
-	if at := now.Add(-n.Cleared); n.Cleared > 0 && (at.Sub(s.cleared) >= clearedDrift || l.refutes(s, at)) {
-		l.clear(now, k, s, at)
+	if n.Cleared > 0 {
+		l.clear(now, k, s, now.Add(-n.Cleared))
 	}
 	expiry := now.Add(min(n.Expiry, cmp.Or(l.Expiry, DefaultExpiry)))
 	if n.Expiry > 0 {
