--- a/internal/host/views.go
+++ b/internal/host/views.go
@@ -103,6 +103,7 @@
 // Takes a change of the membership into account.
 func (h *Host) membersChanged() {
 	for _, lost := range h.losses.observe(time.Now(), h.members.All()) {
+		h.Log.Info("host lost", "host", lost.Name, "incarnation", lost.Incarnation)
 		h.transport.Drop(lost.Address)
 	}
 	alive := h.members.Alive()
