--- a/internal/dispatch/execute.go
+++ b/internal/dispatch/execute.go
@@ -12,6 +12,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/internal/retry"
 	"github.com/turmericshunt/turmericshunt/internal/stream"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
 
@@ -121,7 +122,7 @@
 		}
 		a.resumes++
 		a.run.d.Metrics.Counter("resumes").Inc(1)
-		pause(ctx, back.decision.Backoff)
+		wait.For(ctx, back.decision.Backoff)
 		frames, err = a.run.d.Engines.Resume(ctx, a.server, a.owner, a.assembler.Offset())
 	}
 }
@@ -236,7 +237,7 @@
 		if !errors.As(err, &failure) || failure.Kind != engine.KindBroken {
 			return err
 		}
-		pause(ctx, statusInterval)
+		wait.For(ctx, statusInterval)
 		if ctx.Err() != nil {
 			return err
 		}
--- a/internal/dispatch/long.go
+++ b/internal/dispatch/long.go
@@ -14,6 +14,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/retry"
 	"github.com/turmericshunt/turmericshunt/internal/routing"
 	"github.com/turmericshunt/turmericshunt/internal/stream"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
 
@@ -89,7 +90,7 @@
 		if !errors.As(err, &failure) || failure.Kind != longprompt.KindNow {
 			return members, err
 		}
-		pause(ctx, planInterval)
+		wait.For(ctx, planInterval)
 		if ctx.Err() != nil {
 			return nil, err
 		}
--- a/internal/dispatch/obtain.go
+++ b/internal/dispatch/obtain.go
@@ -9,6 +9,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/retry"
 	"github.com/turmericshunt/turmericshunt/internal/routing"
 	"github.com/turmericshunt/turmericshunt/internal/suspect"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
 
 // A scheduler that decides at once has this long to answer.
@@ -29,7 +30,7 @@
 		if failure == nil || failure.Grant != protocol.RefusalSuspect || time.Until(r.job.Deadline) < apartInterval {
 			return h, failure
 		}
-		pause(ctx, apartInterval)
+		wait.For(ctx, apartInterval)
 		if ctx.Err() != nil {
 			return nil, failure
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -8,6 +8,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/internal/retry"
 	"github.com/turmericshunt/turmericshunt/internal/suspect"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
 
@@ -68,7 +69,7 @@
 	if back.failure.Server != "" {
 		r.exclude = append(r.exclude, back.failure.Server)
 	}
-	pause(ctx, back.decision.Backoff)
+	wait.For(ctx, back.decision.Backoff)
 }
 
 func (r *run) try(ctx context.Context) (Answer, *setback) {
@@ -98,7 +99,7 @@
 		if verdict != suspect.Held || ctx.Err() != nil {
 			return verdict
 		}
-		pause(ctx, verdictInterval)
+		wait.For(ctx, verdictInterval)
 	}
 }
 
@@ -156,15 +157,3 @@
 	}
 	return text
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/host/duties.go
+++ b/internal/host/duties.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/internal/spread"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
 
 const dutyCheckInterval = time.Second
@@ -80,7 +81,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		time.Sleep(spreadInterval)
+		wait.For(ctx, spreadInterval)
 	}
 	_ = d.host.keeper.Watch(ctx)
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
@@ -71,19 +72,10 @@
 	for ctx.Err() == nil {
 		hosts, err := l.Platform.Hosts(ctx, l.Index(), watchWait)
 		if err != nil {
-			sleep(ctx, retryDelay)
+			wait.For(ctx, retryDelay)
 			continue
 		}
 		l.Offer(hosts)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/engine"
 	"github.com/turmericshunt/turmericshunt/internal/grant"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/engineapi"
 )
 
@@ -109,7 +110,7 @@
 	for ctx.Err() == nil {
 		events, err := r.set.Engines.CacheEvents(ctx, r.server, after, cacheWait)
 		if err != nil {
-			pause(ctx, cachePause)
+			wait.For(ctx, cachePause)
 			continue
 		}
 		if events.Epoch != epoch {
@@ -121,7 +122,7 @@
 		r.mu.Lock()
 		r.decide.Cached(time.Now(), events)
 		r.mu.Unlock()
-		pause(ctx, cachePause)
+		wait.For(ctx, cachePause)
 	}
 }
 
@@ -129,15 +130,6 @@
 func every(ctx context.Context, interval time.Duration, task func()) {
 	for ctx.Err() == nil {
 		task()
-		pause(ctx, interval)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, interval)
 	}
 }
--- a/internal/spread/apply.go
+++ b/internal/spread/apply.go
@@ -11,6 +11,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/document"
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
 	"github.com/turmericshunt/turmericshunt/internal/platform"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
@@ -103,7 +104,7 @@
 
 func (k *Keeper) perform(ctx context.Context, action manifest.Action, pause *backoff.ExponentialBackOff) manifest.Event {
 	if action.Again {
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	} else {
 		pause.Reset()
 	}
--- a/internal/spread/history_test.go
+++ b/internal/spread/history_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/document"
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 	"github.com/turmericshunt/turmericshunt/pkg/platformapi"
 )
 
@@ -165,7 +166,7 @@
 			{}, {LoseWriteAnswers: 1 + rnd.IntN(3)}, {Down: true}, {LateMS: 40}, {LateMS: 700}, {Hang: true}, {Throttle: 5},
 		}
 		f.server.SetFaults(faults[rnd.IntN(len(faults))])
-		sleep(ctx, time.Duration(rnd.IntN(300))*time.Millisecond)
+		wait.For(ctx, time.Duration(rnd.IntN(300))*time.Millisecond)
 	}
 }
 
--- a/internal/spread/read.go
+++ b/internal/spread/read.go
@@ -11,6 +11,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/document"
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
 	"github.com/turmericshunt/turmericshunt/internal/platform"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
 
 const (
@@ -32,7 +33,7 @@
 		}
 		if err != nil {
 			k.Metrics.Counter("config_watch_errors").Inc(1)
-			sleep(ctx, pause.NextBackOff())
+			wait.For(ctx, pause.NextBackOff())
 			continue
 		}
 		moved := entries.Index > index
@@ -41,7 +42,7 @@
 			pause.Reset()
 			continue
 		}
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	}
 	return nil
 }
@@ -122,16 +123,6 @@
 	return m, entry.Revision, err
 }
 
-// Waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func newBackoff() *backoff.ExponentialBackOff {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryInitial, retryMax
--- a/internal/spread/start.go
+++ b/internal/spread/start.go
@@ -8,6 +8,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/manifest"
 	"github.com/turmericshunt/turmericshunt/internal/platform"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
 
 // StartTimeout bounds the wait for one source while a host starts.
@@ -47,7 +48,7 @@
 			k.starting.Store(false)
 			return nil
 		}
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	}
 }
 
