--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,53 @@
+package catalog
+
+import "testing"
+
+func TestRouteTakesLongestPrefix(t *testing.T) {
+	c := New(1, Limits{}, []*Route{
+		{Name: "outer", Host: "a.example", Prefix: "/quotes/"},
+		{Name: "inner", Host: "a.example", Prefix: "/quotes/past/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}, nil, nil, false)
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/quotes/1", "outer"},
+		{"a.example", "/quotes/past/1", "inner"},
+		{"a.example", "/quotes/past", "outer"},
+		{"a.example", "/quotes", ""},
+		{"a.example", "/", ""},
+		{"b.example", "/x/y", "other"},
+		{"c.example", "/x/y", ""},
+	} {
+		got := ""
+		if r := c.Route(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := &Route{Shares: []Share{{"old", 90}, {"none", 0}, {"new", 10}}}
+	for _, test := range []struct {
+		at   float64
+		want string
+	}{{0, "old"}, {0.899, "old"}, {0.901, "new"}, {0.999, "new"}} {
+		if got := r.Pick(test.at); got != test.want {
+			t.Errorf("at %v: %q, want %q", test.at, got, test.want)
+		}
+	}
+	if got := (&Route{}).Pick(0.5); got != "" {
+		t.Errorf("a route without services picked %q", got)
+	}
+}
+
+func TestPublicRouteNeedsNoKey(t *testing.T) {
+	c := New(1, Limits{}, nil, nil, map[string]*Workspace{"k": {Name: "w"}}, true)
+	if c.NeedsKey(&Route{Public: true}) || !c.NeedsKey(&Route{}) {
+		t.Error("only routes that aren't public need a key")
+	}
+	if c.Workspace("k").Name != "w" || c.Workspace("x") != nil {
+		t.Error("a key names its workspace and no other does")
+	}
+}
