--- /dev/null
+++ b/internal/planner/job.go
@@ -0,0 +1,47 @@
+package planner
+
+import (
+	"time"
+)
+
+type jobKey struct{ host, id string }
+
+// job is a request that runs or waits at a server.
+type job struct {
+	key      jobKey
+	ask      Ask
+	server   *server
+	helpers  []*server
+	reserves []int // tokens reserved at each helper
+	placed   time.Time
+	first    time.Time // predicted or seen first event
+	aim      time.Time // the first event is late after this
+	expires  time.Time
+	tokens   int // memory at its server
+	writing  bool
+	late     bool
+}
+
+func (j *job) joint() bool { return len(j.helpers) > 0 }
+
+// name tells the job apart from others at a pass model.
+func (j *job) name() string { return j.key.host + "/" + j.key.id }
+
+// value weighs a request by the work that its caller waits for.
+func value(promptTokens int) float64 {
+	const (
+		base         = 0.7
+		perKiloToken = 0.12
+	)
+	return base + perKiloToken*float64(promptTokens)/1000
+}
+
+// lateLoss is the share of a request's value that is lost if it is late.
+const lateLoss = 0.75
+
+func (j *job) stake() float64 {
+	if j.late {
+		return 0
+	}
+	return lateLoss * value(j.ask.PromptTokens)
+}
--- /dev/null
+++ b/internal/planner/loss.go
@@ -0,0 +1,189 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/pass"
+)
+
+const (
+	// Spread of the predicted times, as a share of the aim.
+	predictionSpread = 0.06
+	// What the way from the engine to the caller takes of each aim.
+	wayTime = 12 * time.Millisecond
+	// Weight of keeping short requests together, so that other engines are free for long reading.
+	packWeight = 0.04
+	// Weight of a long writer's context on the short writers beside it.
+	contextWeight = 0.02
+	// Weight of one more reader of a prompt.
+	readerWeight = 0.02
+	// Weight of a longer pass, far from any aim.
+	passWeight = 0.03
+	// Prompts over this are long: they are read apart from short ones.
+	longPrompt = 30000
+	maxHelpers = 16
+)
+
+// lateness returns the probability that something predicted to take d misses its aim.
+func lateness(d, aim time.Duration) float64 {
+	aim -= wayTime
+	if aim <= 0 {
+		return 1
+	}
+	x := (float64(d)/float64(aim) - 1) / predictionSpread
+	switch {
+	case x < -8:
+		return 0
+	case x > 8:
+		return 1
+	}
+	return 1 / (1 + math.Exp(-x))
+}
+
+// spot is the cost of reading a part of a prompt at one server.
+type spot struct {
+	server *server
+	loss   float64       // to the requests beside it
+	finish time.Duration // from now until the part is read
+	pass   time.Duration // of the pass in which it is read
+	lead   bool          // has a free slot and the memory to write
+}
+
+// spotAt reckons what it costs to read parts-th part of the ask's prompt at s.
+func (p *Planner) spotAt(now time.Time, s *server, a *Ask, read time.Duration, writes int) spot {
+	begin, waiting := s.model.NextPass(now)
+	before := s.model.Steps(0, 0) + waiting
+	context := 0
+	if writes > 0 {
+		context = a.PromptTokens
+	}
+	after := s.model.Steps(writes, context) + waiting + time.Duration(float64(read)*s.model.Pace)
+	sp := spot{server: s, pass: after, finish: begin.Sub(now) + after}
+	capacity := s.model.Engine.PassSteps * s.model.Engine.ChunkTokens
+	if over := a.PromptTokens / capacity; writes > 0 && over > 0 && s.model.Writers() > 0 {
+		sp.finish += time.Duration(over) * s.model.Steps(1, a.PromptTokens)
+	}
+	for _, j := range s.jobs {
+		sp.loss += p.lossBeside(now, j, before, after)
+	}
+	sp.loss += passWeight * float64(after) / float64(250*time.Millisecond)
+	return sp
+}
+
+// lossBeside returns what job j is expected to lose when a pass takes after instead of before.
+func (p *Planner) lossBeside(now time.Time, j *job, before, after time.Duration) float64 {
+	stake := j.stake()
+	if stake == 0 {
+		return 0
+	}
+	if !j.writing && j.first.After(now) && j.joint() {
+		return 0
+	}
+	if j.writing || !j.first.After(now) {
+		return stake * (lateness(after, j.ask.GapAim) - lateness(before, j.ask.GapAim))
+	}
+	left := j.aim.Sub(now)
+	first := j.first.Sub(now)
+	return stake * (lateness(first+after-before, left) - lateness(first, left))
+}
+
+// failing returns what the ask is expected to lose by failures at s.
+func failing(now time.Time, s *server, a *Ask) float64 {
+	return s.failureShare(now) * value(a.PromptTokens)
+}
+
+// choice is a set of servers for one ask.
+type choice struct {
+	lead    spot
+	helpers []*server
+	loss    float64
+	first   time.Duration
+}
+
+// single returns the best choice of one server.
+func (p *Planner) single(now time.Time, a *Ask, servers []*server) (choice, bool) {
+	best, found := choice{loss: math.Inf(1)}, false
+	for _, s := range servers {
+		if !p.leads(now, s, a, a.PromptTokens+a.OutputTokens) {
+			continue
+		}
+		read := pass.ReadTime(s.model.Engine, a.PromptTokens, 1)
+		sp := p.spotAt(now, s, a, read, 1)
+		loss := sp.loss + p.ownLoss(now, s, a, sp.finish, sp.pass) + p.packing(s, a)
+		if loss < best.loss {
+			best, found = choice{lead: sp, loss: loss, first: sp.finish}, true
+		}
+	}
+	return best, found
+}
+
+// ownLoss is what the ask itself is expected to lose at s.
+func (p *Planner) ownLoss(now time.Time, s *server, a *Ask, first, passTime time.Duration) float64 {
+	own := lateLoss * value(a.PromptTokens) * lateness(first, a.FirstAim)
+	return own + failing(now, s, a) + passWeight*float64(passTime)/float64(max(a.GapAim, time.Millisecond))
+}
+
+// packing is negative where short requests are together and positive where a long one would slow short ones.
+func (p *Planner) packing(s *server, a *Ask) float64 {
+	short := 0
+	for _, j := range s.jobs {
+		if j.ask.PromptTokens <= longPrompt {
+			short++
+		}
+	}
+	share := float64(short) / float64(s.slots())
+	if a.PromptTokens <= longPrompt {
+		return -packWeight * share
+	}
+	return (packWeight + contextWeight*float64(a.PromptTokens)/100000) * share * 4
+}
+
+// joined returns the best choice of readers servers, of which one writes.
+func (p *Planner) joined(now time.Time, a *Ask, servers []*server, readers int) (choice, bool) {
+	var spots []spot
+	for _, s := range servers {
+		if len(s.helps) >= s.slots() {
+			continue
+		}
+		read := pass.ReadTime(s.model.Engine, a.PromptTokens, readers)
+		sp := p.spotAt(now, s, a, read, 0)
+		sp.lead = p.leads(now, s, a, a.PromptTokens+a.OutputTokens)
+		spots = append(spots, sp)
+	}
+	sortSpots(spots, a)
+	lead := p.leadOf(spots, a)
+	if lead < 0 || len(spots) < readers {
+		return choice{}, false
+	}
+	c := choice{lead: spots[lead]}
+	finish := c.lead.finish
+	c.loss = c.lead.loss + p.packing(c.lead.server, a)
+	for i := 0; i < len(spots) && len(c.helpers) < readers-1; i++ {
+		if i == lead {
+			continue
+		}
+		c.helpers = append(c.helpers, spots[i].server)
+		c.loss += spots[i].loss + failing(now, spots[i].server, a)
+		finish = max(finish, spots[i].finish)
+	}
+	steps := c.lead.server.model.Steps(1, a.PromptTokens/readers)
+	c.first = finish + steps
+	c.loss += p.ownLoss(now, c.lead.server, a, c.first, c.lead.pass) + readerWeight*float64(readers-1)
+	return c, true
+}
+
+// leadOf returns the index of the best spot that may write, or -1.
+func (p *Planner) leadOf(spots []spot, a *Ask) int {
+	best, lead := math.Inf(1), -1
+	for i := range spots {
+		if !spots[i].lead {
+			continue
+		}
+		cost := spotCost(&spots[i], a) + p.packing(spots[i].server, a)
+		if cost < best {
+			best, lead = cost, i
+		}
+	}
+	return lead
+}
--- /dev/null
+++ b/internal/planner/place.go
@@ -0,0 +1,156 @@
+package planner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/pass"
+)
+
+// The numbers of readers that are tried for a long prompt.
+var readerCounts = []int{2, 3, 4, 6, 8, 10, 13, 16}
+
+// finishWeight is the loss that a second of a part's later end counts for, for a request of value 1.
+const finishWeight = 0.05
+
+func spotCost(sp *spot, a *Ask) float64 {
+	late := lateLoss * value(a.PromptTokens) * lateness(sp.finish, a.FirstAim)
+	return sp.loss + late + finishWeight*value(a.PromptTokens)*sp.finish.Seconds()
+}
+
+func sortSpots(spots []spot, a *Ask) {
+	slices.SortFunc(spots, func(x, y spot) int {
+		if c := cmp.Compare(spotCost(&x, a), spotCost(&y, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(x.server.replica.ID, y.server.replica.ID)
+	})
+}
+
+// leads tells whether s may write a request that needs tokens of memory.
+func (p *Planner) leads(now time.Time, s *server, _ *Ask, tokens int) bool {
+	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.fullTill)
+}
+
+// candidates returns the servers of the ask's service that it may use, in the order of their ids.
+func (p *Planner) candidates(now time.Time, a *Ask) []*server {
+	var servers []*server
+	for _, s := range p.services[a.Service] {
+		if s.usable(now) && !slices.Contains(a.Avoid, s.replica.ID) {
+			servers = append(servers, s)
+		}
+	}
+	slices.SortFunc(servers, func(x, y *server) int { return cmp.Compare(x.replica.ID, y.replica.ID) })
+	return servers
+}
+
+// place decides on one ask: a choice, or none if it must wait.
+func (p *Planner) place(now time.Time, a *Ask, servers []*server) (choice, bool) {
+	if servers[0].model == nil {
+		return p.placePlain(now, a, servers)
+	}
+	best, found := p.single(now, a, servers)
+	if a.PromptTokens <= longPrompt {
+		return best, found
+	}
+	for _, readers := range readerCounts {
+		if readers > len(servers) || readers > maxHelpers {
+			break
+		}
+		c, ok := p.joined(now, a, servers, readers)
+		if ok && (!found || c.loss < best.loss) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// placePlain takes the server with the fewest requests.
+func (p *Planner) placePlain(now time.Time, a *Ask, servers []*server) (choice, bool) {
+	best, found := choice{loss: math.Inf(1)}, false
+	for _, s := range servers {
+		if len(s.jobs) >= s.slots() || now.Before(s.fullTill) {
+			continue
+		}
+		loss := float64(len(s.jobs))/float64(s.slots()) + 2*failing(now, s, a)
+		if loss < best.loss {
+			best, found = choice{lead: spot{server: s}, loss: loss}, true
+		}
+	}
+	return best, found
+}
+
+// reserveFor splits the memory that the lead lacks over the helpers, or tells that it can't.
+func reserveFor(a *Ask, lead *server, helpers []*server) ([]int, bool) {
+	missing := a.PromptTokens + a.OutputTokens - lead.freeMemory()
+	reserves := make([]int, len(helpers))
+	for i, h := range helpers {
+		if missing <= 0 {
+			break
+		}
+		reserves[i] = min(missing, h.freeMemory())
+		missing -= max(reserves[i], 0)
+	}
+	return reserves, missing <= 0
+}
+
+// put records a choice as a job and returns its plan.
+func (p *Planner) put(now time.Time, a *Ask, c choice, reserves []int) *Plan {
+	s := c.lead.server
+	j := &job{
+		key:      jobKey{a.Host, a.ID},
+		ask:      *a,
+		server:   s,
+		helpers:  c.helpers,
+		reserves: reserves,
+		placed:   now,
+		first:    now.Add(c.first),
+		aim:      now.Add(a.FirstAim),
+		expires:  now.Add(a.Deadline + expiryGrace),
+		tokens:   a.PromptTokens + a.OutputTokens,
+	}
+	for _, r := range reserves {
+		j.tokens -= r
+	}
+	j.late = c.first > a.FirstAim
+	p.add(j)
+	if s.model != nil {
+		p.read(now, j)
+	}
+	plan := &Plan{Replica: s.replica, First: c.first, Pass: c.lead.pass}
+	for i, h := range c.helpers {
+		helper := Helper{Replica: h.replica.ID, Address: h.replica.Address}
+		if reserves != nil {
+			helper.Reserve = reserves[i]
+		}
+		plan.Helpers = append(plan.Helpers, helper)
+	}
+	return plan
+}
+
+// read adds the job's reading to the engines that take part.
+func (p *Planner) read(now time.Time, j *job) {
+	parts := len(j.helpers) + 1
+	for i, s := range append([]*server{j.server}, j.helpers...) {
+		s.model.Join(now, pass.Read{
+			ID:     j.name(),
+			Tokens: j.ask.PromptTokens / parts,
+			Time:   pass.ReadTime(s.model.Engine, j.ask.PromptTokens, parts),
+			Part:   i > 0,
+		})
+		p.markLate(now, s)
+	}
+}
+
+// markLate notes the writers at s that the coming pass makes late.
+func (p *Planner) markLate(now time.Time, s *server) {
+	_, waiting := s.model.NextPass(now)
+	passTime := s.model.Steps(0, 0) + waiting
+	for _, j := range s.jobs {
+		if j.writing && j.ask.GapAim > 0 && passTime > j.ask.GapAim {
+			j.late = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,258 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/pass"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+)
+
+const (
+	// How long after its deadline a request that nobody ended is forgotten.
+	expiryGrace = 2 * time.Second
+	// How long a server that said it was full gets nothing.
+	fullTime = 100 * time.Millisecond
+	// A request that crashed so many servers is sent to no other.
+	maxCrashes = 3
+	// How long crashes are counted.
+	crashMemory = 60 * time.Second
+	// The shortest time that a refused caller is told to stay away.
+	minRetryAfter = 300 * time.Millisecond
+	// How often waiting asks are looked at when nothing else happens.
+	waitPoll = 50 * time.Millisecond
+)
+
+type crashes struct {
+	count int
+	last  time.Time
+}
+
+// Planner places requests on the replicas of all services. Its methods must be called one at a time, with times of one
+// clock.
+type Planner struct {
+	engines  map[string]*catalog.Engine
+	services map[string]map[string]*server // by service and replica
+	jobs     map[jobKey]*job
+	waiting  []waiter
+	crashes  map[uint64]crashes
+	answers  []Answer
+	swept    time.Time
+}
+
+// waiter is an ask without a place yet.
+type waiter struct {
+	ask     Ask
+	arrived time.Time
+}
+
+// New makes a planner without services.
+func New() *Planner {
+	return &Planner{
+		engines:  make(map[string]*catalog.Engine),
+		services: make(map[string]map[string]*server),
+		jobs:     make(map[jobKey]*job),
+		crashes:  make(map[uint64]crashes),
+	}
+}
+
+// SetEngines takes the engine figures of each service that has engines.
+func (p *Planner) SetEngines(engines map[string]*catalog.Engine) {
+	p.engines = engines
+	for service, servers := range p.services {
+		for _, s := range servers {
+			p.setModel(s, engines[service])
+		}
+	}
+}
+
+func (p *Planner) setModel(s *server, engine *catalog.Engine) {
+	switch {
+	case engine == nil:
+		s.model = nil
+	case s.model == nil:
+		s.model = pass.NewModel(engine)
+	default:
+		s.model.Engine = engine
+	}
+}
+
+// SetReplicas takes the replicas in force.
+func (p *Planner) SetReplicas(_ time.Time, replicas []replica.Replica) {
+	kept := make(map[string]bool, len(replicas))
+	for _, r := range replicas {
+		kept[r.ID] = true
+		servers := p.services[r.Service]
+		if servers == nil {
+			servers = make(map[string]*server)
+			p.services[r.Service] = servers
+		}
+		s := servers[r.ID]
+		if s == nil || s.replica.Born != r.Born {
+			s = &server{jobs: make(map[jobKey]*job), helps: make(map[jobKey]*job)}
+			p.setModel(s, p.engines[r.Service])
+			servers[r.ID] = s
+		}
+		s.replica = r
+	}
+	for _, servers := range p.services {
+		for id := range servers {
+			if !kept[id] {
+				delete(servers, id)
+			}
+		}
+	}
+}
+
+// Ask takes a request that needs a backend server; Settle answers it.
+func (p *Planner) Ask(now time.Time, a Ask) {
+	p.waiting = append(p.waiting, waiter{ask: a, arrived: now})
+}
+
+// Waiting returns how many asks have no answer yet.
+func (p *Planner) Waiting() int { return len(p.waiting) }
+
+// Settle returns the answers that can be given now. It must be called after each other method, and each waitPoll while
+// asks wait.
+func (p *Planner) Settle(now time.Time) []Answer {
+	p.sweep(now)
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(p.waiting, func(x, y waiter) int {
+		if c := cmp.Compare(x.ask.Rank, y.ask.Rank); c != 0 {
+			return c
+		}
+		return x.arrived.Add(x.ask.FirstAim).Compare(y.arrived.Add(y.ask.FirstAim))
+	})
+	p.answers = nil
+	waiting := p.waiting
+	p.waiting = nil
+	ahead := make(map[string]int)
+	for _, w := range waiting {
+		if !p.settleOne(now, w, ahead[w.ask.Service]) {
+			ahead[w.ask.Service]++
+			p.waiting = append(p.waiting, w)
+		}
+	}
+	return p.answers
+}
+
+// settleOne answers one ask if it can; ahead asks of the same service wait before it.
+func (p *Planner) settleOne(now time.Time, w waiter, ahead int) bool {
+	a := w.ask
+	passed := now.Sub(w.arrived)
+	a.FirstAim -= passed
+	a.Deadline -= passed
+	switch {
+	case a.Deadline <= 0:
+		return p.refuse(&a, CauseOutOfTime, minRetryAfter)
+	case a.Print != 0 && p.crashes[a.Print].count >= maxCrashes:
+		return p.refuse(&a, CauseCrashes, crashMemory)
+	}
+	servers := p.candidates(now, &a)
+	if len(servers) == 0 {
+		return p.refuse(&a, CauseNoReplica, time.Second)
+	}
+	if servers[0].model != nil && a.PromptTokens+a.OutputTokens > servers[0].model.Engine.MemoryTokens {
+		return p.settleHuge(now, &a, servers)
+	}
+	c, ok := p.place(now, &a, servers)
+	if !ok {
+		return p.hold(now, &a, servers, ahead)
+	}
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(now, &a, c, nil)})
+	return true
+}
+
+// settleHuge places a prompt that needs the memory of several engines.
+func (p *Planner) settleHuge(now time.Time, a *Ask, servers []*server) bool {
+	most := 0
+	for _, s := range servers {
+		most += s.model.Engine.MemoryTokens
+	}
+	if a.PromptTokens+a.OutputTokens > most {
+		return p.refuse(a, CauseTooLarge, crashMemory)
+	}
+	c, reserves, ok := p.huge(now, a, servers)
+	if !ok {
+		return p.hold(now, a, servers, 0)
+	}
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(now, a, c, reserves)})
+	return true
+}
+
+// huge returns the best choice for a prompt over one engine's memory. The helpers with the most free memory come first.
+func (p *Planner) huge(now time.Time, a *Ask, servers []*server) (choice, []int, bool) {
+	var best choice
+	var reserves []int
+	found := false
+	for _, readers := range readerCounts {
+		if readers > len(servers) {
+			break
+		}
+		c, ok := p.joinedOver(now, a, servers, readers)
+		if !ok {
+			continue
+		}
+		slices.SortStableFunc(c.helpers, func(x, y *server) int { return cmp.Compare(y.freeMemory(), x.freeMemory()) })
+		split, ok := reserveFor(a, c.lead.server, c.helpers)
+		if ok && (!found || c.loss < best.loss) {
+			best, reserves, found = c, split, true
+		}
+	}
+	return best, reserves, found
+}
+
+// joinedOver is joined for a lead that has the memory for its own part only.
+func (p *Planner) joinedOver(now time.Time, a *Ask, servers []*server, readers int) (choice, bool) {
+	part := *a
+	part.OutputTokens = a.PromptTokens/readers + a.OutputTokens - a.PromptTokens
+	return p.joined(now, &part, servers, readers)
+}
+
+// hold keeps an ask waiting, or refuses it if no place is free in time.
+func (p *Planner) hold(now time.Time, a *Ask, servers []*server, ahead int) bool {
+	wait := p.freeAfter(now, servers, ahead)
+	if need := wait + shortestRun; need > a.Deadline {
+		return p.refuse(a, CauseBusy, max(wait, minRetryAfter))
+	}
+	return false
+}
+
+// shortestRun is the time that a request needs at least once it has a place.
+const shortestRun = 100 * time.Millisecond
+
+// freeAfter estimates when the servers will have taken ahead asks and one more.
+func (p *Planner) freeAfter(now time.Time, servers []*server, ahead int) time.Duration {
+	var ends []time.Duration
+	for _, s := range servers {
+		for _, j := range s.jobs {
+			ends = append(ends, max(0, p.endOf(j).Sub(now)))
+		}
+	}
+	slices.Sort(ends)
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[min(ahead, len(ends)-1)]
+}
+
+// endOf predicts when a job ends.
+func (p *Planner) endOf(j *job) time.Time {
+	if j.server.model == nil {
+		return j.first.Add(plainTime)
+	}
+	events := j.ask.LikelyTokens/j.server.model.Engine.EventTokens + 1
+	return j.first.Add(time.Duration(events) * j.server.model.Steps(0, 0))
+}
+
+// plainTime is what a request at a plain service usually takes.
+const plainTime = 60 * time.Millisecond
+
+func (p *Planner) refuse(a *Ask, cause Cause, after time.Duration) bool {
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Refusal: &Refusal{Cause: cause, RetryAfter: after}})
+	return true
+}
--- /dev/null
+++ b/internal/planner/report.go
@@ -0,0 +1,167 @@
+package planner
+
+import (
+	"time"
+)
+
+// Started takes the news that a request's first event has come.
+func (p *Planner) Started(now time.Time, host, id string) {
+	j := p.jobs[jobKey{host, id}]
+	if j == nil || j.writing {
+		return
+	}
+	j.writing = true
+	j.first = now
+	if now.After(j.aim) {
+		j.late = true
+	}
+	j.server.noteUp(now)
+	if j.server.model == nil {
+		return
+	}
+	j.server.model.Write(now, j.name(), j.ask.PromptTokens/(len(j.helpers)+1), j.joint())
+	for _, h := range j.helpers {
+		h.model.Leave(now, j.name(), false)
+	}
+}
+
+// Ended takes the news of how a request ended at its backend server.
+func (p *Planner) Ended(now time.Time, host, id string, outcome Outcome) {
+	j := p.jobs[jobKey{host, id}]
+	if j == nil {
+		p.withdraw(host, id)
+		return
+	}
+	p.remove(now, j)
+	s := j.server
+	switch outcome {
+	case OutcomeDone:
+		s.noteUp(now)
+	case OutcomeFailed:
+		s.noteOutcome(now, true)
+	case OutcomeRefused:
+		s.fullTill = now.Add(fullTime)
+		s.noteOutcome(now, true)
+	case OutcomeUnreachable:
+		s.noteDown(now)
+	case OutcomeSilent:
+		s.noteOutcome(now, true)
+		s.noteDown(now)
+	case OutcomeBroken:
+		s.noteOutcome(now, true)
+		p.noteCrash(now, j)
+	case OutcomeCanceled:
+	}
+}
+
+// withdraw forgets an ask that still waits.
+func (p *Planner) withdraw(host, id string) {
+	for i := range p.waiting {
+		if a := &p.waiting[i].ask; a.Host == host && a.ID == id {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (p *Planner) noteCrash(now time.Time, j *job) {
+	if j.ask.Print == 0 {
+		return
+	}
+	c := p.crashes[j.ask.Print]
+	p.crashes[j.ask.Print] = crashes{count: c.count + 1, last: now}
+}
+
+// Adopt takes over a request that another planner placed.
+func (p *Planner) Adopt(now time.Time, h Held) {
+	key := jobKey{h.Ask.Host, h.Ask.ID}
+	s := p.services[h.Ask.Service][h.Replica]
+	if s == nil || p.jobs[key] != nil {
+		return
+	}
+	j := &job{
+		key: key, ask: h.Ask, server: s, placed: now, first: now,
+		aim: now.Add(h.Ask.FirstAim), expires: now.Add(h.Ask.Deadline + expiryGrace),
+		tokens: h.Ask.PromptTokens + h.Ask.OutputTokens,
+	}
+	for _, helper := range h.Helpers {
+		if hs := p.services[h.Ask.Service][helper.Replica]; hs != nil {
+			j.helpers = append(j.helpers, hs)
+			j.reserves = append(j.reserves, helper.Reserve)
+			j.tokens -= helper.Reserve
+		}
+	}
+	p.add(j)
+	switch {
+	case s.model == nil:
+		j.writing = h.Writing
+	case h.Writing:
+		j.writing = true
+		s.model.Write(now, j.name(), h.Ask.PromptTokens/(len(j.helpers)+1), j.joint())
+	default:
+		p.read(now, j)
+	}
+}
+
+// HostLost forgets the requests of an entry host that is gone.
+func (p *Planner) HostLost(now time.Time, host string) {
+	for key, j := range p.jobs {
+		if key.host == host {
+			p.remove(now, j)
+		}
+	}
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		if w.ask.Host != host {
+			kept = append(kept, w)
+		}
+	}
+	p.waiting = kept
+}
+
+func (p *Planner) add(j *job) {
+	p.jobs[j.key] = j
+	j.server.jobs[j.key] = j
+	j.server.memory += j.tokens
+	for i, h := range j.helpers {
+		h.helps[j.key] = j
+		if i < len(j.reserves) {
+			h.memory += j.reserves[i]
+		}
+	}
+}
+
+func (p *Planner) remove(now time.Time, j *job) {
+	delete(p.jobs, j.key)
+	delete(j.server.jobs, j.key)
+	j.server.memory -= j.tokens
+	if j.server.model != nil {
+		j.server.model.Leave(now, j.name(), j.joint())
+	}
+	for i, h := range j.helpers {
+		delete(h.helps, j.key)
+		if i < len(j.reserves) {
+			h.memory -= j.reserves[i]
+		}
+		h.model.Leave(now, j.name(), false)
+	}
+}
+
+// sweep forgets requests that nobody ended and crashes that are long past.
+func (p *Planner) sweep(now time.Time) {
+	const sweepInterval = time.Second
+	if now.Sub(p.swept) < sweepInterval {
+		return
+	}
+	p.swept = now
+	for _, j := range p.jobs {
+		if now.After(j.expires) {
+			p.remove(now, j)
+		}
+	}
+	for print, c := range p.crashes {
+		if now.Sub(c.last) > crashMemory {
+			delete(p.crashes, print)
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/server.go
@@ -0,0 +1,72 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/pass"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+)
+
+const (
+	// Weight of the newest outcome in a server's share of failures.
+	failureWeight = 0.2
+	// A share of failures falls to a half in this time, so that a server is tried again.
+	failureHalfLife = 3 * time.Second
+	// A server that can't be reached is left alone for this time at first, twice as long after each failure.
+	downTimeMin = 500 * time.Millisecond
+	downTimeMax = 4 * time.Second
+)
+
+// server is one replica with the work it has.
+type server struct {
+	replica  replica.Replica
+	model    *pass.Model // nil for a plain service
+	jobs     map[jobKey]*job
+	helps    map[jobKey]*job
+	memory   int // tokens that its jobs need
+	failures float64
+	failedAt time.Time
+	down     time.Time // not used before
+	downTime time.Duration
+	fullTill time.Time // it said that it was full
+}
+
+func (s *server) slots() int {
+	if s.model != nil && s.model.Engine.Slots > 0 && s.replica.Slots == 0 {
+		return s.model.Engine.Slots
+	}
+	return max(1, s.replica.Slots)
+}
+
+func (s *server) usable(now time.Time) bool {
+	return !s.replica.Draining && !now.Before(s.down)
+}
+
+func (s *server) freeMemory() int { return s.model.Engine.MemoryTokens - s.memory }
+
+// failureShare returns the expected share of requests that fail here.
+func (s *server) failureShare(now time.Time) float64 {
+	halves := float64(now.Sub(s.failedAt)) / float64(failureHalfLife)
+	return s.failures * math.Exp2(-halves)
+}
+
+func (s *server) noteOutcome(now time.Time, failed bool) {
+	share := s.failureShare(now) * (1 - failureWeight)
+	if failed {
+		share += failureWeight
+	}
+	s.failures = share
+	s.failedAt = now
+}
+
+func (s *server) noteDown(now time.Time) {
+	s.downTime = min(max(2*s.downTime, downTimeMin), downTimeMax)
+	s.down = now.Add(s.downTime)
+}
+
+func (s *server) noteUp(now time.Time) {
+	s.downTime = 0
+	s.down = time.Time{}
+	s.noteOutcome(now, false)
+}
