--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,84 @@
+package link
+
+import (
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/turmericshunt/turmericshunt/internal/feed"
+	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/roster"
+)
+
+func messages() []*Message {
+	address := netip.MustParseAddrPort("10.0.0.1:8229")
+	r := replica.Replica{ID: "i-1", Service: "s", Address: address, Slots: 16, Born: 17}
+	return []*Message{
+		{Beat: &Beat{
+			Stamp: 5, Echo: 4, Host: roster.Member{Address: address, Weight: 0.25, Age: time.Second},
+			State: &feed.State{
+				ConfigRevision: 3, ConfigData: []byte("{}"), ConfigProof: -time.Second, HasReplicas: true,
+				Replicas: []replica.Replica{r}, ListRevision: 7,
+			},
+		}},
+		{Ask: &planner.Ask{ID: "r1", Host: "h", Service: "s", PromptTokens: 4960, FirstAim: time.Second, Avoid: []string{"x"}}},
+		{Answer: &planner.Answer{ID: "r1", Host: "h", Plan: &planner.Plan{
+			Replica: r, Helpers: []planner.Helper{{Replica: "i-2", Address: address, Reserve: 5}}, First: time.Second,
+		}}},
+		{Answer: &planner.Answer{ID: "r1", Refusal: &planner.Refusal{Cause: planner.CauseBusy, RetryAfter: time.Second}}},
+		{Queued: "r1"},
+		{Ended: &Report{ID: "r1", Outcome: planner.OutcomeDone}},
+		{Sync: &Sync{Whole: true, Held: []planner.Held{{Ask: planner.Ask{ID: "r1"}, Replica: "i-1", Writing: true}}}},
+	}
+}
+
+func TestMessagesArriveAsSent(t *testing.T) {
+	a, b := net.Pipe()
+	from, to := New(a), New(b)
+	got := make(chan *Message, 10)
+	go from.Run(func(*Message) {})
+	go to.Run(func(m *Message) { got <- m })
+	for _, want := range messages() {
+		from.Send(want)
+		if m := <-got; !reflect.DeepEqual(m, want) {
+			t.Errorf("got %+v, want %+v", m, want)
+		}
+	}
+	from.Close()
+	if !from.Closed() {
+		t.Error("a closed link is not closed")
+	}
+}
+
+func TestLinkWithFullQueueEnds(t *testing.T) {
+	a, b := net.Pipe()
+	defer b.Close()
+	l := New(a)
+	for range queueLength + 1 {
+		l.Send(&Message{Queued: "r"})
+	}
+	if !l.Closed() {
+		t.Error("the link is open with a full queue")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		payload, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+	}
+	f.Fuzz(func(_ *testing.T, payload []byte) {
+		m, err := Decode(payload)
+		if err != nil && m != nil {
+			panic("a message with an error")
+		}
+	})
+}
