--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/gateway"
+	"github.com/turmericshunt/turmericshunt/platform"
+)
+
+func (p *Program) gatewayCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Runs an entry host on the users' platform until it is told to stop",
+		Long: `Runs an entry host on the users' platform. At SIGTERM it takes no new connections, finishes the
+requests under way and exits with 0. Logs go to standard output as JSON lines.`,
+		Example: "  turmericshunt gateway --settings /etc/turmericshunt/settings.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				file = p.Getenv(platform.SettingsVariable)
+			}
+			s, err := platform.LoadSettings(file)
+			if err != nil {
+				return &Error{Op: "gateway", Kind: KindInvalid, Err: err}
+			}
+			log := eventlog.New(os.Stdout, s.Host)
+			defer log.Close()
+			g := &gateway.Gateway{
+				Site:    s,
+				Store:   platform.NewStore(s.StoreAddress, invalidEntry(log)),
+				Memory:  platform.NewMemory(),
+				Headers: platform.Headers{},
+				Decode:  platform.DecodeConfiguration,
+				Log:     log,
+				Version: p.Version,
+			}
+			if err := g.Run(cmd.Context()); err != nil {
+				return &Error{Op: "gateway", Kind: KindFailed, Err: err}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file; by default the one that $"+platform.SettingsVariable+" names")
+	return cmd
+}
+
+func invalidEntry(log *eventlog.Log) func(err error) {
+	return func(err error) { log.Warn("store_entry_invalid", slog.String("error", err.Error())) }
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -114,7 +114,7 @@
 		SilenceErrors: true,
 	}
 	root.SetHelpTemplate(root.HelpTemplate() + exitCodesHelp)
-	root.AddCommand(p.serveCommand(), p.checkCommand(), p.versionCommand(), p.configCommand(), p.statusCommand())
+	root.AddCommand(p.serveCommand(), p.gatewayCommand(), p.checkCommand(), p.versionCommand(), p.configCommand(), p.statusCommand())
 	return root
 }
 
