pass, planner: let parts of prompts go before an engine's own in predictions

Cause: an engine without writers reads chunk by chunk and takes parts for other engines first; predictions took passes as fixed.

--- a/internal/pass/doc.go
+++ b/internal/pass/doc.go
@@ -1,5 +1,6 @@
 // Package pass predicts the passes of a model engine that batches continuously; it does no I/O.
 //
-// An engine works in passes. A pass reads the prompts that had arrived when it began and, if some request writes, lets
-// each writer make one event. All writers wait for the reading of their pass, so reading sets their pauses.
+// While some request writes, an engine works in passes: each reads the prompts that had arrived when it began and lets
+// each writer make one event, so that reading sets the writers' pauses. While none writes, it reads chunk by chunk. Parts
+// of prompts that it reads for other engines go before prompts of its own.
 package pass
--- a/internal/pass/pass.go
+++ b/internal/pass/pass.go
@@ -14,10 +14,17 @@
 	ID     string
 	Tokens int
 	Time   time.Duration // of reading it alone at the engine's rated speed
-	Part   bool          // for a request that writes at another engine; read ahead of others
+	Part   bool          // for a request that writes at another engine
 }
 
-// Model follows the passes of one engine. Times passed to its methods must not go back.
+// Outlook is what a prompt that arrives now finds at an engine.
+type Outlook struct {
+	Begin time.Time     // when the next pass begins
+	Parts time.Duration // of reading that waits for other engines' requests
+	Own   time.Duration // of reading that waits for this engine's requests
+}
+
+// Model follows one engine. Times passed to its methods must not go back.
 type Model struct {
 	Engine *catalog.Engine
 	Pace   float64 // how many times slower than rated; 1 is as rated
@@ -25,9 +32,10 @@
 	writers map[string]int // context tokens that each writer adds to a step
 	hops    int            // writers whose prompt several engines hold
 	context int
-	reading []Read    // in the pass under way
-	waiting []Read    // for the next pass
-	end     time.Time // of the pass under way; zero if there is none
+	parts   []Read
+	own     []Read
+	// While some request writes: the end of the pass under way. Else: until when reading has been reckoned.
+	clock time.Time
 }
 
 // NewModel makes the model of an idle engine.
@@ -59,24 +67,24 @@
 	return m.paced(step * time.Duration(e.PassSteps))
 }
 
-// NextPass returns when a pass that reads what arrives now would begin, and the reading that waits for it.
-func (m *Model) NextPass(now time.Time) (begin time.Time, reading time.Duration) {
+// Outlook returns what a prompt that arrives now finds.
+func (m *Model) Outlook(now time.Time) Outlook {
 	m.Advance(now)
-	if m.end.IsZero() {
-		return now, 0
+	o := Outlook{Begin: now, Parts: m.paced(total(m.parts)), Own: m.paced(total(m.own))}
+	if len(m.writers) > 0 {
+		o.Begin = m.clock
 	}
-	return m.end, m.paced(total(m.waiting))
+	return o
 }
 
 // Join adds a read that arrives now.
 func (m *Model) Join(now time.Time, r Read) {
 	m.Advance(now)
-	if m.end.IsZero() {
-		m.waiting = append(m.waiting, r)
-		m.begin(now)
+	if r.Part {
+		m.parts = append(m.parts, r)
 		return
 	}
-	m.waiting = append(m.waiting, r)
+	m.own = append(m.own, r)
 }
 
 // Write notes that request id, with context tokens, has made its first event at now, and so that a pass ended.
@@ -90,8 +98,6 @@
 			m.hops++
 		}
 	}
-	m.reading = m.reading[:0]
-	m.end = time.Time{}
 	m.begin(now)
 }
 
@@ -108,63 +114,72 @@
 	if joint {
 		m.hops--
 	}
+	if len(m.writers) == 0 {
+		m.clock = now
+	}
 }
 
 // Advance brings the model to now.
 func (m *Model) Advance(now time.Time) {
-	for !m.end.IsZero() && !m.end.After(now) {
-		end := m.end
-		m.end = time.Time{}
-		m.reading = m.reading[:0]
-		m.begin(end)
+	if len(m.writers) == 0 {
+		if passed := now.Sub(m.clock); passed > 0 {
+			m.read(time.Duration(float64(passed) / m.Pace))
+		}
+		m.clock = now
+		return
+	}
+	for !m.clock.After(now) {
+		m.begin(m.clock)
 	}
 }
 
-// begin starts a pass at the given time if there is work for it.
+// begin starts a pass with writers.
 func (m *Model) begin(at time.Time) {
-	if len(m.writers) == 0 && len(m.waiting) == 0 {
-		return
-	}
-	m.takeReads()
-	duration := m.Steps(0, 0) + m.paced(total(m.reading))
-	m.end = at.Add(max(duration, time.Millisecond))
+	capacity := m.Engine.PassSteps * m.Engine.ChunkTokens
+	reading := m.takeTokens(&m.parts, &capacity)
+	reading += m.takeTokens(&m.own, &capacity)
+	m.clock = at.Add(max(m.Steps(0, 0)+m.paced(reading), time.Millisecond))
 }
 
-// takeReads moves what one pass can read from waiting to reading, parts for other engines first.
-func (m *Model) takeReads() {
-	capacity := m.Engine.PassSteps * m.Engine.ChunkTokens
-	slices.SortStableFunc(m.waiting, func(a, b Read) int {
-		switch {
-		case a.Part == b.Part:
-			return 0
-		case a.Part:
-			return -1
-		default:
-			return 1
+// read takes d of reading, parts first.
+func (m *Model) read(d time.Duration) {
+	for _, queue := range []*[]Read{&m.parts, &m.own} {
+		for d > 0 && len(*queue) > 0 {
+			r := &(*queue)[0]
+			if r.Time > d {
+				r.Tokens -= int(float64(r.Tokens) * float64(d) / float64(r.Time))
+				r.Time -= d
+				return
+			}
+			d -= r.Time
+			*queue = (*queue)[1:]
 		}
-	})
-	for len(m.waiting) > 0 && capacity > 0 {
-		r := &m.waiting[0]
-		if r.Tokens <= capacity {
-			capacity -= r.Tokens
-			m.reading = append(m.reading, *r)
-			m.waiting = m.waiting[1:]
-			continue
+	}
+}
+
+// takeTokens removes up to capacity tokens of reading from queue and returns its time.
+func (m *Model) takeTokens(queue *[]Read, capacity *int) time.Duration {
+	var reading time.Duration
+	for len(*queue) > 0 && *capacity > 0 {
+		r := &(*queue)[0]
+		if r.Tokens > *capacity {
+			part := time.Duration(float64(r.Time) * float64(*capacity) / float64(r.Tokens))
+			r.Tokens -= *capacity
+			r.Time -= part
+			*capacity = 0
+			return reading + part
 		}
-		done := *r
-		done.Tokens = capacity
-		done.Time = time.Duration(float64(r.Time) * float64(capacity) / float64(r.Tokens))
-		r.Tokens -= done.Tokens
-		r.Time -= done.Time
-		m.reading = append(m.reading, done)
-		return
+		*capacity -= r.Tokens
+		reading += r.Time
+		*queue = (*queue)[1:]
 	}
+	return reading
 }
 
 func (m *Model) drop(id string) {
 	same := func(r Read) bool { return r.ID == id }
-	m.reading = slices.DeleteFunc(m.reading, same)
-	m.waiting = slices.DeleteFunc(m.waiting, same)
+	m.parts = slices.DeleteFunc(m.parts, same)
+	m.own = slices.DeleteFunc(m.own, same)
 }
 
 func (m *Model) paced(d time.Duration) time.Duration { return time.Duration(float64(d) * m.Pace) }
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -23,6 +23,8 @@
 	// Prompts over this are long: they are read apart from short ones.
 	longPrompt = 30000
 	maxHelpers = 16
+	// Loss for each second that a joint prompt waits at its lead, for a request of value 1.
+	beginWeight = 0.2
 )
 
 // lateness returns the probability that something predicted to take d misses its aim.
@@ -45,24 +47,26 @@
 type spot struct {
 	server *server
 	loss   float64       // to the requests beside it
+	begin  time.Duration // from now until its reading begins, for a request of the server's own
 	finish time.Duration // from now until the part is read
 	pass   time.Duration // of the pass in which it is read
 	lead   bool          // has a free slot and the memory to write
 }
 
-// spotAt reckons what it costs to read parts-th part of the ask's prompt at s.
-func (p *Planner) spotAt(now time.Time, s *server, a *Ask, read time.Duration, writes int) spot {
-	begin, waiting := s.model.NextPass(now)
-	before := s.model.Steps(0, 0) + waiting
-	context := 0
-	if writes > 0 {
-		context = a.PromptTokens
-	}
-	after := s.model.Steps(writes, context) + waiting + time.Duration(float64(read)*s.model.Pace)
-	sp := spot{server: s, pass: after, finish: begin.Sub(now) + after}
-	capacity := s.model.Engine.PassSteps * s.model.Engine.ChunkTokens
-	if over := a.PromptTokens / capacity; writes > 0 && over > 0 && s.model.Writers() > 0 {
-		sp.finish += time.Duration(over) * s.model.Steps(1, a.PromptTokens)
+// spotAt reckons what it costs to read a prompt, or a part of one for another server, at s.
+func (p *Planner) spotAt(now time.Time, s *server, a *Ask, read time.Duration, part bool) spot {
+	o := s.model.Outlook(now)
+	read = time.Duration(float64(read) * s.model.Pace)
+	steps := s.model.Steps(0, 0)
+	before := steps + o.Parts + o.Own
+	after := before + read
+	begin := o.Begin.Sub(now)
+	sp := spot{server: s, pass: after, begin: begin + o.Parts + o.Own}
+	if part {
+		sp.finish = begin + steps + o.Parts + read
+	} else {
+		sp.finish = begin + after
+		sp.finish += p.extraPasses(s, a.PromptTokens)
 	}
 	for _, j := range s.jobs {
 		sp.loss += p.lossBeside(now, j, before, after)
@@ -71,6 +75,15 @@
 	return sp
 }
 
+// extraPasses returns the time of the token steps in further passes that a prompt over one pass's reading takes.
+func (p *Planner) extraPasses(s *server, tokens int) time.Duration {
+	if s.model.Writers() == 0 {
+		return 0
+	}
+	capacity := s.model.Engine.PassSteps * s.model.Engine.ChunkTokens
+	return time.Duration(tokens/capacity) * s.model.Steps(0, 0)
+}
+
 // lossBeside returns what job j is expected to lose when a pass takes after instead of before.
 func (p *Planner) lossBeside(now time.Time, j *job, before, after time.Duration) float64 {
 	stake := j.stake()
@@ -109,7 +122,7 @@
 			continue
 		}
 		read := pass.ReadTime(s.model.Engine, a.PromptTokens, 1)
-		sp := p.spotAt(now, s, a, read, 1)
+		sp := p.spotAt(now, s, a, read, false)
 		loss := sp.loss + p.ownLoss(now, s, a, sp.finish, sp.pass) + p.packing(s, a)
 		if loss < best.loss {
 			best, found = choice{lead: sp, loss: loss, first: sp.finish}, true
@@ -147,7 +160,7 @@
 			continue
 		}
 		read := pass.ReadTime(s.model.Engine, a.PromptTokens, readers)
-		sp := p.spotAt(now, s, a, read, 0)
+		sp := p.spotAt(now, s, a, read, true)
 		sp.lead = p.leads(now, s, a, a.PromptTokens+a.OutputTokens)
 		spots = append(spots, sp)
 	}
@@ -157,7 +170,9 @@
 		return choice{}, false
 	}
 	c := choice{lead: spots[lead]}
-	finish := c.lead.finish
+	// The others get their parts once the lead begins.
+	begin := c.lead.begin
+	finish := c.lead.finish + begin
 	c.loss = c.lead.loss + p.packing(c.lead.server, a)
 	for i := 0; i < len(spots) && len(c.helpers) < readers-1; i++ {
 		if i == lead {
@@ -165,14 +180,16 @@
 		}
 		c.helpers = append(c.helpers, spots[i].server)
 		c.loss += spots[i].loss + failing(now, spots[i].server, a)
-		finish = max(finish, spots[i].finish)
+		finish = max(finish, begin+spots[i].finish)
 	}
-	steps := c.lead.server.model.Steps(1, a.PromptTokens/readers)
-	c.first = finish + steps
+	c.first = finish + jointTime
 	c.loss += p.ownLoss(now, c.lead.server, a, c.first, c.lead.pass) + readerWeight*float64(readers-1)
 	return c, true
 }
 
+// jointTime is what putting the parts together takes.
+const jointTime = 20 * time.Millisecond
+
 // leadOf returns the index of the best spot that may write, or -1.
 func (p *Planner) leadOf(spots []spot, a *Ask) int {
 	best, lead := math.Inf(1), -1
@@ -180,7 +197,8 @@
 		if !spots[i].lead {
 			continue
 		}
-		cost := spotCost(&spots[i], a) + p.packing(spots[i].server, a)
+		cost := spotCost(&spots[i], a) + p.packing(spots[i].server, a) +
+			beginWeight*value(a.PromptTokens)*spots[i].begin.Seconds()
 		if cost < best {
 			best, lead = cost, i
 		}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -146,8 +146,8 @@
 
 // markLate notes the writers at s that the coming pass makes late.
 func (p *Planner) markLate(now time.Time, s *server) {
-	_, waiting := s.model.NextPass(now)
-	passTime := s.model.Steps(0, 0) + waiting
+	o := s.model.Outlook(now)
+	passTime := s.model.Steps(0, 0) + o.Parts + o.Own
 	for _, j := range s.jobs {
 		if j.writing && j.ask.GapAim > 0 && passTime > j.ask.GapAim {
 			j.late = true
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,7 +113,7 @@
 	}
 	if p := placed.Plan; p != nil {
 		t.relay.Log.Event("request_planned", slog.String("request_id", c.ID), slog.String("route", c.Route),
-			slog.String("replica", p.Replica.ID), slog.Int("helpers", len(p.Helpers)),
+			slog.String("replica", p.Replica.ID), slog.String("helpers", helperNames(p.Helpers)),
 			millisecondsField("first_ms", p.First), millisecondsField("pass_ms", p.Pass),
 			millisecondsField("asked_for_ms", steady.Now().Sub(now)), slog.Int("prompt_tokens", c.PromptTokens),
 			slog.Int64("config_version", c.ConfigSeen))
@@ -120,6 +121,14 @@
 	return placed, nil
 }
 
+func helperNames(helpers []planner.Helper) string {
+	names := make([]string, 0, len(helpers))
+	for _, h := range helpers {
+		names = append(names, h.Replica)
+	}
+	return strings.Join(names, " ")
+}
+
 func (t *transfer) logAttempt(placed planner.Answer, outcome planner.Outcome, err error) {
 	fields := []slog.Attr{
 		slog.String("request_id", t.call.ID),
@@ -178,7 +187,7 @@
 	case t.call.Repeat == call.RepeatNever:
 		return 0
 	case t.call.Stream:
-		return plan.First + firstSlack
+		return plan.First*3/2 + firstSlack
 	default:
 		return max(plainAims*t.call.FirstAim, minPlainSilence)
 	}
