planner, placement, backend: ask the planner before a silent server is given up

Cause: streams that waited for a long prompt beside them were sent again after 1.5 s, though their server was sound, and cost it the reading twice. The planner knows which passes are long. Losses of pauses beyond which callers leave count in full.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -14,6 +14,8 @@
 // Exchange is one call at one server, from its sending to the end of the answer.
 type Exchange struct {
 	Reply *Reply
+	// Patience returns how much longer nothing may come after a silence that was too long; 0 ends the exchange.
+	Patience func() time.Duration
 
 	pool    *Pool
 	conn    *conn
@@ -51,7 +53,9 @@
 
 func (x *Exchange) readHead() error {
 	for {
-		x.waitUpTo(x.silence)
+		if err := x.awaitBytes(); err != nil {
+			return err
+		}
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
 		if err != nil {
 			return err
@@ -66,12 +70,35 @@
 	}
 }
 
+// awaitBytes waits until something has come, as long as the silence is not too long or to be expected.
+func (x *Exchange) awaitBytes() error {
+	if x.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	for {
+		x.waitUpTo(x.silence)
+		_, err := x.conn.reader.Peek(1)
+		var timeout interface{ Timeout() bool }
+		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() || x.Patience == nil {
+			x.waitUpTo(x.silence)
+			return err
+		}
+		patience := x.Patience()
+		if patience <= 0 {
+			return err
+		}
+		x.silence = patience
+	}
+}
+
 // Silence sets how long Read may wait for the next bytes.
 func (x *Exchange) Silence(d time.Duration) { x.silence = d }
 
 // Read reads the body; it returns io.EOF at the end of a whole one only.
 func (x *Exchange) Read(b []byte) (int, error) {
-	x.waitUpTo(x.silence)
+	if err := x.awaitBytes(); err != nil && !errors.Is(err, io.EOF) {
+		return 0, err
+	}
 	return x.resp.Body.Read(b)
 }
 
@@ -88,7 +115,9 @@
 }
 
 // Failure makes the error for a Read that failed with err.
-func (x *Exchange) Failure(ctx context.Context, err error) error { return x.failure(ctx, "read answer", err) }
+func (x *Exchange) Failure(ctx context.Context, err error) error {
+	return x.failure(ctx, "read answer", err)
+}
 
 // Done ends the exchange after its whole answer was read, so that the connection can be used again.
 func (x *Exchange) Done() {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -26,8 +26,10 @@
 }
 
 // Open sends c and returns the exchange once the head of its answer has come. Nothing may come for silence before that.
-// Errors are of type *Error.
-func (p *Pool) Open(ctx context.Context, c *call.Call, a *Attempt, silence time.Duration) (*Exchange, error) {
+// After that, patience, if it isn't nil, says how much longer. Errors are of type *Error.
+func (p *Pool) Open(ctx context.Context, c *call.Call, a *Attempt, silence time.Duration,
+	patience func() time.Duration,
+) (*Exchange, error) {
 	cn := p.take(a.Replica.Address)
 	if cn == nil {
 		var err error
@@ -43,7 +45,7 @@
 			p.Dialed()
 		}
 	}
-	x := &Exchange{pool: p, conn: cn, call: c}
+	x := &Exchange{Patience: patience, pool: p, conn: cn, call: c}
 	x.stop = context.AfterFunc(ctx, cn.close)
 	if err := x.start(ctx, p.Codec.AppendHead(nil, c, a), silence); err != nil {
 		x.Abort()
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"time"
+
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
@@ -15,6 +17,15 @@
 	Started *Report         `cbor:"5,keyasint,omitempty"`
 	Ended   *Report         `cbor:"6,keyasint,omitempty"`
 	Sync    *Sync           `cbor:"7,keyasint,omitempty"`
+	// Asks how long a request may stay silent, and the answer.
+	Silent   *Silence `cbor:"8,keyasint,omitempty"`
+	Patience *Silence `cbor:"9,keyasint,omitempty"`
+}
+
+// Silence is about a request from which nothing comes.
+type Silence struct {
+	ID       string        `cbor:"1,keyasint"`
+	Patience time.Duration `cbor:"2,keyasint,omitempty"` // 0: its server seems to be gone
 }
 
 // Beat is a heartbeat with what hosts pass on to one another.
--- a/internal/pass/pass.go
+++ b/internal/pass/pass.go
@@ -34,6 +34,8 @@
 	context int
 	parts   []Read
 	own     []Read
+	reading []Read // in the pass under way
+	began   time.Time
 	// While some request writes: the end of the pass under way. Else: until when reading has been reckoned.
 	clock time.Time
 }
@@ -71,7 +73,7 @@
 func (m *Model) Outlook(now time.Time) Outlook {
 	m.Advance(now)
 	o := Outlook{Begin: now, Parts: m.paced(total(m.parts)), Own: m.paced(total(m.own))}
-	if len(m.writers) > 0 {
+	if m.clock.After(now) {
 		o.Begin = m.clock
 	}
 	return o
@@ -98,9 +100,27 @@
 			m.hops++
 		}
 	}
+	m.restore(now)
 	m.begin(now)
 }
 
+// restore puts back what the pass that ends at now can't have read: prompts of this engine's own, since their first
+// events would have come, and parts that would have taken longer.
+func (m *Model) restore(now time.Time) {
+	var parts, own []Read
+	for _, r := range m.reading {
+		switch {
+		case !r.Part:
+			own = append(own, r)
+		case now.Sub(m.began) < m.paced(r.Time)/2:
+			parts = append(parts, r)
+		}
+	}
+	m.reading = nil
+	m.parts = append(parts, m.parts...)
+	m.own = append(own, m.own...)
+}
+
 // Leave removes request id in whatever state it is.
 func (m *Model) Leave(now time.Time, id string, joint bool) {
 	m.Advance(now)
@@ -114,9 +134,6 @@
 	if joint {
 		m.hops--
 	}
-	if len(m.writers) == 0 {
-		m.clock = now
-	}
 }
 
 // Advance brings the model to now.
@@ -124,8 +141,8 @@
 	if len(m.writers) == 0 {
 		if passed := now.Sub(m.clock); passed > 0 {
 			m.read(time.Duration(float64(passed) / m.Pace))
+			m.clock = now
 		}
-		m.clock = now
 		return
 	}
 	for !m.clock.After(now) {
@@ -136,6 +153,8 @@
 // begin starts a pass with writers.
 func (m *Model) begin(at time.Time) {
 	capacity := m.Engine.PassSteps * m.Engine.ChunkTokens
+	m.reading = m.reading[:0]
+	m.began = at
 	reading := m.takeTokens(&m.parts, &capacity)
 	reading += m.takeTokens(&m.own, &capacity)
 	m.clock = at.Add(max(m.Steps(0, 0)+m.paced(reading), time.Millisecond))
@@ -171,6 +190,7 @@
 		}
 		*capacity -= r.Tokens
 		reading += r.Time
+		m.reading = append(m.reading, *r)
 		*queue = (*queue)[1:]
 	}
 	return reading
@@ -179,6 +199,7 @@
 func (m *Model) drop(id string) {
 	same := func(r Read) bool { return r.ID == id }
 	m.parts = slices.DeleteFunc(m.parts, same)
+	m.reading = slices.DeleteFunc(m.reading, same)
 	m.own = slices.DeleteFunc(m.own, same)
 }
 
--- a/internal/pass/pass_test.go
+++ b/internal/pass/pass_test.go
@@ -104,3 +104,24 @@
 	m.Join(at(0), Read{ID: "a", Tokens: 4960, Time: 30 * time.Millisecond})
 	near(t, "left after 60 ms", m.Outlook(at(60)).Own, 60*time.Millisecond)
 }
+
+func TestReadingGoesOnWhenTheLastWriterLeaves(t *testing.T) {
+	m := NewModel(engine)
+	m.Write(at(0), "w", 0, false)
+	m.Join(at(1), Read{ID: "r", Tokens: 40000, Time: 400 * time.Millisecond})
+	m.Leave(at(50), "w", false)
+	near(t, "a prompt that arrives then begins after", m.Outlook(at(50)).Begin.Sub(at(50)), 437*time.Millisecond)
+}
+
+func TestPromptWithoutFirstEventIsStillToBeRead(t *testing.T) {
+	m := NewModel(engine)
+	m.Write(at(0), "w", 0, false)
+	m.Join(at(30), Read{ID: "a", Tokens: 4000, Time: 20 * time.Millisecond})
+	m.Join(at(40), Read{ID: "b", Tokens: 40000, Time: 300 * time.Millisecond})
+	m.Advance(at(60)) // by the model both are being read
+	m.Write(at(80), "a", 0, false)
+	o := m.Outlook(at(81))
+	near(t, "next pass begins after b", o.Begin.Sub(at(80)), m.Steps(0, 0)+300*time.Millisecond)
+	m.Write(at(82), "b", 0, false)
+	near(t, "next pass begins without b", m.Outlook(at(83)).Begin.Sub(at(82)), m.Steps(0, 0))
+}
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -36,6 +36,7 @@
 	links   map[netip.AddrPort]*peer
 	asks    map[string]chan reply
 	held    map[string]*held
+	silent  map[string]chan time.Duration
 	queued  map[string]bool // asks of other hosts that were told to wait
 	inbound map[*peer]bool
 }
@@ -71,6 +72,7 @@
 	d.asks = make(map[string]chan reply)
 	d.held = make(map[string]*held)
 	d.queued = make(map[string]bool)
+	d.silent = make(map[string]chan time.Duration)
 	d.inbound = make(map[*peer]bool)
 	d.current = d.self()
 }
@@ -251,6 +253,36 @@
 	}
 }
 
+// Patience asks the planner how much longer nothing may come for the request with the given id; 0 means that its server
+// seems to be gone.
+func (d *Desk) Patience(ctx context.Context, id string) time.Duration {
+	d.mu.Lock()
+	h := d.held[id]
+	p := d.links[d.current]
+	if h == nil || h.local || d.current == d.self() || p == nil || p.link == nil {
+		defer d.mu.Unlock()
+		return d.local.Patience(steady.Now(), d.self().String(), id)
+	}
+	wait := make(chan time.Duration, 1)
+	d.silent[id] = wait
+	p.link.Send(&link.Message{Silent: &link.Silence{ID: id}})
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.silent, id)
+	}()
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case patience := <-wait:
+		return patience
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return 0
+}
+
 // Ended tells the planner how the request with the given id ended.
 func (d *Desk) Ended(id string, outcome planner.Outcome) {
 	d.mu.Lock()
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -269,6 +269,14 @@
 			default:
 			}
 		}
+	case m.Silent != nil:
+		patience := d.local.Patience(now, host, m.Silent.ID)
+		p.link.Send(&link.Message{Patience: &link.Silence{ID: m.Silent.ID, Patience: patience}})
+	case m.Patience != nil:
+		if wait := d.silent[m.Patience.ID]; wait != nil {
+			delete(d.silent, m.Patience.ID)
+			wait <- m.Patience.Patience
+		}
 	case m.Started != nil:
 		d.local.Started(now, host, m.Started.ID)
 	case m.Ended != nil:
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -39,9 +39,8 @@
 // lateLoss is the share of a request's value that is lost if it is late.
 const lateLoss = 0.75
 
-func (j *job) stake() float64 {
-	if j.late {
-		return 0
-	}
-	return lateLoss * value(j.ask.PromptTokens)
+// abandonAfter returns after which pause the caller leaves a stream.
+func (a *Ask) abandonAfter() time.Duration {
+	const shortest = 2 * time.Second
+	return max(shortest, 8*a.GapAim)
 }
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -23,6 +23,8 @@
 	// Prompts over this are long: they are read apart from short ones.
 	longPrompt = 30000
 	maxHelpers = 16
+	// Loss for each second to the first event, for a request of value 1.
+	firstWeight = 0.01
 	// Loss for each second that a joint prompt waits at its lead, for a request of value 1.
 	beginWeight = 0.2
 )
@@ -43,6 +45,16 @@
 	return 1 / (1 + math.Exp(-x))
 }
 
+// pauseLoss returns the share of a request's value that is lost when its stream pauses for d.
+func pauseLoss(d time.Duration, a *Ask) float64 {
+	return lateLoss*lateness(d, a.GapAim) + (1-lateLoss)*lateness(d, a.abandonAfter())
+}
+
+// firstLoss returns the share of a request's value that is lost when its first event takes d more, of left.
+func firstLoss(d, left time.Duration, a *Ask) float64 {
+	return lateLoss*lateness(d, left) + (1-lateLoss)*lateness(d, min(left+a.abandonAfter(), a.Deadline))
+}
+
 // spot is the cost of reading a part of a prompt at one server.
 type spot struct {
 	server *server
@@ -60,7 +72,7 @@
 	steps := s.model.Steps(0, 0)
 	before := steps + o.Parts + o.Own
 	after := before + read
-	begin := o.Begin.Sub(now)
+	begin := o.Begin.Sub(now) + s.lag(now)
 	sp := spot{server: s, pass: after, begin: begin + o.Parts + o.Own}
 	if part {
 		sp.finish = begin + steps + o.Parts + read
@@ -86,19 +98,17 @@
 
 // lossBeside returns what job j is expected to lose when a pass takes after instead of before.
 func (p *Planner) lossBeside(now time.Time, j *job, before, after time.Duration) float64 {
-	stake := j.stake()
-	if stake == 0 {
-		return 0
-	}
-	if !j.writing && j.first.After(now) && j.joint() {
-		return 0
-	}
-	if j.writing || !j.first.After(now) {
-		return stake * (lateness(after, j.ask.GapAim) - lateness(before, j.ask.GapAim))
+	worth := value(j.ask.PromptTokens)
+	if j.writing {
+		loss := pauseLoss(after, &j.ask) - pauseLoss(before, &j.ask)
+		if j.late {
+			loss = (1 - lateLoss) * (lateness(after, j.ask.abandonAfter()) - lateness(before, j.ask.abandonAfter()))
+		}
+		return worth * loss
 	}
 	left := j.aim.Sub(now)
 	first := j.first.Sub(now)
-	return stake * (lateness(first+after-before, left) - lateness(first, left))
+	return worth * (firstLoss(first+after-before, left, &j.ask) - firstLoss(first, left, &j.ask))
 }
 
 // failing returns what the ask is expected to lose by failures at s.
@@ -133,7 +143,7 @@
 
 // ownLoss is what the ask itself is expected to lose at s.
 func (p *Planner) ownLoss(now time.Time, s *server, a *Ask, first, passTime time.Duration) float64 {
-	own := lateLoss * value(a.PromptTokens) * lateness(first, a.FirstAim)
+	own := value(a.PromptTokens) * (firstLoss(first, a.FirstAim, a) + firstWeight*first.Seconds())
 	return own + failing(now, s, a) + passWeight*float64(passTime)/float64(max(a.GapAim, time.Millisecond))
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -12,6 +12,7 @@
 	}
 	j.writing = true
 	j.first = now
+	j.server.sign = now
 	if now.After(j.aim) {
 		j.late = true
 	}
@@ -25,6 +26,25 @@
 	}
 }
 
+// Patience returns how much longer it is to be expected that nothing comes for a request; 0 means that its server seems
+// to be gone.
+func (p *Planner) Patience(now time.Time, host, id string) time.Duration {
+	j := p.jobs[jobKey{host, id}]
+	if j == nil || j.server.model == nil {
+		return 0
+	}
+	s := j.server
+	o := s.model.Outlook(now)
+	wait := o.Begin.Sub(now)
+	if !j.writing {
+		wait += o.Parts + o.Own
+	}
+	if wait > 0 || now.Sub(s.sign) < signTime {
+		return wait + signTime
+	}
+	return 0
+}
+
 // Ended takes the news of how a request ended at its backend server.
 func (p *Planner) Ended(now time.Time, host, id string, outcome Outcome) {
 	j := p.jobs[jobKey{host, id}]
@@ -36,6 +56,7 @@
 	s := j.server
 	switch outcome {
 	case OutcomeDone:
+		s.sign = now
 		s.noteUp(now)
 	case OutcomeFailed:
 		s.noteOutcome(now, true)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -16,6 +16,8 @@
 	// A server that can't be reached is left alone for this time at first, twice as long after each failure.
 	downTimeMin = 500 * time.Millisecond
 	downTimeMax = 4 * time.Second
+	// After a sign of life a server is taken as alive for this time.
+	signTime = 500 * time.Millisecond
 )
 
 // server is one replica with the work it has.
@@ -30,6 +32,7 @@
 	down     time.Time // not used before
 	downTime time.Duration
 	fullTill time.Time // it said that it was full
+	sign     time.Time // last sign of life
 }
 
 func (s *server) slots() int {
@@ -70,3 +73,17 @@
 	s.down = time.Time{}
 	s.noteOutcome(now, false)
 }
+
+// lagSlack is how much later than predicted a first event may be without meaning anything.
+const lagSlack = 40 * time.Millisecond
+
+// lag returns how far the server is behind the predictions, judged by the first events that are overdue.
+func (s *server) lag(now time.Time) time.Duration {
+	var lag time.Duration
+	for _, j := range s.jobs {
+		if !j.writing {
+			lag = max(lag, now.Sub(j.first)-lagSlack)
+		}
+	}
+	return lag
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	Ask(ctx context.Context, a planner.Ask) (planner.Answer, error)
 	Started(id string)
 	Ended(id string, outcome planner.Outcome)
+	Patience(ctx context.Context, id string) time.Duration
 }
 
 // Memory reserves memory at engines.
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -19,9 +19,9 @@
 
 const (
 	// How much later than predicted the first event may come before its server is taken as silent.
-	firstSlack = 1500 * time.Millisecond
+	firstSlack = 1000 * time.Millisecond
 	// The shortest silence in a stream after which its server is taken as silent.
-	minGap = 1500 * time.Millisecond
+	minGap = 1000 * time.Millisecond
 	// The shortest silence before the answer to a plain call that may run again.
 	minPlainSilence = 500 * time.Millisecond
 	plainAims       = 5 // silence before such an answer, in aims
@@ -45,6 +45,8 @@
 	began    bool // the answer's head has been written
 	failure  *answer
 	first    time.Duration // from receipt to the first event
+	passed   time.Time     // when the last events were passed on
+	gap      time.Duration // the longest pause between events
 }
 
 // answer is a server's whole answer to a plain call.
@@ -69,7 +71,8 @@
 		t.progress.note(outcome)
 		if outcome == planner.OutcomeDone {
 			t.relay.end(t.call, "completed", slog.String("replica", placed.Plan.Replica.ID),
-				millisecondsField("first_ms", t.first), slog.Int("events", t.events.count))
+				millisecondsField("first_ms", t.first), millisecondsField("gap_ms", t.gap),
+				slog.Int("events", t.events.count))
 			return
 		}
 		t.logAttempt(placed, outcome, err)
@@ -160,7 +163,11 @@
 	if err != nil {
 		return planner.OutcomeRefused, err
 	}
-	x, err := t.relay.Pool.Open(t.ctx, t.call, a, t.silence(plan))
+	var patience func() time.Duration
+	if t.call.PromptTokens > 0 {
+		patience = func() time.Duration { return t.relay.Desk.Patience(t.ctx, placed.ID) }
+	}
+	x, err := t.relay.Pool.Open(t.ctx, t.call, a, t.silence(plan), patience)
 	if err != nil {
 		return outcomeOf(err), err
 	}
@@ -187,7 +194,7 @@
 	case t.call.Repeat == call.RepeatNever:
 		return 0
 	case t.call.Stream:
-		return plan.First*3/2 + firstSlack
+		return plan.First + firstSlack
 	default:
 		return max(plainAims*t.call.FirstAim, minPlainSilence)
 	}
@@ -250,7 +257,7 @@
 	t.events.restart()
 	gap := time.Duration(0)
 	if t.call.Repeat == call.RepeatResume {
-		gap = max(minGap, 2*t.call.GapAim)
+		gap = max(minGap, t.call.GapAim)
 	}
 	buffer := make([]byte, 2<<10)
 	started := false
@@ -303,6 +310,11 @@
 }
 
 func (t *transfer) passEvents(reply *backend.Reply, whole []byte) error {
+	now := steady.Now()
+	if !t.passed.IsZero() {
+		t.gap = max(t.gap, now.Sub(t.passed))
+	}
+	t.passed = now
 	t.beginStream(reply)
 	if _, err := t.writer.Write(whole); err != nil {
 		return err
