planner: hold heavy prompts for engines that are clear of reading

Cause: parts of several long prompts met on one engine, began late and made passes of seconds beside short writers.

--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -16,7 +16,7 @@
 const (
 	beatInterval = 250 * time.Millisecond
 	// How often asks that wait are looked at again.
-	settleInterval = 50 * time.Millisecond
+	settleInterval = 20 * time.Millisecond
 	// A link that carries nothing but answers to beats is closed after this time.
 	idleTimeout = 6 * time.Second
 )
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -9,30 +9,8 @@
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
 
-// The numbers of readers that are tried for a long prompt.
-var readerCounts = []int{2, 3, 4, 6, 8, 10, 13, 16}
-
-// finishWeight is the loss that a second of a part's later end counts for, for a request of value 1.
-const finishWeight = 0.05
-
-func spotCost(sp *spot, a *Ask) float64 {
-	late := lateLoss * value(a.PromptTokens) * lateness(sp.finish, a.FirstAim)
-	return sp.loss + late + finishWeight*value(a.PromptTokens)*sp.finish.Seconds()
-}
-
-func sortSpots(spots []spot, a *Ask) {
-	slices.SortFunc(spots, func(x, y spot) int {
-		if c := cmp.Compare(spotCost(&x, a), spotCost(&y, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(x.server.replica.ID, y.server.replica.ID)
-	})
-}
-
-// leads tells whether s may write a request that needs tokens of memory.
-func (p *Planner) leads(now time.Time, s *server, _ *Ask, tokens int) bool {
-	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.fullTill)
-}
+// decay returns what is left of a rate after d without news.
+func decay(d time.Duration) float64 { return math.Exp(-float64(d) / float64(rateMemory)) }
 
 // candidates returns the servers of the ask's service that it may use, in the order of their ids.
 func (p *Planner) candidates(now time.Time, a *Ask) []*server {
@@ -46,25 +24,19 @@
 	return servers
 }
 
-// place decides on one ask: a choice, or none if it must wait.
-func (p *Planner) place(now time.Time, a *Ask, servers []*server) (choice, bool) {
-	if servers[0].model == nil {
-		return p.placePlain(now, a, servers)
-	}
-	best, found := p.single(now, a, servers)
-	if a.PromptTokens <= longPrompt {
-		return best, found
+// place decides on one ask: a choice with the memory to reserve at its helpers, or none if it must wait.
+func (p *Planner) place(now time.Time, a *Ask, servers []*server) (choice, []int, bool) {
+	model := servers[0].model
+	switch {
+	case model == nil:
+		c, ok := p.placePlain(now, a, servers)
+		return c, nil, ok
+	case pass.ReadTime(model.Engine, a.PromptTokens, 1) > heavyReading:
+		return p.heavy(now, a, servers)
+	default:
+		c, ok := p.single(now, a, servers)
+		return c, nil, ok
 	}
-	for _, readers := range readerCounts {
-		if readers > len(servers) || readers > maxHelpers {
-			break
-		}
-		c, ok := p.joined(now, a, servers, readers)
-		if ok && (!found || c.loss < best.loss) {
-			best, found = c, true
-		}
-	}
-	return best, found
 }
 
 // placePlain takes the server with the fewest requests.
@@ -82,20 +54,6 @@
 	return best, found
 }
 
-// reserveFor splits the memory that the lead lacks over the helpers, or tells that it can't.
-func reserveFor(a *Ask, lead *server, helpers []*server) ([]int, bool) {
-	missing := a.PromptTokens + a.OutputTokens - lead.freeMemory()
-	reserves := make([]int, len(helpers))
-	for i, h := range helpers {
-		if missing <= 0 {
-			break
-		}
-		reserves[i] = min(missing, h.freeMemory())
-		missing -= max(reserves[i], 0)
-	}
-	return reserves, missing <= 0
-}
-
 // put records a choice as a job and returns its plan.
 func (p *Planner) put(now time.Time, a *Ask, c choice, reserves []int) *Plan {
 	s := c.lead.server
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -21,8 +21,6 @@
 	crashMemory = 60 * time.Second
 	// The shortest time that a refused caller is told to stay away.
 	minRetryAfter = 300 * time.Millisecond
-	// How often waiting asks are looked at when nothing else happens.
-	waitPoll = 50 * time.Millisecond
 )
 
 type crashes struct {
@@ -38,6 +36,7 @@
 	jobs     map[jobKey]*job
 	waiting  []waiter
 	crashes  map[uint64]crashes
+	shorts   shortRateMeter
 	answers  []Answer
 	swept    time.Time
 }
@@ -109,13 +108,17 @@
 // Ask takes a request that needs a backend server; Settle answers it.
 func (p *Planner) Ask(now time.Time, a Ask) {
 	p.waiting = append(p.waiting, waiter{ask: a, arrived: now})
+	engine := p.engines[a.Service]
+	if engine != nil && a.PromptTokens > 0 && pass.ReadTime(engine, a.PromptTokens, 1) <= heavyReading {
+		p.shorts.note(now, a.PromptTokens)
+	}
 }
 
 // Waiting returns how many asks have no answer yet.
 func (p *Planner) Waiting() int { return len(p.waiting) }
 
-// Settle returns the answers that can be given now. It must be called after each other method, and each waitPoll while
-// asks wait.
+// Settle returns the answers that can be given now. It must be called after each other method, and at short
+// intervals while asks wait.
 func (p *Planner) Settle(now time.Time) []Answer {
 	p.sweep(now)
 	if len(p.waiting) == 0 {
@@ -156,61 +159,27 @@
 	if len(servers) == 0 {
 		return p.refuse(&a, CauseNoReplica, time.Second)
 	}
-	if servers[0].model != nil && a.PromptTokens+a.OutputTokens > servers[0].model.Engine.MemoryTokens {
-		return p.settleHuge(now, &a, servers)
+	if p.tooLarge(&a, servers) {
+		return p.refuse(&a, CauseTooLarge, crashMemory)
 	}
-	c, ok := p.place(now, &a, servers)
+	c, reserves, ok := p.place(now, &a, servers)
 	if !ok {
 		return p.hold(now, &a, servers, ahead)
 	}
-	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(now, &a, c, nil)})
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(now, &a, c, reserves)})
 	return true
 }
 
-// settleHuge places a prompt that needs the memory of several engines.
-func (p *Planner) settleHuge(now time.Time, a *Ask, servers []*server) bool {
+// tooLarge tells whether all servers together lack the memory for the ask.
+func (p *Planner) tooLarge(a *Ask, servers []*server) bool {
+	if servers[0].model == nil {
+		return false
+	}
 	most := 0
-	for _, s := range servers {
+	for _, s := range servers[:min(len(servers), maxReaders)] {
 		most += s.model.Engine.MemoryTokens
 	}
-	if a.PromptTokens+a.OutputTokens > most {
-		return p.refuse(a, CauseTooLarge, crashMemory)
-	}
-	c, reserves, ok := p.huge(now, a, servers)
-	if !ok {
-		return p.hold(now, a, servers, 0)
-	}
-	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(now, a, c, reserves)})
-	return true
-}
-
-// huge returns the best choice for a prompt over one engine's memory. The helpers with the most free memory come first.
-func (p *Planner) huge(now time.Time, a *Ask, servers []*server) (choice, []int, bool) {
-	var best choice
-	var reserves []int
-	found := false
-	for _, readers := range readerCounts {
-		if readers > len(servers) {
-			break
-		}
-		c, ok := p.joinedOver(now, a, servers, readers)
-		if !ok {
-			continue
-		}
-		slices.SortStableFunc(c.helpers, func(x, y *server) int { return cmp.Compare(y.freeMemory(), x.freeMemory()) })
-		split, ok := reserveFor(a, c.lead.server, c.helpers)
-		if ok && (!found || c.loss < best.loss) {
-			best, reserves, found = c, split, true
-		}
-	}
-	return best, reserves, found
-}
-
-// joinedOver is joined for a lead that has the memory for its own part only.
-func (p *Planner) joinedOver(now time.Time, a *Ask, servers []*server, readers int) (choice, bool) {
-	part := *a
-	part.OutputTokens = a.PromptTokens/readers + a.OutputTokens - a.PromptTokens
-	return p.joined(now, &part, servers, readers)
+	return a.PromptTokens+a.OutputTokens > most
 }
 
 // hold keeps an ask waiting, or refuses it if no place is free in time.
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -87,3 +87,19 @@
 	}
 	return lag
 }
+
+// leads tells whether the server may write a request that needs tokens of memory.
+func (s *server) leads(now time.Time, tokens int) bool {
+	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.fullTill)
+}
+
+// shortShare returns the share of the server's slots that short prompts hold.
+func (s *server) shortShare() float64 {
+	short := 0
+	for _, j := range s.jobs {
+		if pass.ReadTime(s.model.Engine, j.ask.PromptTokens, 1) <= heavyReading {
+			short++
+		}
+	}
+	return float64(short) / float64(s.slots())
+}
