roster, feed, relay, cli: take over at once from a cut failure domain, lease reserved memory, reload settings

Changes: a host plans only for those that have heard it of late, two standbys are kept warm; lists of replicas are told apart by digest and time of reading; memory leases of 3 s, renewed each second; SIGHUP and a change of the file reload seeds and bounds.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -31,6 +31,13 @@
 	last  time.Time
 }
 
+// Set changes the bounds.
+func (b *Budget) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Ratio, b.Slack, b.Window = ratio, slack, window
+}
+
 // Request notes a first sending of a request to service.
 func (b *Budget) Request(now time.Time, service string) {
 	b.mu.Lock()
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -38,6 +38,7 @@
 				Decode:  platform.DecodeConfiguration,
 				Log:     log,
 				Version: p.Version,
+				Reloads: (&settingsWatch{path: file, log: log}).run,
 			}
 			if err := g.Run(cmd.Context()); err != nil {
 				return &Error{Op: "gateway", Kind: KindFailed, Err: err}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,7 +45,7 @@
 	ConfigProof time.Duration `cbor:"6,keyasint,omitempty"` // when the configuration was known to be the newest
 	ReplicaRead time.Duration `cbor:"7,keyasint,omitempty"`
 
-	ListRevision int64 `cbor:"8,keyasint,omitempty"` // at which the set of replicas last changed
+	ListDigest uint64 `cbor:"8,keyasint,omitempty"` // of the set of replicas
 }
 
 // Feed holds what this host knows; its fields must be set before use.
@@ -67,10 +67,13 @@
 	replicas        []replica.Replica
 	replicaRevision int64
 	replicaRead     time.Time
-	listRevision    int64 // replicaRevision when the replicas last changed
+	digest          uint64 // of replicas
 	storeDown       bool
 }
 
+// Init makes the feed's state; it must be called before any other method.
+func (f *Feed) Init() { f.list = replica.NewList() }
+
 // Catalog returns the configuration in force, or nil.
 func (f *Feed) Catalog() *catalog.Catalog { return f.catalog.Load() }
 
@@ -211,41 +214,35 @@
 	}
 	f.replicaRevision = revision
 	f.replicaRead = asked
-	if f.update(read) {
-		f.listRevision = revision
-	}
+	f.changed(f.list.Update(asked, read))
 	return nil
 }
 
-// update takes a full set of replicas and tells whether it changed anything.
-func (f *Feed) update(read []replica.Replica) bool {
-	if f.list == nil {
-		f.list = replica.NewList()
-	}
-	changes := f.list.Update(steady.Now(), read)
+// changed takes over what the list of replicas says after an update.
+func (f *Feed) changed(changes []replica.Change) {
 	if len(changes) == 0 {
-		return false
+		return
 	}
 	f.replicas = f.list.All()
+	f.digest = f.list.Digest()
 	for _, c := range changes {
 		f.Log.Event("replica_"+string(c.Kind), slog.String("replica", c.Replica.ID),
 			slog.String("service", c.Replica.Service), slog.String("address", c.Replica.Address.String()),
 			slog.Int64("revision", f.replicaRevision))
 	}
 	f.notify()
-	return true
 }
 
-// Export returns what a peer needs that has the configuration and the set of replicas of the given revisions, with
-// times relative to base.
-func (f *Feed) Export(base time.Time, configRevision, listRevision int64) State {
+// Export returns what a peer needs that has the configuration of the given revision and the set of replicas with the
+// given digest, with times relative to base.
+func (f *Feed) Export(base time.Time, configRevision int64, listDigest uint64) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := State{
 		ConfigRevision:  f.document.Revision,
 		ReplicaRevision: f.replicaRevision,
-		ListRevision:    f.listRevision,
-		HasReplicas:     f.listRevision > 0 && f.listRevision != listRevision,
+		ListDigest:      f.digest,
+		HasReplicas:     f.digest != 0 && f.digest != listDigest,
 		ConfigProof:     f.proof.Sub(base),
 		ReplicaRead:     f.replicaRead.Sub(base),
 	}
@@ -258,16 +255,16 @@
 	return s
 }
 
-// Revisions returns the revisions at which the configuration and the set of replicas last changed.
-func (f *Feed) Revisions() (configuration, list int64) {
+// Has returns the revision of the configuration and the digest of the set of replicas in force.
+func (f *Feed) Has() (configRevision int64, listDigest uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.document.Revision, f.listRevision
+	return f.document.Revision, f.digest
 }
 
 // Import takes what a peer passed on, with times relative to base.
 func (f *Feed) Import(base time.Time, s State) {
-	configRevision, _ := f.Revisions()
+	configRevision, _ := f.Has()
 	switch {
 	case s.ConfigRevision == 0:
 	case s.ConfigData != nil:
@@ -277,18 +274,17 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s.ReplicaRevision == 0 || s.ReplicaRevision < f.replicaRevision {
-		return
-	}
 	read := base.Add(s.ReplicaRead)
+	newer := s.ReplicaRevision > f.replicaRevision || s.ReplicaRevision == f.replicaRevision && read.After(f.replicaRead)
 	switch {
+	case s.ReplicaRevision == 0 || !newer:
 	case s.HasReplicas:
 		f.replicaRevision = s.ReplicaRevision
 		f.replicaRead = read
-		f.update(s.Replicas)
-		f.listRevision = s.ListRevision
-	case s.ListRevision == f.listRevision && read.After(f.replicaRead):
+		f.changed(f.list.Replace(read, s.Replicas))
+	case s.ListDigest == f.digest:
 		f.replicaRevision = s.ReplicaRevision
 		f.replicaRead = read
+		f.list.Confirm(read)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,14 +60,28 @@
 	Decode  func(data []byte) (*catalog.Catalog, error)
 	Log     *eventlog.Log
 	Version string
+	// Reloads returns the settings each time that they have changed, until its context ends; it may be nil.
+	Reloads func(ctx context.Context, reload func(s *site.Site)) error
 
 	feed    *feed.Feed
 	desk    *placement.Desk
 	pool    *backend.Pool
+	budget  *budget.Budget
 	relay   *relay.Relay
 	ingress *ingress.Ingress
 }
 
+// Reload takes over the settings that may change while the host runs: seeds and bounds. It must be called after Run has
+// begun.
+func (g *Gateway) Reload(s *site.Site) {
+	g.desk.AddSeeds(s.Seeds)
+	g.budget.Set(s.RetryRatio, s.RetrySlack, s.RetryWindow)
+	g.ingress.SetRevokeTime(s.RevokeTime)
+	restart := s.Callers != g.Site.Callers || s.Readiness != g.Site.Readiness || s.Peers != g.Site.Peers ||
+		s.StoreAddress != g.Site.StoreAddress
+	g.Log.Event("settings_reloaded", slog.Int("seeds", len(s.Seeds)), slog.Bool("needs_restart", restart))
+}
+
 // Run serves until ctx ends and the planned stop is over; its errors are of type *Error.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.Site.MemoryBytes)))
@@ -104,6 +118,7 @@
 func (g *Gateway) wire() {
 	self := roster.Member{Address: g.Site.Peers, Weight: g.Site.ProcessorShare}
 	g.feed = &feed.Feed{Store: g.Store, Decode: g.Decode, Log: g.Log}
+	g.feed.Init()
 	g.desk = &placement.Desk{
 		Roster: roster.New(steady.Now(), self, g.Site.Seeds),
 		Feed:   g.feed,
@@ -112,21 +127,22 @@
 	g.desk.Init()
 	g.feed.MaxAge = g.desk.MaxAge
 	g.feed.Changed = g.desk.Update
+	g.budget = &budget.Budget{
+		Ratio: g.Site.RetryRatio, Slack: g.Site.RetrySlack, Window: g.Site.RetryWindow, Hosts: g.desk.Hosts,
+	}
 	g.pool = &backend.Pool{Codec: g.Headers}
 	g.relay = &relay.Relay{
 		Pool:   g.pool,
 		Desk:   g.desk,
 		Memory: g.Memory,
-		Budget: &budget.Budget{
-			Ratio: g.Site.RetryRatio, Slack: g.Site.RetrySlack, Window: g.Site.RetryWindow, Hosts: g.desk.Hosts,
-		},
-		Marker:     g.Headers,
-		Log:        g.Log,
-		MemoryHold: g.Site.MemoryHold,
+		Budget: g.budget,
+		Marker: g.Headers,
+		Log:    g.Log,
 	}
 	g.ingress = &ingress.Ingress{
-		Feed: g.feed, Relay: g.relay, Decoder: g.Headers, Log: g.Log, RevokeTime: g.Site.RevokeTime,
+		Feed: g.feed, Relay: g.relay, Decoder: g.Headers, Log: g.Log,
 	}
+	g.ingress.SetRevokeTime(g.Site.RevokeTime)
 	g.ingress.Init()
 }
 
@@ -152,11 +168,15 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(ctx context.Context) error{
+	loops := []func(ctx context.Context) error{
 		func(ctx context.Context) error { return g.desk.Run(ctx, peers) },
 		g.feed.Run,
 		g.sweep,
-	} {
+	}
+	if g.Reloads != nil {
+		loops = append(loops, func(ctx context.Context) error { return g.Reloads(ctx, g.Reload) })
+	}
+	for _, loop := range loops {
 		group.Add(func() error { return ignoreEnd(loop(ctx)) }, func(error) { end() })
 	}
 	return nil
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -44,14 +44,16 @@
 	Relay   *relay.Relay
 	Decoder Decoder
 	Log     *eventlog.Log
-	// RevokeTime bounds how long a key may be used after it was taken away; 0 means no bound.
-	RevokeTime time.Duration
 
 	server  *http.Server
 	leaving atomic.Int64 // steady time of the order to stop, in nanoseconds; 0 before
 	active  atomic.Int64
+	revoke  atomic.Int64 // bound on the use of keys that were taken away, in nanoseconds
 }
 
+// SetRevokeTime bounds how long a key may be used after it was taken away; 0 means no bound.
+func (g *Ingress) SetRevokeTime(d time.Duration) { g.revoke.Store(int64(d)) }
+
 // Run serves callers on listener until Stop ends it.
 func (g *Ingress) Run(listener net.Listener) error {
 	err := g.server.Serve(listener)
@@ -91,7 +93,8 @@
 
 // fresh tells whether a key that was valid by the configuration in force may still be used.
 func (g *Ingress) fresh(now time.Time) bool {
-	return g.RevokeTime == 0 || now.Sub(g.Feed.Proof()) < g.RevokeTime-proofMargin
+	bound := time.Duration(g.revoke.Load())
+	return bound == 0 || now.Sub(g.Feed.Proof()) < bound-proofMargin
 }
 
 // ServeHTTP admits one request.
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -38,9 +38,9 @@
 	// that stamp, which is earlier, so that knowledge never seems newer than it is.
 	State *feed.State `cbor:"5,keyasint,omitempty"`
 	// What the sender has, so that the receiver leaves it out.
-	ConfigRevision int64 `cbor:"6,keyasint,omitempty"`
-	ListRevision   int64 `cbor:"7,keyasint,omitempty"`
-	Reply          bool  `cbor:"8,keyasint,omitempty"` // this answers a beat, and asks for none
+	ConfigRevision int64  `cbor:"6,keyasint,omitempty"`
+	ListDigest     uint64 `cbor:"7,keyasint,omitempty"`
+	Reply          bool   `cbor:"8,keyasint,omitempty"` // this answers a beat, and asks for none
 }
 
 // Report tells the planner about a request that it placed.
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -47,8 +47,8 @@
 	address   netip.AddrPort // of the host at the other end; invalid until it has told it
 	stamp     int64          // the newest of the other end
 	stampAt   time.Time
-	config    int64 // revisions that the other end has
-	list      int64
+	config    int64 // what the other end has
+	list      uint64
 	dialing   bool
 	idleSince time.Time
 }
@@ -86,6 +86,13 @@
 	return d.Roster.Size()
 }
 
+// AddSeeds adds hosts that may know others.
+func (d *Desk) AddSeeds(seeds []netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Roster.AddSeeds(seeds)
+}
+
 // Planner returns the host that plans for this one.
 func (d *Desk) Planner() netip.AddrPort {
 	d.mu.Lock()
@@ -97,15 +104,16 @@
 // reads always, the others in the order in which they would plan.
 func (d *Desk) MaxAge() time.Duration {
 	const (
-		first = 1300 * time.Millisecond
-		step  = 250 * time.Millisecond
+		first = 1000 * time.Millisecond
+		step  = 40 * time.Millisecond
+		last  = 1600 * time.Millisecond
 	)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current == d.self() {
 		return 0
 	}
-	return first + time.Duration(d.Roster.Rank())*step
+	return min(first+time.Duration(d.Roster.Rank())*step, last)
 }
 
 // Update gives the local planner the configuration and replicas in force, and tells peers about them at once.
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -187,7 +187,7 @@
 
 // choose takes the planner that the roster names and tells it what is under way.
 func (d *Desk) choose(now time.Time) {
-	m := d.Roster.Planner()
+	m := d.Roster.Planner(now)
 	if m.Address == d.current {
 		return
 	}
@@ -230,13 +230,13 @@
 }
 
 func (d *Desk) sendBeat(now time.Time, p *peer, isReply bool) {
-	config, list := d.Feed.Revisions()
+	config, list := d.Feed.Has()
 	b := &link.Beat{
 		Stamp:          now.UnixNano(),
 		Host:           d.Roster.Self(),
 		Members:        d.Roster.Members(now),
 		ConfigRevision: config,
-		ListRevision:   list,
+		ListDigest:     list,
 		Reply:          isReply,
 	}
 	if p.stamp != 0 {
@@ -313,7 +313,7 @@
 	p.stamp = b.Stamp
 	p.stampAt = now
 	p.config = b.ConfigRevision
-	p.list = b.ListRevision
+	p.list = b.ListDigest
 	if d.Roster.Heard(now, b.Host) {
 		d.Log.Event("host_regained", slog.String("peer", b.Host.Address.String()))
 	}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -11,56 +11,72 @@
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
 
 const (
-	reserveTimeout = 300 * time.Millisecond
-	releaseTimeout = 500 * time.Millisecond
-	releaseTries   = 5
-	releasePause   = 200 * time.Millisecond
+	// Reserved memory is leased for a short time and renewed, so that a host that dies leaves none behind.
+	memoryLease   = 3 * time.Second
+	memoryRenewal = time.Second
+
+	orderTimeout = 500 * time.Millisecond
+	releaseTries = 5
+	releasePause = 200 * time.Millisecond
 )
 
 // reservation is memory set aside at one engine.
 type reservation struct {
 	engine netip.AddrPort
 	ticket string
+	tokens int
 }
 
 var tickets atomic.Uint64
 
-// reserve sets aside the memory that the plan asks for and enters the helpers in the attempt.
-func (t *transfer) reserve(plan *planner.Plan, a *backend.Attempt) ([]reservation, error) {
-	var reserved []reservation
-	hold := min(a.Left+time.Second, t.relay.MemoryHold)
+// reserve sets aside the memory that the plan asks for, enters the helpers in the attempt and returns what frees the
+// memory.
+func (t *transfer) reserve(plan *planner.Plan, a *backend.Attempt) (free func(), err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	free = cancel
 	for _, h := range plan.Helpers {
 		helper := backend.Helper{Address: h.Address}
 		if h.Reserve > 0 {
 			helper.Ticket = t.call.ID + "-" + strconv.FormatUint(tickets.Add(1), 36)
-			ctx, cancel := context.WithTimeout(t.ctx, reserveTimeout)
-			reserved = append(reserved, reservation{engine: h.Address, ticket: helper.Ticket})
-			err := t.relay.Memory.Reserve(ctx, h.Address, helper.Ticket, h.Reserve, hold)
-			cancel()
+			one := reservation{engine: h.Address, ticket: helper.Ticket, tokens: h.Reserve}
+			err = t.relay.reserveOne(t.ctx, one)
+			go t.relay.keep(ctx, t.call.ID, one)
 			if err != nil {
-				return reserved, err
+				return free, err
 			}
 		}
 		a.Helpers = append(a.Helpers, helper)
 	}
-	return reserved, nil
+	return free, nil
+}
+
+func (r *Relay) reserveOne(ctx context.Context, one reservation) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return r.Memory.Reserve(ctx, one.engine, one.ticket, one.tokens, memoryLease)
 }
 
-// release frees reserved memory and repeats that until it is confirmed or the lease has ended.
-func (t *transfer) release(reserved []reservation) {
-	for _, r := range reserved {
-		go t.relay.releaseOne(t.call.ID, r)
+// keep renews a reservation until ctx ends, and then frees it.
+func (r *Relay) keep(ctx context.Context, id string, one reservation) {
+	for wait.For(ctx, memoryRenewal); ctx.Err() == nil; wait.For(ctx, memoryRenewal) {
+		if err := r.reserveOne(ctx, one); err != nil && ctx.Err() == nil {
+			r.Log.Warn("renewal_failed", slog.String("request_id", id), slog.String("engine", one.engine.String()),
+				slog.String("ticket", one.ticket), slog.String("error", err.Error()))
+		}
 	}
+	r.release(id, one)
 }
 
-func (r *Relay) releaseOne(id string, one reservation) {
+// release frees reserved memory and repeats that until it is confirmed; what is left over then ends with its lease.
+func (r *Relay) release(id string, one reservation) {
 	began := steady.Now()
 	var err error
 	for range releaseTries {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		err = r.Memory.Release(ctx, one.engine, one.ticket)
 		cancel()
 		if err == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,8 +46,6 @@
 	Budget *budget.Budget
 	Marker Marker
 	Log    *eventlog.Log
-	// Bounds of reserved memory.
-	MemoryHold time.Duration
 
 	asks     atomic.Uint64
 	underWay atomic.Int64
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -158,8 +158,8 @@
 		LastEvent: t.events.last,
 		Rank:      min(t.call.Rank, maxRank),
 	}
-	reserved, err := t.reserve(plan, a)
-	defer t.release(reserved)
+	free, err := t.reserve(plan, a)
+	defer free()
 	if err != nil {
 		return planner.OutcomeRefused, err
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,8 +1,13 @@
 package replica
 
 import (
+	"cmp"
+	"fmt"
 	"net/netip"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Replica is one backend server as it last described itself.
@@ -25,7 +30,6 @@
 
 // List is the set of replicas in force and the changes it went through.
 type List struct {
-	Version  uint64
 	replicas map[string]Replica
 	lastRead time.Time
 	returned time.Time            // when the store last came back
@@ -61,6 +65,10 @@
 		l.returned = now
 	}
 	l.lastRead = now
+	return l.apply(now, read)
+}
+
+func (l *List) apply(now time.Time, read []Replica) []Change {
 	var changes []Change
 	seen := make(map[string]bool, len(read))
 	for _, r := range read {
@@ -78,12 +86,24 @@
 		delete(l.missing, id)
 		changes = append(changes, Change{Replica: r, Kind: ChangeGone})
 	}
-	if len(changes) > 0 {
-		l.Version++
-	}
 	return changes
 }
 
+// Confirm notes that another host read the same set at the given time.
+func (l *List) Confirm(read time.Time) {
+	if read.After(l.lastRead) {
+		l.lastRead = read
+	}
+}
+
+// Replace takes the set that another host has in force, which it read at the given time, and returns what changed.
+func (l *List) Replace(read time.Time, all []Replica) []Change {
+	l.Confirm(read)
+	l.returned = time.Time{}
+	clear(l.missing)
+	return l.apply(read, all)
+}
+
 func (l *List) take(r Replica) (Change, bool) {
 	old, known := l.replicas[r.ID]
 	l.replicas[r.ID] = r
@@ -112,11 +132,22 @@
 	return true
 }
 
-// All returns the replicas in force in no particular order.
+// All returns the replicas in force in the order of their ids.
 func (l *List) All() []Replica {
 	all := make([]Replica, 0, len(l.replicas))
 	for _, r := range l.replicas {
 		all = append(all, r)
 	}
+	slices.SortFunc(all, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
+
+// Digest is the same for lists with the same replicas in force.
+func (l *List) Digest() uint64 {
+	d := xxhash.New()
+	for _, r := range l.All() {
+		// The digest's writes can't fail.
+		_, _ = fmt.Fprintf(d, "%+v\n", r)
+	}
+	return d.Sum64()
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,6 +20,13 @@
 	seedInterval      = 300 * time.Millisecond
 	seedIntervalLater = 5 * time.Second
 	settleTime        = 4 * time.Second
+	// A host that this one hasn't heard itself for this time plans nothing for it.
+	verifiedTime = 1500 * time.Millisecond
+	// Hosts that are ready to take over from the planner, and how often they are asked.
+	maxStandbys     = 2
+	standbyInterval = 500 * time.Millisecond
+	// Hosts preferred to the planner that are tried at once.
+	maxTries = 4
 	// A host of which nobody has heard for this time is forgotten.
 	forgetTime = 12 * time.Second
 )
@@ -35,6 +42,7 @@
 type entry struct {
 	member  Member
 	heard   time.Time // by anyone
+	direct  time.Time // by this host
 	asked   time.Time // first unanswered contact; zero if there is none
 	contact time.Time // last contact
 	seed    bool
@@ -106,6 +114,7 @@
 	was := e.lost
 	e.member = m
 	e.heard = now
+	e.direct = now
 	e.asked = time.Time{}
 	e.lost = false
 	return was
@@ -174,17 +183,19 @@
 	return n
 }
 
-// Planner returns the host that plans for this one: the first in an order that all hosts share, of those not lost.
-func (r *Roster) Planner() Member {
+// Planner returns the host that plans for this one: of this host and those that it has heard itself of late, the first
+// in an order that all hosts share.
+func (r *Roster) Planner(now time.Time) Member {
 	for _, m := range r.order() {
-		e := r.entries[m.Address]
-		if m.Address == r.self.Address || !e.lost {
+		if m.Address == r.self.Address || r.entries[m.Address].verified(now) {
 			return m
 		}
 	}
 	return r.self
 }
 
+func (e *entry) verified(now time.Time) bool { return !e.lost && now.Sub(e.direct) < verifiedTime }
+
 // Rank returns how many hosts that aren't lost come before this one in the order of planners.
 func (r *Roster) Rank() int {
 	n := 0
@@ -233,23 +244,35 @@
 // weightPower makes hosts with a small processor share unlikely planners.
 const weightPower = 3
 
-// Contacts returns the hosts to contact now: the planner and those preferred to it that are due for another try, and
-// seeds.
+// Contacts returns the hosts to contact now: the planner, those preferred to it that are due for a try, the next ones in
+// the order as standbys, and seeds.
 func (r *Roster) Contacts(now time.Time) []netip.AddrPort {
 	var contacts []netip.AddrPort
-	planner := r.Planner()
+	planner := r.Planner(now)
+	tries, standbys := 0, 0
+	passed := false
 	for _, m := range r.order() {
-		if m.Address == r.self.Address {
-			break
-		}
 		e := r.entries[m.Address]
-		if m.Address == planner.Address || now.Sub(e.contact) > retryTime {
+		switch {
+		case m.Address == r.self.Address:
+			passed = passed || planner.Address == r.self.Address
+		case m.Address == planner.Address:
 			contacts = append(contacts, m.Address)
-		}
-		if m.Address == planner.Address {
-			break
+			passed = true
+		case !passed && tries < maxTries && (!e.lost || now.Sub(e.contact) >= retryTime):
+			contacts = append(contacts, m.Address)
+			tries++
+		case passed && standbys < maxStandbys && !e.lost:
+			standbys++
+			if now.Sub(e.contact) >= standbyInterval {
+				contacts = append(contacts, m.Address)
+			}
 		}
 	}
+	return r.addSeeds(now, contacts)
+}
+
+func (r *Roster) addSeeds(now time.Time, contacts []netip.AddrPort) []netip.AddrPort {
 	interval := seedIntervalLater
 	if now.Sub(r.started) < settleTime {
 		interval = seedInterval
