planner: keep the cost of placing within a planner's processor share

Ruled out: the planner that was killed at 14 s; asks failed until 36 s. Change: waiting heavy prompts are tried each 20 ms, views of engines are made once a try, shares of short prompts are counted, not computed; members are passed on each second.

--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -51,6 +51,7 @@
 	list      uint64
 	dialing   bool
 	idleSince time.Time
+	toldAt    time.Time // when the members were last passed on
 }
 
 // held is a request under way, for telling a new planner.
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -15,6 +15,8 @@
 
 const (
 	beatInterval = 250 * time.Millisecond
+	// How often the members are passed on over one link.
+	memberInterval = time.Second
 	// How often asks that wait are looked at again.
 	settleInterval = 20 * time.Millisecond
 	// A link that carries nothing but answers to beats is closed after this time.
@@ -234,11 +236,14 @@
 	b := &link.Beat{
 		Stamp:          now.UnixNano(),
 		Host:           d.Roster.Self(),
-		Members:        d.Roster.Members(now),
 		ConfigRevision: config,
 		ListDigest:     list,
 		Reply:          isReply,
 	}
+	if now.Sub(p.toldAt) >= memberInterval {
+		p.toldAt = now
+		b.Members = d.Roster.Members(now)
+	}
 	if p.stamp != 0 {
 		b.Echo = p.stamp
 		state := d.Feed.Export(p.stampAt, p.config, p.list)
--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,67 @@
+package planner
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+)
+
+var (
+	start      = time.Unix(1000, 0)
+	testEngine = &catalog.Engine{
+		Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 850 * time.Microsecond,
+		StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
+		PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51, StepHop: 50 * time.Microsecond,
+	}
+)
+
+func newTestPlanner(replicas int) *Planner {
+	p := New()
+	p.SetEngines(map[string]*catalog.Engine{"llm": testEngine})
+	var list []replica.Replica
+	for i := range replicas {
+		list = append(list, replica.Replica{
+			ID: fmt.Sprintf("i-%02d", i), Service: "llm", Slots: 16,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 8080),
+		})
+	}
+	p.SetReplicas(start, list)
+	return p
+}
+
+func shortAsk(id int) Ask {
+	return Ask{
+		ID: fmt.Sprint("s", id), Host: "h", Service: "llm", PromptTokens: 4960, OutputTokens: 3000, LikelyTokens: 1650,
+		FirstAim: 300 * time.Millisecond, GapAim: 250 * time.Millisecond, Deadline: 10 * time.Second,
+	}
+}
+
+func longAsk(id int) Ask {
+	return Ask{
+		ID: fmt.Sprint("l", id), Host: "h", Service: "llm", PromptTokens: 154000, OutputTokens: 1600, LikelyTokens: 800,
+		FirstAim: 3 * time.Second, GapAim: time.Second, Deadline: 15 * time.Second,
+	}
+}
+
+// BenchmarkWave settles the asks of a second of a wave of short prompts while long ones wait.
+func BenchmarkWave(b *testing.B) {
+	for b.Loop() {
+		p := newTestPlanner(16)
+		now := start
+		for i := range 150 {
+			now = now.Add(7 * time.Millisecond)
+			p.Ask(now, shortAsk(i))
+			if i%30 == 0 {
+				p.Ask(now, longAsk(i))
+			}
+			for _, a := range p.Settle(now) {
+				p.Started(now, a.Host, a.ID)
+			}
+			p.Settle(now)
+		}
+	}
+}
--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -26,15 +26,26 @@
 
 // heavy returns the best choice for a prompt that takes long to read, if it is better than to wait.
 func (p *Planner) heavy(now time.Time, a *Ask, servers []*server) (choice, []int, bool) {
-	clear, free := p.clear(now, servers)
+	views := make([]view, 0, len(servers))
+	busy := 0
+	for _, s := range servers {
+		v := viewOf(now, s)
+		switch {
+		case v.parts+v.own > clearReading:
+			busy++
+		case s.lag(now) <= 0 && s.helps < s.slots():
+			views = append(views, v)
+		}
+	}
+	crowd := p.crowdOf(now, len(servers), busy)
 	var best choice
 	var reserves []int
 	found := false
 	for _, readers := range readerCounts {
-		if readers > len(clear) || readers > maxReaders {
+		if readers > len(views) || readers > maxReaders {
 			break
 		}
-		c, split, ok := p.joined(now, a, clear, free, readers)
+		c, split, ok := p.joined(now, a, views, crowd, readers)
 		if ok && (!found || c.loss < best.loss) {
 			best, reserves, found = c, split, true
 		}
@@ -45,19 +56,6 @@
 	return best, reserves, true
 }
 
-// clear returns the servers at which a part would be read at once, and how many of them short prompts don't need.
-func (p *Planner) clear(now time.Time, servers []*server) ([]*server, int) {
-	var clear []*server
-	for _, s := range servers {
-		o := s.model.Outlook(now)
-		if o.Parts+o.Own <= clearReading && s.lag(now) <= 0 && len(s.helps) < s.slots() {
-			clear = append(clear, s)
-		}
-	}
-	free := len(servers) - int(p.shorts.perSecond(now)/shortRate) - 1
-	return clear, free
-}
-
 // placingGain is what a prompt gains by being placed now, with its first event after first, instead of a little later.
 func placingGain(a *Ask, first time.Duration) float64 {
 	gain := firstLoss(first+holdStep, a.FirstAim, a) - firstLoss(first, a.FirstAim, a)
@@ -65,27 +63,26 @@
 }
 
 // joined returns the best choice of readers servers, of which one writes, and the memory to reserve at the others.
-func (p *Planner) joined(now time.Time, a *Ask, servers []*server, free, readers int) (choice, []int, bool) {
-	spots := make([]spot, 0, len(servers))
-	for _, s := range servers {
-		read := pass.ReadTime(s.model.Engine, a.PromptTokens, readers)
-		spots = append(spots, p.spotAt(now, s, read, true))
-	}
-	p.sortSpots(now, spots, a, free)
-	lead := leadOf(now, spots[:], a, readers)
+func (p *Planner) joined(now time.Time, a *Ask, views []view, crowd crowd, readers int) (choice, []int, bool) {
+	spots := make([]spot, 0, len(views))
+	for i := range views {
+		read := pass.ReadTime(views[i].server.model.Engine, a.PromptTokens, readers)
+		spots = append(spots, views[i].spotAt(now, read, true))
+	}
+	sortSpots(spots, a)
+	lead := leadOf(now, spots, a, readers)
 	if lead < 0 {
 		return choice{}, nil, false
 	}
 	c := choice{lead: spots[lead], harm: spots[lead].harm}
 	finish := c.lead.finish
-	c.loss = ownLoss(now, c.lead.server, a, 0, c.lead.pass)
 	for i := 0; i < len(spots) && len(c.helpers) < readers-1; i++ {
 		if i == lead {
 			continue
 		}
 		c.helpers = append(c.helpers, spots[i].server)
 		c.harm += spots[i].harm
-		c.loss += failing(now, spots[i].server, a)
+		c.loss += spots[i].fails * value(a.PromptTokens)
 		finish = max(finish, c.lead.begin+spots[i].finish)
 	}
 	reserves, ok := reserveFor(a, c.lead.server, c.helpers)
@@ -96,37 +93,48 @@
 	if readers > 1 {
 		c.first += jointTime
 	}
-	c.harm += p.crowding(now, c, free)
-	c.loss += c.harm + ownLoss(now, c.lead.server, a, c.first, 0) + readerWeight*float64(readers-1)
+	c.harm += crowd.loss(readers, c.lead.pass)
+	c.loss += c.harm + ownLoss(a, c.first, &c.lead) + readerWeight*float64(readers-1)
 	return c, reserves, true
 }
 
-// crowding returns what short prompts that are to come lose when the choice leaves them too few engines.
-func (p *Planner) crowding(now time.Time, c choice, free int) float64 {
-	busy := len(c.helpers) + 1
-	for _, s := range p.services[c.lead.server.replica.Service] {
-		o := s.model.Outlook(now)
-		if s != c.lead.server && !slices.Contains(c.helpers, s) && o.Parts+o.Own > clearReading {
-			busy++
-		}
+// crowd is what short prompts that are to come need of a service's engines.
+type crowd struct {
+	servers int
+	busy    int // read heavy prompts already
+	free    int // short prompts don't need
+	stake   float64
+}
+
+func (p *Planner) crowdOf(now time.Time, servers, busy int) crowd {
+	rate := p.shorts.perSecond(now)
+	return crowd{
+		servers: servers,
+		busy:    busy,
+		free:    max(servers-int(rate/shortRate)-1, 1),
+		stake:   lateLoss * value(p.shorts.tokens) * rate,
 	}
-	over := busy - max(free, 1)
+}
+
+// loss returns what short prompts lose when readers more engines are busy for d.
+func (c crowd) loss(readers int, d time.Duration) float64 {
+	over := c.busy + readers - c.free
 	if over <= 0 {
 		return 0
 	}
-	rate := p.shorts.perSecond(now)
-	share := float64(over) / float64(max(len(p.services[c.lead.server.replica.Service])-max(free, 1), 1))
-	return lateLoss * value(p.shorts.tokens) * rate * min(share, 1) * c.lead.pass.Seconds()
+	share := float64(over) / float64(max(c.servers-c.free, 1))
+	return c.stake * min(share, 1) * d.Seconds()
 }
 
 // sortSpots puts the servers that suit a part best first.
-func (p *Planner) sortSpots(now time.Time, spots []spot, a *Ask, _ int) {
-	cost := func(sp *spot) float64 {
-		return sp.harm + failing(now, sp.server, a) + packWeight*sp.server.shortShare() +
-			value(a.PromptTokens)*firstWeight*sp.finish.Seconds()
+func sortSpots(spots []spot, a *Ask) {
+	worth := value(a.PromptTokens)
+	for i := range spots {
+		sp := &spots[i]
+		sp.cost = sp.harm + worth*(sp.fails+firstWeight*sp.finish.Seconds()) + packWeight*sp.server.shortShare()
 	}
 	slices.SortFunc(spots, func(x, y spot) int {
-		if c := cmp.Compare(cost(&x), cost(&y)); c != 0 {
+		if c := cmp.Compare(x.cost, y.cost); c != 0 {
 			return c
 		}
 		return cmp.Compare(x.server.replica.ID, y.server.replica.ID)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -20,6 +20,7 @@
 	tokens   int // memory at its server
 	writing  bool
 	late     bool
+	heavy    bool
 }
 
 func (j *job) joint() bool { return len(j.helpers) > 0 }
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -60,21 +60,42 @@
 	begin  time.Duration // from now until its reading begins, for a request of the server's own
 	finish time.Duration // from now until it is read
 	pass   time.Duration // of the pass in which it is read
+	fails  float64       // share of requests expected to fail at the server
+	cost   float64       // of reading a part here, for comparing servers
 }
 
-// spotAt reckons what reading for the given time costs at s, of a part for another server or of a prompt of its own.
-func (p *Planner) spotAt(now time.Time, s *server, read time.Duration, part bool) spot {
+// view is what a prompt finds at one server.
+type view struct {
+	server *server
+	begin  time.Duration // from now until the next pass
+	steps  time.Duration // of that pass without reading
+	parts  time.Duration // of reading that waits
+	own    time.Duration
+	fails  float64 // share of requests expected to fail
+}
+
+func viewOf(now time.Time, s *server) view {
 	o := s.model.Outlook(now)
-	read = time.Duration(float64(read) * s.model.Pace)
-	steps := s.model.Steps(0, 0)
-	before := steps + o.Parts + o.Own
+	return view{
+		server: s,
+		begin:  o.Begin.Sub(now) + s.lag(now),
+		steps:  s.model.Steps(0, 0),
+		parts:  o.Parts,
+		own:    o.Own,
+		fails:  s.failureShare(now),
+	}
+}
+
+// spotAt reckons what reading for the given time costs, of a part for another server or of a prompt of the server's own.
+func (v *view) spotAt(now time.Time, read time.Duration, part bool) spot {
+	read = time.Duration(float64(read) * v.server.model.Pace)
+	before := v.steps + v.parts + v.own
 	after := before + read
-	begin := o.Begin.Sub(now) + s.lag(now)
-	sp := spot{server: s, pass: after, begin: begin + o.Parts + o.Own, finish: begin + after}
+	sp := spot{server: v.server, pass: after, begin: v.begin + v.parts + v.own, finish: v.begin + after, fails: v.fails}
 	if part {
-		sp.finish = begin + steps + o.Parts + read
+		sp.finish = v.begin + v.steps + v.parts + read
 	}
-	for _, j := range s.jobs {
+	for _, j := range v.server.jobs {
 		sp.harm += lossBeside(now, j, before, after)
 	}
 	return sp
@@ -101,11 +122,6 @@
 	return worth * (pauseLoss(after, &j.ask) - pauseLoss(before, &j.ask))
 }
 
-// failing returns what the ask is expected to lose by failures at s.
-func failing(now time.Time, s *server, a *Ask) float64 {
-	return s.failureShare(now) * value(a.PromptTokens)
-}
-
 // choice is a set of servers for one ask.
 type choice struct {
 	lead    spot
@@ -122,8 +138,9 @@
 		if !s.leads(now, a.PromptTokens+a.OutputTokens) {
 			continue
 		}
-		sp := p.spotAt(now, s, pass.ReadTime(s.model.Engine, a.PromptTokens, 1), false)
-		loss := sp.harm + ownLoss(now, s, a, sp.finish, sp.pass) - packWeight*s.shortShare()
+		v := viewOf(now, s)
+		sp := v.spotAt(now, pass.ReadTime(s.model.Engine, a.PromptTokens, 1), false)
+		loss := sp.harm + ownLoss(a, sp.finish, &sp) - packWeight*s.shortShare()
 		if loss < best.loss {
 			best, found = choice{lead: sp, harm: sp.harm, loss: loss, first: sp.finish}, true
 		}
@@ -131,8 +148,9 @@
 	return best, found
 }
 
-// ownLoss is what the ask itself is expected to lose at s.
-func ownLoss(now time.Time, s *server, a *Ask, first, passTime time.Duration) float64 {
-	own := value(a.PromptTokens) * (firstLoss(first, a.FirstAim, a) + firstWeight*first.Seconds())
-	return own + failing(now, s, a) + passWeight*float64(passTime)/float64(max(a.GapAim, time.Millisecond))
+// ownLoss is what the ask itself is expected to lose at the spot, with its first event after first.
+func ownLoss(a *Ask, first time.Duration, sp *spot) float64 {
+	worth := value(a.PromptTokens)
+	loss := worth * (firstLoss(first, a.FirstAim, a) + firstWeight*first.Seconds() + sp.fails)
+	return loss + passWeight*float64(sp.pass)/float64(max(a.GapAim, time.Millisecond))
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -26,12 +26,11 @@
 
 // place decides on one ask: a choice with the memory to reserve at its helpers, or none if it must wait.
 func (p *Planner) place(now time.Time, a *Ask, servers []*server) (choice, []int, bool) {
-	model := servers[0].model
 	switch {
-	case model == nil:
+	case servers[0].model == nil:
 		c, ok := p.placePlain(now, a, servers)
 		return c, nil, ok
-	case pass.ReadTime(model.Engine, a.PromptTokens, 1) > heavyReading:
+	case p.isHeavy(a):
 		return p.heavy(now, a, servers)
 	default:
 		c, ok := p.single(now, a, servers)
@@ -46,7 +45,7 @@
 		if len(s.jobs) >= s.slots() || now.Before(s.fullTill) {
 			continue
 		}
-		loss := float64(len(s.jobs))/float64(s.slots()) + 2*failing(now, s, a)
+		loss := float64(len(s.jobs))/float64(s.slots()) + 2*s.failureShare(now)
 		if loss < best.loss {
 			best, found = choice{lead: spot{server: s}, loss: loss}, true
 		}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,6 +19,8 @@
 	maxCrashes = 3
 	// How long crashes are counted.
 	crashMemory = 60 * time.Second
+	// How often heavy prompts that wait are tried again.
+	heavyInterval = 20 * time.Millisecond
 	// The shortest time that a refused caller is told to stay away.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -39,12 +41,15 @@
 	shorts   shortRateMeter
 	answers  []Answer
 	swept    time.Time
+	tried    time.Time // when heavy prompts that wait were last tried
 }
 
 // waiter is an ask without a place yet.
 type waiter struct {
 	ask     Ask
 	arrived time.Time
+	heavy   bool
+	tried   bool
 }
 
 // New makes a planner without services.
@@ -90,7 +95,7 @@
 		}
 		s := servers[r.ID]
 		if s == nil || s.replica.Born != r.Born {
-			s = &server{jobs: make(map[jobKey]*job), helps: make(map[jobKey]*job)}
+			s = &server{}
 			p.setModel(s, p.engines[r.Service])
 			servers[r.ID] = s
 		}
@@ -107,13 +112,19 @@
 
 // Ask takes a request that needs a backend server; Settle answers it.
 func (p *Planner) Ask(now time.Time, a Ask) {
-	p.waiting = append(p.waiting, waiter{ask: a, arrived: now})
-	engine := p.engines[a.Service]
-	if engine != nil && a.PromptTokens > 0 && pass.ReadTime(engine, a.PromptTokens, 1) <= heavyReading {
+	heavy := p.isHeavy(&a)
+	p.waiting = append(p.waiting, waiter{ask: a, arrived: now, heavy: heavy})
+	if !heavy && a.PromptTokens > 0 {
 		p.shorts.note(now, a.PromptTokens)
 	}
 }
 
+// isHeavy tells whether the ask's prompt takes long to read.
+func (p *Planner) isHeavy(a *Ask) bool {
+	engine := p.engines[a.Service]
+	return engine != nil && pass.ReadTime(engine, a.PromptTokens, 1) > heavyReading
+}
+
 // Waiting returns how many asks have no answer yet.
 func (p *Planner) Waiting() int { return len(p.waiting) }
 
@@ -134,7 +145,16 @@
 	waiting := p.waiting
 	p.waiting = nil
 	ahead := make(map[string]int)
+	due := now.Sub(p.tried) >= heavyInterval
+	if due {
+		p.tried = now
+	}
 	for _, w := range waiting {
+		if w.heavy && w.tried && !due {
+			p.waiting = append(p.waiting, w)
+			continue
+		}
+		w.tried = true
 		if !p.settleOne(now, w, ahead[w.ask.Service]) {
 			ahead[w.ask.Service]++
 			p.waiting = append(p.waiting, w)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 )
 
@@ -141,11 +142,15 @@
 }
 
 func (p *Planner) add(j *job) {
+	j.heavy = p.isHeavy(&j.ask)
 	p.jobs[j.key] = j
-	j.server.jobs[j.key] = j
+	j.server.jobs = append(j.server.jobs, j)
 	j.server.memory += j.tokens
+	if !j.heavy {
+		j.server.shorts++
+	}
 	for i, h := range j.helpers {
-		h.helps[j.key] = j
+		h.helps++
 		if i < len(j.reserves) {
 			h.memory += j.reserves[i]
 		}
@@ -154,13 +159,17 @@
 
 func (p *Planner) remove(now time.Time, j *job) {
 	delete(p.jobs, j.key)
-	delete(j.server.jobs, j.key)
-	j.server.memory -= j.tokens
-	if j.server.model != nil {
-		j.server.model.Leave(now, j.name(), j.joint())
+	s := j.server
+	s.jobs = slices.DeleteFunc(s.jobs, func(other *job) bool { return other == j })
+	s.memory -= j.tokens
+	if !j.heavy {
+		s.shorts--
+	}
+	if s.model != nil {
+		s.model.Leave(now, j.name(), j.joint())
 	}
 	for i, h := range j.helpers {
-		delete(h.helps, j.key)
+		h.helps--
 		if i < len(j.reserves) {
 			h.memory -= j.reserves[i]
 		}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -24,9 +24,10 @@
 type server struct {
 	replica  replica.Replica
 	model    *pass.Model // nil for a plain service
-	jobs     map[jobKey]*job
-	helps    map[jobKey]*job
-	memory   int // tokens that its jobs need
+	jobs     []*job      // that write or will write here
+	shorts   int         // of jobs that are not heavy
+	helps    int         // jobs that it reads a part for
+	memory   int         // tokens that its jobs need
 	failures float64
 	failedAt time.Time
 	down     time.Time // not used before
@@ -50,6 +51,9 @@
 
 // failureShare returns the expected share of requests that fail here.
 func (s *server) failureShare(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
 	halves := float64(now.Sub(s.failedAt)) / float64(failureHalfLife)
 	return s.failures * math.Exp2(-halves)
 }
@@ -94,12 +98,4 @@
 }
 
 // shortShare returns the share of the server's slots that short prompts hold.
-func (s *server) shortShare() float64 {
-	short := 0
-	for _, j := range s.jobs {
-		if pass.ReadTime(s.model.Engine, j.ask.PromptTokens, 1) <= heavyReading {
-			short++
-		}
-	}
-	return float64(short) / float64(s.slots())
-}
+func (s *server) shortShare() float64 { return float64(s.shorts) / float64(s.slots()) }
