--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 )
 
@@ -44,7 +46,7 @@
 	return &conn{net: tcp, reader: bufio.NewReaderSize(tcp, readBuffer), address: address, idleFor: idleDefault}, nil
 }
 
-func (c *conn) close() { c.net.Close() }
+func (c *conn) close() { _ = c.net.Close() }
 
 // usable tells whether an idle connection may carry another call.
 func (c *conn) usable(now time.Time) bool {
@@ -88,7 +90,7 @@
 func discard(resp *http.Response) error {
 	const most = 1 << 20 // bytes
 	n, err := io.CopyN(io.Discard, resp.Body, most)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return nil
 	}
 	if err == nil && n == most {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oklog/run"
+	"github.com/pkg/errors"
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/budget"
@@ -152,13 +153,13 @@
 	if err != nil {
 		return err
 	}
-	group.Add(func() error { return g.ingress.Run(callers) }, func(error) { callers.Close() })
+	group.Add(func() error { return g.ingress.Run(callers) }, func(error) { _ = callers.Close() })
 	ready, err := listen(g.Site.Readiness)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: time.Second}
-	group.Add(func() error { return server.Serve(ready) }, func(error) { server.Close() })
+	group.Add(func() error { return server.Serve(ready) }, func(error) { _ = server.Close() })
 	return nil
 }
 
@@ -183,7 +184,7 @@
 }
 
 func ignoreEnd(err error) error {
-	if err == context.Canceled {
+	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -86,7 +86,7 @@
 	l.once.Do(func() {
 		l.err = err
 		close(l.closed)
-		l.net.Close()
+		_ = l.net.Close()
 	})
 }
 
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -33,7 +33,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			listener.Close()
+			_ = listener.Close()
 			d.closeAll()
 			return ctx.Err()
 		case <-beat.C:
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -28,7 +28,7 @@
 func (p *Planner) place(now time.Time, a *Ask, servers []*server) (choice, []int, bool) {
 	switch {
 	case servers[0].model == nil:
-		c, ok := p.placePlain(now, a, servers)
+		c, ok := p.placePlain(now, servers)
 		return c, nil, ok
 	case p.isHeavy(a):
 		return p.heavy(now, a, servers)
@@ -39,7 +39,7 @@
 }
 
 // placePlain takes the server with the fewest requests.
-func (p *Planner) placePlain(now time.Time, a *Ask, servers []*server) (choice, bool) {
+func (p *Planner) placePlain(now time.Time, servers []*server) (choice, bool) {
 	best, found := choice{loss: math.Inf(1)}, false
 	for _, s := range servers {
 		if len(s.jobs) >= s.slots() || now.Before(s.fullTill) {
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,200 @@
+package planner
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// newDomainPlanner makes a planner of replicas spread over the failure domains a, b and c.
+func newDomainPlanner(replicas int) *Planner {
+	p := New()
+	p.SetEngines(map[string]*catalog.Engine{"llm": testEngine})
+	var list []replica.Replica
+	for i := range replicas {
+		domain := string(rune('a' + i%3))
+		list = append(list, replica.Replica{
+			ID: fmt.Sprintf("%s-%02d", domain, i), Service: "llm", Slots: 16, FailureDomain: domain,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i % 3), 1, byte(i)}), 8080),
+		})
+	}
+	p.SetReplicas(start, list)
+	return p
+}
+
+// planOf asks and returns the plan, which must come at once.
+func planOf(t *testing.T, p *Planner, now time.Time, a Ask) *Plan {
+	t.Helper()
+	p.Ask(now, a)
+	for _, answer := range p.Settle(now) {
+		if answer.ID == a.ID && answer.Plan != nil {
+			return answer.Plan
+		}
+	}
+	t.Fatalf("no plan for %s", a.ID)
+	return nil
+}
+
+func TestShortPromptsArePackedApartFromLongReading(t *testing.T) {
+	p := newDomainPlanner(16)
+	long := planOf(t, p, at(0), longAsk(0))
+	busy := map[string]bool{long.Replica.ID: true}
+	for _, h := range long.Helpers {
+		busy[h.Replica] = true
+	}
+	if len(long.Helpers) == 0 {
+		t.Error("a prompt of 154,000 tokens is read by one engine")
+	}
+	used := make(map[string]bool)
+	for i := range 12 {
+		plan := planOf(t, p, at(10+100*i), shortAsk(i))
+		p.Started(at(10+100*i+60), "h", fmt.Sprint("s", i))
+		if busy[plan.Replica.ID] && 100*i < 400 {
+			t.Errorf("short prompt %d goes to %s, which reads a long one", i, plan.Replica.ID)
+		}
+		used[plan.Replica.ID] = true
+	}
+	if len(used) > 4 {
+		t.Errorf("12 short prompts are spread over %d engines", len(used))
+	}
+}
+
+func TestPromptOverOneEnginesMemoryReservesTheRest(t *testing.T) {
+	p := newDomainPlanner(16)
+	a := longAsk(0)
+	a.PromptTokens = 500000
+	plan := planOf(t, p, at(0), a)
+	reserved := 0
+	for _, h := range plan.Helpers {
+		reserved += h.Reserve
+	}
+	if missing := a.PromptTokens + a.OutputTokens - testEngine.MemoryTokens; reserved < missing {
+		t.Errorf("%d tokens reserved at other engines, want %d or more", reserved, missing)
+	}
+	p.Ended(at(9000), "h", a.ID, OutcomeDone)
+	for _, s := range p.services["llm"] {
+		if s.memory != 0 || s.helps != 0 || len(s.jobs) != 0 {
+			t.Errorf("%s still counts %d tokens, %d parts and %d requests", s.replica.ID, s.memory, s.helps, len(s.jobs))
+		}
+	}
+}
+
+func TestPromptOverAllMemoryIsRefusedAtOnce(t *testing.T) {
+	p := newDomainPlanner(2)
+	a := longAsk(0)
+	a.PromptTokens = 700000
+	p.Ask(at(0), a)
+	answers := p.Settle(at(0))
+	if len(answers) != 1 || answers[0].Refusal == nil || answers[0].Refusal.Cause != CauseTooLarge {
+		t.Errorf("answers %+v", answers)
+	}
+}
+
+func TestFullServiceRefusesWhatCantBeServedInTime(t *testing.T) {
+	p := newDomainPlanner(1)
+	for i := range 16 {
+		planOf(t, p, at(0), shortAsk(i))
+	}
+	late := shortAsk(99)
+	late.Deadline = 120 * time.Millisecond
+	p.Ask(at(1), late)
+	answers := p.Settle(at(1))
+	if len(answers) != 1 || answers[0].Refusal == nil || answers[0].Refusal.Cause != CauseBusy {
+		t.Fatalf("answers %+v", answers)
+	}
+	if answers[0].Refusal.RetryAfter < late.Deadline {
+		t.Errorf("may come back after %v, though no place is free then", answers[0].Refusal.RetryAfter)
+	}
+	waits := shortAsk(100)
+	p.Ask(at(2), waits)
+	if answers := p.Settle(at(2)); len(answers) != 0 {
+		t.Errorf("an ask with time left is answered: %+v", answers)
+	}
+	p.Ended(at(500), "h", "s3", OutcomeDone)
+	if answers := p.Settle(at(500)); len(answers) != 1 || answers[0].Plan == nil {
+		t.Errorf("after a place got free: %+v", answers)
+	}
+}
+
+func TestRequestThatCrashesReplicasIsEndedAtAllHosts(t *testing.T) {
+	p := newDomainPlanner(16)
+	for i := range maxCrashes {
+		a := shortAsk(i)
+		a.Host = fmt.Sprint("h", i)
+		a.Print = 17
+		planOf(t, p, at(100*i), a)
+		p.Ended(at(100*i+50), a.Host, a.ID, OutcomeBroken)
+	}
+	a := shortAsk(50)
+	a.Host = "another"
+	a.Print = 17
+	p.Ask(at(1000), a)
+	if answers := p.Settle(at(1000)); len(answers) != 1 || answers[0].Refusal == nil || answers[0].Refusal.Cause != CauseCrashes {
+		t.Errorf("answers %+v", answers)
+	}
+	planOf(t, p, at(1000), shortAsk(51))
+}
+
+func TestNewPlannerTakesOverRequestsUnderWay(t *testing.T) {
+	p := newDomainPlanner(2)
+	for i := range 16 {
+		a := shortAsk(i)
+		p.Adopt(at(0), Held{Ask: a, Replica: "a-00", Writing: true})
+	}
+	for i := 20; i < 30; i++ {
+		if plan := planOf(t, p, at(1), shortAsk(i)); plan.Replica.ID != "b-01" {
+			t.Errorf("request %d goes to the replica that was full", i)
+		}
+	}
+	p.HostLost(at(2), "h")
+	if n := len(p.services["llm"]["a-00"].jobs); n != 0 {
+		t.Errorf("%d requests of a lost host are left", n)
+	}
+}
+
+// Two replicas of a failure domain can't be reached: the others there are not tried one by one.
+func TestCutDomainIsLeftAlone(t *testing.T) {
+	p := newDomainPlanner(15)
+	for i, id := range []string{"c-02", "c-05"} {
+		a := shortAsk(i)
+		p.Adopt(at(10*i), Held{Ask: a, Replica: id})
+		p.Ended(at(10*i+400), "h", a.ID, OutcomeUnreachable)
+	}
+	for i := 10; i < 60; i++ {
+		if plan := planOf(t, p, at(430), shortAsk(i)); plan.Replica.FailureDomain == "c" {
+			t.Fatalf("request %d goes to %s", i, plan.Replica.ID)
+		}
+	}
+}
+
+// One replica that can't be reached says nothing of its neighbors, which still answer.
+func TestOneLostReplicaLeavesItsDomainInUse(t *testing.T) {
+	p := newDomainPlanner(15)
+	p.Adopt(at(0), Held{Ask: shortAsk(0), Replica: "c-08"})
+	p.Started(at(350), "h", "s0")
+	for i, id := range []string{"c-02", "c-05"} {
+		p.Adopt(at(10*i), Held{Ask: shortAsk(i + 1), Replica: id})
+		p.Ended(at(10*i+400), "h", fmt.Sprint("s", i+1), OutcomeUnreachable)
+	}
+	if s := p.services["llm"]["c-08"]; !s.usable(at(430)) {
+		t.Error("a replica that has just answered is left alone")
+	}
+}
+
+func TestHelpersOfABrokenPromptAreSuspected(t *testing.T) {
+	p := newDomainPlanner(15)
+	a := longAsk(0)
+	plan := planOf(t, p, at(0), a)
+	p.Ended(at(1500), "h", a.ID, OutcomeBroken)
+	for _, h := range plan.Helpers {
+		if share := p.services["llm"][h.Replica].failureShare(at(1500)); share == 0 {
+			t.Errorf("helper %s is not suspected", h.Replica)
+		}
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -65,17 +65,48 @@
 		s.fullTill = now.Add(fullTime)
 		s.noteOutcome(now, true)
 	case OutcomeUnreachable:
-		s.noteDown(now)
+		p.noteDown(now, s)
 	case OutcomeSilent:
 		s.noteOutcome(now, true)
-		s.noteDown(now)
+		p.noteDown(now, s)
+		suspect(now, j.helpers)
 	case OutcomeBroken:
 		s.noteOutcome(now, true)
 		p.noteCrash(now, j)
+		suspect(now, j.helpers)
 	case OutcomeCanceled:
 	}
 }
 
+// suspect notes that one of the helpers of a prompt that failed may be at fault.
+func suspect(now time.Time, helpers []*server) {
+	for _, h := range helpers {
+		h.noteOutcome(now, true)
+	}
+}
+
+// noteDown leaves a server alone for a while, and with it the others of its failure domain if that seems to be cut off.
+func (p *Planner) noteDown(now time.Time, s *server) {
+	s.noteDown(now)
+	cut := 0
+	for _, other := range p.services[s.replica.Service] {
+		if other.replica.FailureDomain == s.replica.FailureDomain && other.fellSilent(now) {
+			cut++
+		}
+	}
+	if cut < domainCut {
+		return
+	}
+	for _, other := range p.services[s.replica.Service] {
+		if other.replica.FailureDomain == s.replica.FailureDomain && now.Sub(other.sign) > signTime && !now.Before(other.down) {
+			other.noteDown(now)
+		}
+	}
+}
+
+// domainCut is how many replicas of a failure domain that can't be reached mean that it is cut off.
+const domainCut = 2
+
 // withdraw forgets an ask that still waits.
 func (p *Planner) withdraw(host, id string) {
 	for i := range p.waiting {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -32,6 +32,7 @@
 	failedAt time.Time
 	down     time.Time // not used before
 	downTime time.Duration
+	downAt   time.Time
 	fullTill time.Time // it said that it was full
 	sign     time.Time // last sign of life
 }
@@ -70,6 +71,7 @@
 func (s *server) noteDown(now time.Time) {
 	s.downTime = min(max(2*s.downTime, downTimeMin), downTimeMax)
 	s.down = now.Add(s.downTime)
+	s.downAt = now
 }
 
 func (s *server) noteUp(now time.Time) {
@@ -97,5 +99,19 @@
 	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.fullTill)
 }
 
-// shortShare returns the share of the server's slots that short prompts hold.
-func (s *server) shortShare() float64 { return float64(s.shorts) / float64(s.slots()) }
+// shortShare returns how much a server serves short prompts: 0 if none is there, at most 1.
+func (s *server) shortShare() float64 {
+	const any = 0.3
+	if s.shorts == 0 {
+		return 0
+	}
+	return any + (1-any)*float64(s.shorts)/float64(s.slots())
+}
+
+// fellSilent tells whether the server can't be reached since a moment ago.
+func (s *server) fellSilent(now time.Time) bool {
+	return now.Before(s.down) && now.Sub(s.downAt) < domainTime
+}
+
+// domainTime is within which several replicas of a failure domain that can't be reached mean that it is cut off.
+const domainTime = time.Second
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -13,9 +13,8 @@
 	repeat   call.Repeat
 	attempts int // replicas that may run the call
 
-	runs      int // sendings after which the call may have run
-	refusals  int // sendings after which it has not run
-	streaming bool
+	runs     int // sendings after which the call may have run
+	refusals int // sendings after which it has not run
 }
 
 // note takes the outcome of one sending.
