--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -99,14 +99,8 @@
 	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.fullTill)
 }
 
-// shortShare returns how much a server serves short prompts: 0 if none is there, at most 1.
-func (s *server) shortShare() float64 {
-	const any = 0.3
-	if s.shorts == 0 {
-		return 0
-	}
-	return any + (1-any)*float64(s.shorts)/float64(s.slots())
-}
+// shortShare returns the share of the server's slots that short prompts hold.
+func (s *server) shortShare() float64 { return float64(s.shorts) / float64(s.slots()) }
 
 // fellSilent tells whether the server can't be reached since a moment ago.
 func (s *server) fellSilent(now time.Time) bool {
