--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -63,7 +63,8 @@
 // keep renews a reservation until ctx ends, and then frees it.
 func (r *Relay) keep(ctx context.Context, id string, one reservation) {
 	for wait.For(ctx, memoryRenewal); ctx.Err() == nil; wait.For(ctx, memoryRenewal) {
-		if err := r.reserveOne(ctx, one); err != nil && ctx.Err() == nil {
+		// Not under ctx: a renewal that is cut short might arrive after the release.
+		if err := r.reserveOne(context.Background(), one); err != nil {
 			r.Log.Warn("renewal_failed", slog.String("request_id", id), slog.String("engine", one.engine.String()),
 				slog.String("ticket", one.ticket), slog.String("error", err.Error()))
 		}
