--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -96,6 +96,9 @@
 
 // Read reads the body; it returns io.EOF at the end of a whole one only.
 func (x *Exchange) Read(b []byte) (int, error) {
+	if x.resp.ContentLength == 0 {
+		return 0, io.EOF
+	}
 	if err := x.awaitBytes(); err != nil && !errors.Is(err, io.EOF) {
 		return 0, err
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -25,6 +25,7 @@
 	logger  *slog.Logger
 	queue   chan []byte
 	dropped atomic.Int64
+	closing chan struct{}
 	done    chan struct{}
 
 	mu     sync.Mutex
@@ -34,7 +35,12 @@
 
 // New makes a log of the named host that writes to out until Close.
 func New(out io.Writer, host string) *Log {
-	l := &Log{queue: make(chan []byte, queueLength), done: make(chan struct{}), lines: make(map[string]int)}
+	l := &Log{
+		queue:   make(chan []byte, queueLength),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+		lines:   make(map[string]int),
+	}
 	handler := slog.NewJSONHandler(queueWriter{l}, &slog.HandlerOptions{ReplaceAttr: renameMessage})
 	l.logger = slog.New(handler).With(slog.String("host", host))
 	go l.copyTo(out)
@@ -80,7 +86,7 @@
 
 // Close ends the log after the lines so far, or after a short time if the output doesn't take them.
 func (l *Log) Close() {
-	close(l.queue)
+	close(l.closing)
 	timer := time.NewTimer(closeTimeout)
 	defer timer.Stop()
 	select {
@@ -92,7 +98,11 @@
 func (l *Log) copyTo(out io.Writer) {
 	defer close(l.done)
 	reported := time.Now()
-	for line := range l.queue {
+	for {
+		line, ok := l.next()
+		if !ok {
+			return
+		}
 		// Without its output the log has nowhere to tell of the failure.
 		_, _ = out.Write(line)
 		if l.dropped.Load() > 0 && time.Since(reported) > dropReport {
@@ -103,15 +113,25 @@
 	}
 }
 
+// next returns the next line, or false once the log is closed and all lines are out.
+func (l *Log) next() ([]byte, bool) {
+	select {
+	case line := <-l.queue:
+		return line, true
+	default:
+	}
+	select {
+	case line := <-l.queue:
+		return line, true
+	case <-l.closing:
+		return nil, false
+	}
+}
+
 // queueWriter takes each line from slog.
 type queueWriter struct{ log *Log }
 
-func (w queueWriter) Write(line []byte) (n int, err error) {
-	defer func() {
-		if recover() != nil {
-			n = len(line) // the log is closed; its last lines are lost
-		}
-	}()
+func (w queueWriter) Write(line []byte) (int, error) {
 	kept := append([]byte(nil), line...)
 	select {
 	case w.log.queue <- kept:
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -24,6 +24,7 @@
 	idleTime     = 75 * time.Second
 	headerBytes  = 64 << 10
 	defaultBody  = 4 << 20
+	maxDiscard   = 8 << 20
 	bodyTimeout  = 10 * time.Second
 	retryNoProof = 500 * time.Millisecond
 	retryLeaving = 200 * time.Millisecond
@@ -173,6 +174,8 @@
 		limit = config.Limits.BodyBytes
 	}
 	if r.ContentLength > limit {
+		// A caller that still writes when the connection closes may not see the answer.
+		_, _ = io.CopyN(io.Discard, r.Body, min(r.ContentLength, maxDiscard))
 		g.reject(w, c.ID, http.StatusRequestEntityTooLarge, "body too long", slog.Int64("bytes", r.ContentLength))
 		return false
 	}
