planner: let short prompts wait for a place in time, and refuse before callers leave

Change: an ask says when its caller leaves; what can still be in time goes first; a light prompt waits rather than be over 600 ms late; a lead begins within 150 ms; small parts may join other reading; a resumed stream is due within its pause.

--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -195,8 +195,7 @@
 	delete(d.asks, a.ID)
 	passed := steady.Now().Sub(asked)
 	a.ID += localSuffix
-	a.FirstAim -= passed
-	a.Deadline -= passed
+	a.Elapse(passed)
 	wait := make(chan reply, 2)
 	d.asks[a.ID] = wait
 	now := steady.Now()
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -216,9 +216,7 @@
 	all := make([]planner.Held, 0, len(d.held))
 	for _, h := range d.held {
 		one := h.held
-		passed := now.Sub(h.asked)
-		one.Ask.FirstAim -= passed
-		one.Ask.Deadline -= passed
+		one.Ask.Elapse(now.Sub(h.asked))
 		all = append(all, one)
 	}
 	return all
--- a/internal/planner/ask.go
+++ b/internal/planner/ask.go
@@ -22,6 +22,8 @@
 	Avoid        []string      `cbor:"11,keyasint,omitempty"` // replicas that failed this request or ran it already
 	Print        uint64        `cbor:"12,keyasint,omitempty"` // hash by which a request that crashes engines is known again
 	Again        bool          `cbor:"13,keyasint,omitempty"` // it may have run before
+	Leave        time.Duration `cbor:"14,keyasint,omitempty"` // until the caller leaves if no event has come; 0 if it doesn't
+	MaxPause     time.Duration `cbor:"15,keyasint,omitempty"` // pause between events after which the caller leaves
 }
 
 // Helper is a replica that reads a part of a prompt for another.
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -37,6 +37,7 @@
 	return Ask{
 		ID: fmt.Sprint("s", id), Host: "h", Service: "llm", PromptTokens: 4960, OutputTokens: 3000, LikelyTokens: 1650,
 		FirstAim: 300 * time.Millisecond, GapAim: 250 * time.Millisecond, Deadline: 10 * time.Second,
+		Leave: 2 * time.Second, MaxPause: 2 * time.Second,
 	}
 }
 
@@ -44,6 +45,7 @@
 	return Ask{
 		ID: fmt.Sprint("l", id), Host: "h", Service: "llm", PromptTokens: 154000, OutputTokens: 1600, LikelyTokens: 800,
 		FirstAim: 3 * time.Second, GapAim: time.Second, Deadline: 15 * time.Second,
+		Leave: 12 * time.Second, MaxPause: 12 * time.Second,
 	}
 }
 
--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -11,6 +11,10 @@
 const (
 	// A heavy prompt goes to engines whose reading that waits takes no longer than this, so that its parts begin together.
 	clearReading = 60 * time.Millisecond
+	// Small parts may join other reading up to this.
+	lightReading = 150 * time.Millisecond
+	// A lead begins within this time, since the parts at its helpers begin with it.
+	leadBegin = 150 * time.Millisecond
 	// How much later a held prompt would be placed, for the gain of placing it now.
 	holdStep = 200 * time.Millisecond
 	// Gain of placing a prompt that is late anyway, as a share of its value.
@@ -30,10 +34,10 @@
 	busy := 0
 	for _, s := range servers {
 		v := viewOf(now, s)
-		switch {
-		case v.parts+v.own > clearReading:
+		if v.parts+v.own > clearReading {
 			busy++
-		case s.lag(now) <= 0 && s.helps < s.slots():
+		}
+		if s.lag(now) <= 0 && s.helps < s.slots() {
 			views = append(views, v)
 		}
 	}
@@ -66,8 +70,14 @@
 func (p *Planner) joined(now time.Time, a *Ask, views []view, crowd crowd, readers int) (choice, []int, bool) {
 	spots := make([]spot, 0, len(views))
 	for i := range views {
-		read := pass.ReadTime(views[i].server.model.Engine, a.PromptTokens, readers)
-		spots = append(spots, views[i].spotAt(now, read, true))
+		v := &views[i]
+		read := pass.ReadTime(v.server.model.Engine, a.PromptTokens, readers)
+		if v.parts+v.own <= clearReading || v.parts+v.own+read <= lightReading {
+			spots = append(spots, v.spotAt(now, read, true))
+		}
+	}
+	if len(spots) < readers {
+		return choice{}, nil, false
 	}
 	sortSpots(spots, a)
 	lead := leadOf(now, spots, a, readers)
@@ -148,7 +158,7 @@
 		tokens = a.PromptTokens/readers + a.OutputTokens
 	}
 	for i := range spots {
-		if spots[i].server.leads(now, tokens) {
+		if spots[i].begin <= leadBegin && spots[i].server.leads(now, tokens) {
 			return i
 		}
 	}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -40,8 +40,19 @@
 // lateLoss is the share of a request's value that is lost if it is late.
 const lateLoss = 0.75
 
-// abandonAfter returns after which pause the caller leaves a stream.
-func (a *Ask) abandonAfter() time.Duration {
-	const shortest = 2 * time.Second
-	return max(shortest, 8*a.GapAim)
+// limit returns how much time is left for the first event.
+func (a *Ask) limit() time.Duration {
+	if a.Leave > 0 {
+		return min(a.Leave, a.Deadline)
+	}
+	return a.Deadline
+}
+
+// Elapse takes time that has passed off what is left.
+func (a *Ask) Elapse(d time.Duration) {
+	a.FirstAim -= d
+	a.Deadline -= d
+	if a.Leave > 0 {
+		a.Leave = max(a.Leave-d, 1)
+	}
 }
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -28,6 +28,9 @@
 	worth    float64
 }
 
+// leave returns after which pause callers leave.
+func (c *class) leave() time.Duration { return max(2*time.Second, 4*c.firstAim, 8*c.gapAim) }
+
 var classes = []class{
 	{"quick", 32.6, 4960, 0.9, 33, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3},
 	{"review", 1.66, 45000, 0.5, 20, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 4.2},
@@ -189,6 +192,7 @@
 	p.planner.Ask(now, planner.Ask{
 		ID: r.id, Host: "h", Service: "llm", PromptTokens: r.tokens, OutputTokens: likely, LikelyTokens: likely,
 		FirstAim: r.class.firstAim, GapAim: r.class.gapAim, Deadline: r.class.deadline,
+		Leave: r.class.leave(), MaxPause: r.class.leave(),
 	})
 }
 
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -23,6 +23,8 @@
 	// A prompt that takes longer to read than this is heavy: it is read by several engines, apart from short ones.
 	heavyReading = 120 * time.Millisecond
 	maxReaders   = 16
+	// A light prompt waits for a better place if its first event would come later than its aim and than this.
+	longestLate = 600 * time.Millisecond
 	// What putting the parts of a prompt together takes.
 	jointTime = 20 * time.Millisecond
 )
@@ -45,12 +47,12 @@
 
 // pauseLoss returns the share of a request's value that is lost when its stream pauses for d.
 func pauseLoss(d time.Duration, a *Ask) float64 {
-	return lateLoss*lateness(d, a.GapAim) + (1-lateLoss)*lateness(d, a.abandonAfter())
+	return lateLoss*lateness(d, a.GapAim) + (1-lateLoss)*lateness(d, a.MaxPause)
 }
 
 // firstLoss returns the share of a request's value that is lost when its first event takes d more, of left.
 func firstLoss(d, left time.Duration, a *Ask) float64 {
-	return lateLoss*lateness(d, left) + (1-lateLoss)*lateness(d, min(left+a.abandonAfter(), a.Deadline))
+	return lateLoss*lateness(d, left) + (1-lateLoss)*lateness(d, left+a.limit()-a.FirstAim)
 }
 
 // spot is the cost of reading a prompt, or a part of one, at one server.
@@ -116,7 +118,7 @@
 		return worth * (firstLoss(first+after-before, left, &j.ask) - firstLoss(first, left, &j.ask))
 	}
 	if j.late {
-		leave := j.ask.abandonAfter()
+		leave := j.ask.MaxPause
 		return worth * (1 - lateLoss) * (lateness(after, leave) - lateness(before, leave))
 	}
 	return worth * (pauseLoss(after, &j.ask) - pauseLoss(before, &j.ask))
@@ -145,6 +147,10 @@
 			best, found = choice{lead: sp, harm: sp.harm, loss: loss, first: sp.finish}, true
 		}
 	}
+	if found && best.first > max(a.FirstAim, longestLate) {
+		// It is late there; another server may be free long before.
+		return choice{}, false
+	}
 	return best, found
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -139,7 +139,16 @@
 		if c := cmp.Compare(x.ask.Rank, y.ask.Rank); c != 0 {
 			return c
 		}
-		return x.arrived.Add(x.ask.FirstAim).Compare(y.arrived.Add(y.ask.FirstAim))
+		xAim, yAim := x.arrived.Add(x.ask.FirstAim), y.arrived.Add(y.ask.FirstAim)
+		xLate, yLate := xAim.Before(now), yAim.Before(now)
+		switch {
+		case xLate == yLate:
+			return xAim.Compare(yAim)
+		case xLate:
+			return 1 // what can still be in time goes first
+		default:
+			return -1
+		}
 	})
 	p.answers = nil
 	waiting := p.waiting
@@ -167,8 +176,7 @@
 func (p *Planner) settleOne(now time.Time, w waiter, ahead int) bool {
 	a := w.ask
 	passed := now.Sub(w.arrived)
-	a.FirstAim -= passed
-	a.Deadline -= passed
+	a.Elapse(passed)
 	switch {
 	case a.Deadline <= 0:
 		return p.refuse(&a, CauseOutOfTime, minRetryAfter)
@@ -205,7 +213,7 @@
 // hold keeps an ask waiting, or refuses it if no place is free in time.
 func (p *Planner) hold(now time.Time, a *Ask, servers []*server, ahead int) bool {
 	wait := p.freeAfter(now, servers, ahead)
-	if need := wait + shortestRun; need > a.Deadline {
+	if need := wait + shortestRun; need > a.limit() {
 		return p.refuse(a, CauseBusy, max(wait, minRetryAfter))
 	}
 	return false
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -96,19 +96,31 @@
 	if likely == 0 || likely > c.OutputTokens {
 		likely = c.OutputTokens
 	}
+	firstAim := c.FirstAim - passed
+	maxPause := callerPause(c)
+	leave := maxPause - passed
+	if t.events.count > 0 {
+		firstAim = c.GapAim
+		leave = maxPause - now.Sub(t.passed)
+	}
+	if c.PromptTokens == 0 {
+		leave = 0
+	}
 	a := planner.Ask{
 		ID:           strconv.FormatUint(t.relay.asks.Add(1), 36),
 		Service:      c.Service,
 		PromptTokens: c.PromptTokens,
 		OutputTokens: c.OutputTokens,
 		LikelyTokens: likely,
-		FirstAim:     c.FirstAim - passed,
+		FirstAim:     firstAim,
 		GapAim:       c.GapAim,
 		Deadline:     c.Deadline().Sub(now),
 		Rank:         c.Rank,
 		Avoid:        t.avoid,
 		Print:        t.print,
 		Again:        t.progress.ran(),
+		Leave:        leave,
+		MaxPause:     maxPause,
 	}
 	placed, err := t.relay.Desk.Ask(t.ctx, a)
 	if err != nil {
@@ -124,6 +136,16 @@
 	return placed, nil
 }
 
+// callerPause returns after which pause, also before the first event, callers leave a stream.
+func callerPause(c *call.Call) time.Duration {
+	const (
+		shortest = 2 * time.Second
+		aims     = 4
+		gaps     = 8
+	)
+	return max(shortest, aims*c.FirstAim, gaps*c.GapAim)
+}
+
 func helperNames(helpers []planner.Helper) string {
 	names := make([]string, 0, len(helpers))
 	for _, h := range helpers {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -218,7 +218,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	one := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
 		id, Signature(id), len(text), text)
 	_, _ = buffered.WriteString(one + one)
