--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,7 @@
 	loops := []func(ctx context.Context) error{
 		func(ctx context.Context) error { return g.desk.Run(ctx, peers) },
 		g.feed.Run,
+		g.discover,
 		g.sweep,
 	}
 	if g.Reloads != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -313,3 +313,14 @@
 		t.Errorf("ended %v after the caller had left", took-300*time.Millisecond)
 	}
 }
+
+// The seeds are out of date: the hosts find each other through the store.
+func TestHostsWithoutSeedsFindEachOther(t *testing.T) {
+	t.Parallel()
+	w := newSeededWorld(t, 3, &fault{}, 0)
+	for _, h := range w.hosts {
+		w.eventually("the host knows the others", func() bool {
+			return strings.Contains(h.logs.String(), `"hosts":3`)
+		})
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -118,6 +118,12 @@
 }
 
 func newWorld(t *testing.T, hosts int, f *fault) *world {
+	t.Helper()
+	return newSeededWorld(t, hosts, f, 3)
+}
+
+// newSeededWorld makes a world whose hosts are told of the first seeded hosts only.
+func newSeededWorld(t *testing.T, hosts int, f *fault, seeded int) *world {
 	t.Helper()
 	w := &world{t: t, store: &metastore.Store{}, log: &replica.Log{}}
 	storeAddress := serve(t, w.store)
@@ -146,16 +152,16 @@
 		seeds = append(seeds, freePort(t))
 	}
 	for i := range hosts {
-		w.startHost(i, storeAddress, seeds)
+		w.startHost(i, storeAddress, seeds, seeded)
 	}
 	w.awaitReady()
 	return w
 }
 
-func (w *world) startHost(i int, store netip.AddrPort, seeds []netip.AddrPort) {
+func (w *world) startHost(i int, store netip.AddrPort, peers []netip.AddrPort, seeded int) {
 	s := &site.Site{
 		Host: fmt.Sprintf("front-%d", i), FailureDomain: "a", Callers: freePort(w.t), Readiness: freePort(w.t),
-		Peers: seeds[i], Seeds: seeds[:min(3, len(seeds))], StoreAddress: store, ProcessorShare: 1,
+		Peers: peers[i], Seeds: peers[:min(seeded, len(peers))], StoreAddress: store, ProcessorShare: 1,
 		MemoryBytes: 500 << 20, Grace: 5 * time.Second, RevokeTime: 3 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
 	}
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -94,6 +94,20 @@
 	d.Roster.AddSeeds(seeds)
 }
 
+// Alone tells whether no other host has been heard for limit.
+func (d *Desk) Alone(limit time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Roster.Alone(steady.Now(), limit)
+}
+
+// Plans tells whether this host plans for itself, and so perhaps for others.
+func (d *Desk) Plans() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current == d.self()
+}
+
 // Planner returns the host that plans for this one.
 func (d *Desk) Planner() netip.AddrPort {
 	d.mu.Lock()
