--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,7 +37,7 @@
 // State is what one host passes on to another.
 type State struct {
 	ConfigRevision  int64             `cbor:"1,keyasint,omitempty"`
-	ConfigData      []byte            `cbor:"2,keyasint,omitempty"` // left out if the receiver has it
+	ConfigData      []byte            `cbor:"2,keyasint,omitempty"` // compressed; left out if the receiver has it
 	ReplicaRevision int64             `cbor:"3,keyasint,omitempty"`
 	Replicas        []replica.Replica `cbor:"4,keyasint,omitempty"` // left out if the receiver has them
 	HasReplicas     bool              `cbor:"5,keyasint,omitempty"`
@@ -62,6 +62,7 @@
 
 	mu              sync.Mutex
 	document        Document
+	packed          []byte    // document.Data, compressed when a peer first needs it
 	proof           time.Time // the document was the newest then
 	list            *replica.List
 	replicas        []replica.Replica
@@ -188,6 +189,7 @@
 		return
 	}
 	f.document = doc
+	f.packed = nil
 	f.proof = proof
 	f.catalog.Store(c)
 	f.Log.Event("configuration_in_force", slog.Int64("version", c.Version), slog.Int64("revision", doc.Revision),
@@ -247,7 +249,10 @@
 		ReplicaRead:     f.replicaRead.Sub(base),
 	}
 	if f.document.Revision > configRevision {
-		s.ConfigData = f.document.Data
+		if f.packed == nil {
+			f.packed = pack(f.document.Data)
+		}
+		s.ConfigData = f.packed
 	}
 	if s.HasReplicas {
 		s.Replicas = f.replicas
@@ -268,7 +273,12 @@
 	switch {
 	case s.ConfigRevision == 0:
 	case s.ConfigData != nil:
-		f.takeDocument(Document{Data: s.ConfigData, Revision: s.ConfigRevision}, base.Add(s.ConfigProof), "peer")
+		data, err := unpack(s.ConfigData)
+		if err != nil {
+			f.Log.Warn("configuration_unreadable", slog.Int64("revision", s.ConfigRevision), slog.String("error", err.Error()))
+			break
+		}
+		f.takeDocument(Document{Data: data, Revision: s.ConfigRevision}, base.Add(s.ConfigProof), "peer")
 	case s.ConfigRevision == configRevision:
 		f.takeDocument(Document{Revision: s.ConfigRevision}, base.Add(s.ConfigProof), "peer")
 	}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -15,8 +15,9 @@
 
 const (
 	beatInterval = 250 * time.Millisecond
-	// How often the members are passed on over one link.
-	memberInterval = time.Second
+	// How often the members are passed on over one link: an interval for each so many of them.
+	memberInterval     = time.Second
+	membersPerInterval = 30
 	// How often asks that wait are looked at again.
 	settleInterval = 20 * time.Millisecond
 	// A link that carries nothing but answers to beats is closed after this time.
@@ -238,7 +239,7 @@
 		ListDigest:     list,
 		Reply:          isReply,
 	}
-	if now.Sub(p.toldAt) >= memberInterval {
+	if isReply && now.Sub(p.toldAt) >= memberInterval*time.Duration(1+d.Roster.Size()/membersPerInterval) {
 		p.toldAt = now
 		b.Members = d.Roster.Members(now)
 	}
