--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -57,6 +59,7 @@
 	MaxAge func() time.Duration
 	// Changed is called after the configuration or the replicas changed.
 	Changed func()
+	Meters  tally.Scope
 
 	catalog atomic.Pointer[catalog.Catalog]
 
@@ -130,7 +133,13 @@
 func (f *Feed) timedRead(ctx context.Context, read func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	asked := steady.Now()
 	err := read(ctx)
+	f.Meters.Timer("store_reads").Record(steady.Now().Sub(asked))
+	f.Meters.Gauge("config_proof_age_seconds").Update(f.configAge().Seconds())
+	if err != nil {
+		f.Meters.Counter("store_reads_failed").Inc(1)
+	}
 	f.noteStore(err)
 	return err
 }
@@ -192,6 +201,7 @@
 	f.packed = nil
 	f.proof = proof
 	f.catalog.Store(c)
+	f.Meters.Gauge("config_version").Update(float64(c.Version))
 	f.Log.Event("configuration_in_force", slog.Int64("version", c.Version), slog.Int64("revision", doc.Revision),
 		slog.String("source", source), slog.Duration("proof_age", steady.Now().Sub(proof)))
 	f.notify()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
@@ -21,7 +22,7 @@
 	t.Helper()
 	log := eventlog.New(io.Discard, "h")
 	t.Cleanup(log.Close)
-	f := &Feed{Log: log, Decode: func(data []byte) (*catalog.Catalog, error) {
+	f := &Feed{Log: log, Meters: tally.NoopScope, Decode: func(data []byte) (*catalog.Catalog, error) {
 		version, err := strconv.ParseInt(strings.TrimSpace(string(data[:min(len(data), 8)])), 10, 64)
 		if err != nil {
 			return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/ingress"
+	"github.com/turmericshunt/turmericshunt/internal/metrics"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/placement"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
@@ -67,6 +68,7 @@
 	feed    *feed.Feed
 	desk    *placement.Desk
 	pool    *backend.Pool
+	metrics *metrics.Root
 	budget  *budget.Budget
 	relay   *relay.Relay
 	ingress *ingress.Ingress
@@ -87,6 +89,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.Site.MemoryBytes)))
 	g.wire()
+	defer g.metrics.Close()
 	g.Log.Event("host_started", slog.String("version", g.Version), slog.String("failure_domain", g.Site.FailureDomain),
 		slog.String("callers", g.Site.Callers.String()), slog.String("peers", g.Site.Peers.String()),
 		slog.Int("seeds", len(g.Site.Seeds)))
@@ -118,12 +121,15 @@
 
 func (g *Gateway) wire() {
 	self := roster.Member{Address: g.Site.Peers, Weight: g.Site.ProcessorShare}
-	g.feed = &feed.Feed{Store: g.Store, Decode: g.Decode, Log: g.Log}
+	g.metrics = metrics.New()
+	scope := g.metrics.Scope
+	g.feed = &feed.Feed{Store: g.Store, Decode: g.Decode, Log: g.Log, Meters: scope}
 	g.feed.Init()
 	g.desk = &placement.Desk{
 		Roster: roster.New(steady.Now(), self, g.Site.Seeds),
 		Feed:   g.feed,
 		Log:    g.Log,
+		Meters: scope,
 	}
 	g.desk.Init()
 	g.feed.MaxAge = g.desk.MaxAge
@@ -131,7 +137,8 @@
 	g.budget = &budget.Budget{
 		Ratio: g.Site.RetryRatio, Slack: g.Site.RetrySlack, Window: g.Site.RetryWindow, Hosts: g.desk.Hosts,
 	}
-	g.pool = &backend.Pool{Codec: g.Headers}
+	dialed := scope.Counter("backend_connections")
+	g.pool = &backend.Pool{Codec: g.Headers, Dialed: func() { dialed.Inc(1) }}
 	g.relay = &relay.Relay{
 		Pool:   g.pool,
 		Desk:   g.desk,
@@ -139,9 +146,10 @@
 		Budget: g.budget,
 		Marker: g.Headers,
 		Log:    g.Log,
+		Meters: scope,
 	}
 	g.ingress = &ingress.Ingress{
-		Feed: g.feed, Relay: g.relay, Decoder: g.Headers, Log: g.Log,
+		Feed: g.feed, Relay: g.relay, Decoder: g.Headers, Log: g.Log, Meters: scope,
 	}
 	g.ingress.SetRevokeTime(g.Site.RevokeTime)
 	g.ingress.Init()
@@ -158,11 +166,23 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: time.Second}
-	group.Add(func() error { return server.Serve(ready) }, func(error) { _ = server.Close() })
+	addServer(group, ready, http.HandlerFunc(g.serveReady))
+	if !g.Site.Metrics.IsValid() {
+		return nil
+	}
+	monitoring, err := listen(g.Site.Metrics)
+	if err != nil {
+		return err
+	}
+	addServer(group, monitoring, g.metrics.Handler)
 	return nil
 }
 
+func addServer(group *run.Group, l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	group.Add(func() error { return server.Serve(l) }, func(error) { _ = server.Close() })
+}
+
 // addLoops adds what runs beside the requests.
 func (g *Gateway) addLoops(ctx context.Context, end func(), group *run.Group) error {
 	peers, err := listen(g.Site.Peers)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -324,3 +325,19 @@
 		})
 	}
 }
+
+func TestMetricsTellOutcomes(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1, &fault{})
+	w.post(0, "/quotes/1", "q")
+	w.eventually("the counters are served", func() bool {
+		resp, err := http.Get("http://" + w.hosts[0].site.Metrics.String() + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Contains(string(text), `turmericshunt_requests{outcome="completed",prompt_length="up_to_8k"}`) &&
+			strings.Contains(string(text), "turmericshunt_first_event_bucket") && strings.Contains(string(text), "turmericshunt_config_version")
+	})
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -161,7 +161,8 @@
 func (w *world) startHost(i int, store netip.AddrPort, peers []netip.AddrPort, seeded int) {
 	s := &site.Site{
 		Host: fmt.Sprintf("front-%d", i), FailureDomain: "a", Callers: freePort(w.t), Readiness: freePort(w.t),
-		Peers: peers[i], Seeds: peers[:min(seeded, len(peers))], StoreAddress: store, ProcessorShare: 1,
+		Metrics: freePort(w.t),
+		Peers:   peers[i], Seeds: peers[:min(seeded, len(peers))], StoreAddress: store, ProcessorShare: 1,
 		MemoryBytes: 500 << 20, Grace: 5 * time.Second, RevokeTime: 3 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
@@ -45,6 +47,7 @@
 	Relay   *relay.Relay
 	Decoder Decoder
 	Log     *eventlog.Log
+	Meters  tally.Scope
 
 	server  *http.Server
 	leaving atomic.Int64 // steady time of the order to stop, in nanoseconds; 0 before
@@ -105,7 +108,7 @@
 	received := steady.Now()
 	c, err := g.Decoder.Call(r, received)
 	if err != nil {
-		g.reject(w, "", http.StatusBadRequest, err.Error())
+		g.reject(w, "", http.StatusBadRequest, "improper head", slog.String("error", err.Error()))
 		return
 	}
 	if !g.admit(w, c) || !g.readBody(w, r, c) {
@@ -209,6 +212,7 @@
 func (g *Ingress) reject(w http.ResponseWriter, id string, status int, cause string, fields ...slog.Attr) {
 	fields = append(fields, slog.String("request_id", id), slog.Int("status", status), slog.String("cause", cause))
 	g.Log.Event("request_rejected", fields...)
+	g.Meters.Tagged(map[string]string{"cause": cause}).Counter("requests_not_admitted").Inc(1)
 	g.Relay.Fail(w, id, status, cause)
 }
 
@@ -216,5 +220,6 @@
 func (g *Ingress) refuse(w http.ResponseWriter, c *call.Call, after time.Duration, cause string, fields ...slog.Attr) {
 	fields = append(fields, slog.String("request_id", c.ID), slog.String("cause", cause))
 	g.Log.Event("request_refused", fields...)
+	g.Meters.Tagged(map[string]string{"cause": cause}).Counter("requests_not_admitted").Inc(1)
 	g.Relay.Refuse(w, c.ID, after, cause)
 }
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
@@ -29,6 +31,7 @@
 	Roster *roster.Roster // used under the desk's lock only
 	Feed   *feed.Feed
 	Log    *eventlog.Log
+	Meters tally.Scope
 
 	mu      sync.Mutex
 	local   *planner.Planner
@@ -172,6 +175,7 @@
 	d.mu.Unlock()
 	answer, ok := d.await(ctx, wait, remote)
 	if !ok && ctx.Err() == nil {
+		d.Meters.Counter("planner_passed_over").Inc(1)
 		d.Log.Warn("planner_passed_over", slog.String("request_id", a.ID), slog.String("planner", d.Planner().String()),
 			slog.Duration("waited", steady.Now().Sub(asked)))
 		a, wait = d.askLocally(a, asked)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/budget"
@@ -46,6 +47,7 @@
 	Budget *budget.Budget
 	Marker Marker
 	Log    *eventlog.Log
+	Meters tally.Scope
 
 	asks     atomic.Uint64
 	underWay atomic.Int64
@@ -126,6 +128,34 @@
 		millisecondsField("took_ms", steady.Now().Sub(c.Received)),
 	}, fields...)
 	r.Log.Event("request_ended", fields...)
+	r.Meters.Tagged(map[string]string{"outcome": outcome, "prompt_length": promptLength(c)}).Counter("requests").Inc(1)
+}
+
+// promptLength returns the class of prompts by length that metrics tell apart.
+func promptLength(c *call.Call) string {
+	const (
+		short = 8 << 10  // tokens
+		mid   = 64 << 10 // tokens
+	)
+	switch {
+	case c.PromptTokens == 0:
+		return "none"
+	case c.PromptTokens <= short:
+		return "up_to_8k"
+	case c.PromptTokens <= mid:
+		return "up_to_64k"
+	default:
+		return "over_64k"
+	}
+}
+
+// meterAnswer records the times of a whole answer.
+func (t *transfer) meterAnswer() {
+	scope := t.relay.Meters.Tagged(map[string]string{"prompt_length": promptLength(t.call)})
+	scope.Timer("first_event").Record(t.first)
+	if t.gap > 0 {
+		scope.Timer("longest_pause").Record(t.gap)
+	}
 }
 
 func millisecondsField(name string, d time.Duration) slog.Attr {
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -69,7 +69,9 @@
 		outcome, err := t.attempt(placed)
 		t.relay.Desk.Ended(placed.ID, outcome)
 		t.progress.note(outcome)
+		t.relay.Meters.Tagged(map[string]string{"outcome": string(outcome)}).Counter("attempts").Inc(1)
 		if outcome == planner.OutcomeDone {
+			t.meterAnswer()
 			t.relay.end(t.call, "completed", slog.String("replica", placed.Plan.Replica.ID),
 				millisecondsField("first_ms", t.first), millisecondsField("gap_ms", t.gap),
 				slog.Int("events", t.events.count))
@@ -81,7 +83,12 @@
 			return
 		}
 		t.avoid = append(t.avoid, placed.Plan.Replica.ID)
-		if !t.progress.again(outcome) || !t.relay.Budget.Take(steady.Now(), t.call.Service) {
+		if !t.progress.again(outcome) {
+			t.fail(outcome)
+			return
+		}
+		if !t.relay.Budget.Take(steady.Now(), t.call.Service) {
+			t.relay.Meters.Counter("retries_over_budget").Inc(1)
 			t.fail(outcome)
 			return
 		}
@@ -123,6 +130,7 @@
 		MaxPause:     maxPause,
 	}
 	placed, err := t.relay.Desk.Ask(t.ctx, a)
+	t.relay.Meters.Timer("planning").Record(steady.Now().Sub(now))
 	if err != nil {
 		return placed, err
 	}
@@ -346,6 +354,7 @@
 
 // refused answers a call for which the planner has no server.
 func (t *transfer) refused(r *planner.Refusal) {
+	t.relay.Meters.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
 	t.relay.end(t.call, "refused", slog.String("cause", string(r.Cause)),
 		millisecondsField("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.ran()))
 	switch {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -13,6 +13,7 @@
 
 	Callers   netip.AddrPort   // callers connect here
 	Readiness netip.AddrPort   // the balancer asks here
+	Metrics   netip.AddrPort   // monitoring reads here; invalid if the host serves none
 	Peers     netip.AddrPort   // other entry hosts connect here; invalid if the host serves none
 	Seeds     []netip.AddrPort // hosts that may know the others; may be out of date
 
