--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 demo: build
 	scripts/demo
+	scripts/demo-platform
 
 bench: build
 	scripts/bench
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"log/slog"
 	"os"
 
@@ -13,6 +14,7 @@
 
 func (p *Program) gatewayCommand() *cobra.Command {
 	var file string
+	var check bool
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Runs an entry host on the users' platform until it is told to stop",
@@ -28,6 +30,11 @@
 			if err != nil {
 				return &Error{Op: "gateway", Kind: KindInvalid, Err: err}
 			}
+			if check {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: settings of host %s in failure domain %s are valid\n", file, s.Host,
+					s.FailureDomain)
+				return nil
+			}
 			log := eventlog.New(os.Stdout, s.Host)
 			defer log.Close()
 			g := &gateway.Gateway{
@@ -47,6 +54,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file; by default the one that $"+platform.SettingsVariable+" names")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	return cmd
 }
 
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -114,7 +114,8 @@
 		SilenceErrors: true,
 	}
 	root.SetHelpTemplate(root.HelpTemplate() + exitCodesHelp)
-	root.AddCommand(p.serveCommand(), p.gatewayCommand(), p.checkCommand(), p.versionCommand(), p.configCommand(), p.statusCommand())
+	root.AddCommand(p.serveCommand(), p.gatewayCommand(), p.explainCommand(),
+		p.checkCommand(), p.versionCommand(), p.configCommand(), p.statusCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/explain/doc.go
@@ -0,0 +1,2 @@
+// Package explain finds in the logs of entry hosts what became of one request; it does no I/O but reading.
+package explain
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -35,7 +35,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(p.engineCommand(), p.serviceCommand(), p.platformCommand(), p.demoCommand(), p.loadCommand())
+	root.AddCommand(p.engineCommand(), p.serviceCommand(), p.platformCommand(), p.demoCommand(), p.loadCommand(),
+		p.fleetCommand())
 	root.SetArgs(args)
 	root.SetOut(p.Out)
 	root.SetErr(p.Err)
