soak: run entry hosts as processes under random faults and check the promises

Faults from outside: kills, stops, pauses, SIGHUP, a store that is busy, silent, slow or loses answers, connections that go silent, replicas that refuse, fail, break off, lose or double answers or leave, keys that are taken away; in series and overlapping. Checked: whole answers, orders once, true refusals, revoked keys, an end in time, memory freed, service afterwards.

--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,17 @@
 TOOLS := $(shell $(GO) env GOPATH)/bin
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build check measure demo bench proofs fmt lint vet test model tools spin clean
+.PHONY: build deploy check measure demo bench proofs soak soak-short fmt lint vet test model tools spin clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+# Builds what deploy/system.toml asks for.
+deploy:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 # Runs every check with the same verdict each time.
-check: lint vet build test model measure
+check: lint vet build deploy test model measure soak-short
 
 $(LINT):
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
@@ -23,6 +27,7 @@
 lint: $(LINT)
 	$(LINT) fmt --diff
 	$(LINT) run
+	$(LINT) run --build-tags soak ./internal/soak/...
 
 vet:
 	$(GO) vet ./...
@@ -47,5 +52,13 @@
 proofs: build
 	scripts/proofs
 
+# Runs the fault soak with one seed: make soak SEED=7
+SEED ?= 1
+soak:
+	scripts/soak -seed $(SEED) -length 20s -keep $(BIN)/soak
+
+soak-short:
+	scripts/soak -seed 1 -length 4s -keep $(BIN)/soak
+
 clean:
 	rm -rf $(BIN)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -88,7 +88,13 @@
 	Fault func(r *http.Request) Fault
 
 	mu      sync.Mutex
-	tickets map[string]int
+	tickets map[string]ticket
+}
+
+// ticket is memory that is set aside until its lease ends.
+type ticket struct {
+	tokens int
+	end    time.Time
 }
 
 // Entry returns what the replica writes into the store in the given state.
@@ -114,6 +120,7 @@
 	Operation string `json:"operation"`
 	ID        string `json:"id"`
 	Tokens    int    `json:"tokens"`
+	HoldMS    int64  `json:"holdMs"`
 }
 
 func (p *Replica) order(w http.ResponseWriter, r *http.Request) {
@@ -125,12 +132,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.tickets == nil {
-		p.tickets = make(map[string]int)
+		p.tickets = make(map[string]ticket)
 	}
 	if o.Operation == "release" {
 		delete(p.tickets, o.ID)
 	} else {
-		p.tickets[o.ID] = o.Tokens
+		p.tickets[o.ID] = ticket{tokens: o.Tokens, end: time.Now().Add(time.Duration(o.HoldMS) * time.Millisecond)}
 	}
 	w.WriteHeader(http.StatusOK)
 }
@@ -140,8 +147,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sum := 0
-	for _, tokens := range p.tickets {
-		sum += tokens
+	for _, t := range p.tickets {
+		if time.Now().Before(t.end) {
+			sum += t.tokens
+		}
 	}
 	return sum
 }
