--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -14,13 +13,13 @@
 
 // candidates returns the servers of the ask's service that it may use, in the order of their ids.
 func (p *Planner) candidates(now time.Time, a *Ask) []*server {
-	var servers []*server
-	for _, s := range p.services[a.Service] {
+	all := p.ordered[a.Service]
+	servers := make([]*server, 0, len(all))
+	for _, s := range all {
 		if s.usable(now) && !slices.Contains(a.Avoid, s.replica.ID) {
 			servers = append(servers, s)
 		}
 	}
-	slices.SortFunc(servers, func(x, y *server) int { return cmp.Compare(x.replica.ID, y.replica.ID) })
 	return servers
 }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -190,6 +190,7 @@
 
 func (p *Planner) remove(now time.Time, j *job) {
 	delete(p.jobs, j.key)
+	p.freed = true
 	s := j.server
 	s.jobs = slices.DeleteFunc(s.jobs, func(other *job) bool { return other == j })
 	s.memory -= j.tokens
--- /dev/null
+++ b/internal/planner/settle.go
@@ -0,0 +1,167 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// The time that a request needs at least once it has a place.
+	shortestRun = 100 * time.Millisecond
+	// What a request at a plain service usually takes.
+	plainTime = 60 * time.Millisecond
+)
+
+// Settle returns the answers that can be given now. It must be called after each other method, and at short
+// intervals while asks wait.
+func (p *Planner) Settle(now time.Time) []Answer {
+	p.sweep(now)
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(p.waiting, func(x, y waiter) int { return compareWaiters(now, &x, &y) })
+	p.answers = nil
+	waiting := p.waiting
+	p.waiting = nil
+	r := round{planner: p, now: now, due: now.Sub(p.tried) >= retryInterval, queues: make(map[string]*queue)}
+	if r.due || p.freed {
+		p.tried = now
+	}
+	freed := p.freed
+	p.freed = false
+	for i := range waiting {
+		w := &waiting[i]
+		again := r.due || freed && !w.heavy
+		if w.tried && !again || !r.settle(w) {
+			p.waiting = append(p.waiting, *w)
+		}
+	}
+	return p.answers
+}
+
+// compareWaiters orders asks by rank, then those that can still be in time, then by when their first event is due.
+func compareWaiters(now time.Time, x, y *waiter) int {
+	if c := cmp.Compare(x.ask.Rank, y.ask.Rank); c != 0 {
+		return c
+	}
+	xAim, yAim := x.arrived.Add(x.ask.FirstAim), y.arrived.Add(y.ask.FirstAim)
+	xLate, yLate := xAim.Before(now), yAim.Before(now)
+	switch {
+	case xLate == yLate:
+		return xAim.Compare(yAim)
+	case xLate:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// round is one pass over the asks that wait.
+type round struct {
+	planner *Planner
+	now     time.Time
+	due     bool
+	queues  map[string]*queue // by service
+}
+
+// queue is what a round has learnt of a service.
+type queue struct {
+	ahead   int             // asks that found no place
+	blocked bool            // no place is left for light prompts
+	ends    []time.Duration // when its requests end, the first first; nil until it is needed
+}
+
+// settle answers one ask if it can.
+func (r *round) settle(w *waiter) bool {
+	p := r.planner
+	w.tried = true
+	a := w.ask
+	a.Elapse(r.now.Sub(w.arrived))
+	switch {
+	case a.Deadline <= 0:
+		return p.refuse(&a, CauseOutOfTime, minRetryAfter)
+	case a.Print != 0 && p.crashes[a.Print].count >= maxCrashes:
+		return p.refuse(&a, CauseCrashes, crashMemory)
+	}
+	servers := p.candidates(r.now, &a)
+	if len(servers) == 0 {
+		return p.refuse(&a, CauseNoReplica, time.Second)
+	}
+	if tooLarge(&a, servers) {
+		return p.refuse(&a, CauseTooLarge, crashMemory)
+	}
+	q := r.queue(a.Service)
+	if !w.heavy && q.blocked {
+		return r.hold(&a, q)
+	}
+	c, reserves, ok := p.place(r.now, &a, servers)
+	if !ok {
+		q.blocked = q.blocked || !w.heavy && len(a.Avoid) == 0
+		return r.hold(&a, q)
+	}
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(r.now, &a, c, reserves)})
+	return true
+}
+
+func (r *round) queue(service string) *queue {
+	q := r.queues[service]
+	if q == nil {
+		q = &queue{}
+		r.queues[service] = q
+	}
+	return q
+}
+
+// hold keeps an ask waiting, or refuses it if no place is free in time.
+func (r *round) hold(a *Ask, q *queue) bool {
+	wait := r.freeAfter(a.Service, q)
+	q.ahead++
+	if need := wait + shortestRun; need > a.limit() {
+		return r.planner.refuse(a, CauseBusy, max(wait, minRetryAfter))
+	}
+	return false
+}
+
+// freeAfter estimates when the servers will have taken the asks ahead and one more.
+func (r *round) freeAfter(service string, q *queue) time.Duration {
+	if q.ends == nil {
+		q.ends = []time.Duration{}
+		for _, s := range r.planner.ordered[service] {
+			for _, j := range s.jobs {
+				q.ends = append(q.ends, max(0, endOf(j).Sub(r.now)))
+			}
+		}
+		slices.Sort(q.ends)
+	}
+	if len(q.ends) == 0 {
+		return 0
+	}
+	return q.ends[min(q.ahead, len(q.ends)-1)]
+}
+
+// tooLarge tells whether all servers together lack the memory for the ask.
+func tooLarge(a *Ask, servers []*server) bool {
+	if servers[0].model == nil {
+		return false
+	}
+	most := 0
+	for _, s := range servers[:min(len(servers), maxReaders)] {
+		most += s.model.Engine.MemoryTokens
+	}
+	return a.PromptTokens+a.OutputTokens > most
+}
+
+// endOf predicts when a job ends.
+func endOf(j *job) time.Time {
+	if j.server.model == nil {
+		return j.first.Add(plainTime)
+	}
+	events := j.ask.LikelyTokens/j.server.model.Engine.EventTokens + 1
+	return j.first.Add(time.Duration(events) * j.server.model.Steps(0, 0))
+}
+
+func (p *Planner) refuse(a *Ask, cause Cause, after time.Duration) bool {
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Refusal: &Refusal{Cause: cause, RetryAfter: after}})
+	return true
+}
