planner: serve what can be in time before what is late anyway

Pattern: a wave over the fleet's slots (TestPlannerBeatsChoosingOneByOne). Change: a round places first what can still be in time, then the rest.

--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -292,6 +292,11 @@
 		{3 * time.Second, [3]float64{1, 1, 3}},
 		{6 * time.Second, [3]float64{1, 1, 0.2}},
 	}},
+	{"wave over the slots", []phase{
+		{3 * time.Second, [3]float64{1, 1, 0.5}},
+		{8 * time.Second, [3]float64{3.6, 0.5, 0.05}},
+		{4 * time.Second, [3]float64{0.5, 1, 0.5}},
+	}},
 	{"burst of short prompts", []phase{
 		{5 * time.Second, [3]float64{0.8, 1, 0.8}},
 		{3 * time.Second, [3]float64{2.6, 1, 0.8}},
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -30,11 +30,20 @@
 	}
 	freed := p.freed
 	p.freed = false
+	var late []waiter
 	for i := range waiting {
 		w := &waiting[i]
 		again := r.due || freed && !w.heavy
-		if w.tried && !again || !r.settle(w) {
+		switch {
+		case w.tried && !again:
 			p.waiting = append(p.waiting, *w)
+		case !r.settle(w, true):
+			late = append(late, *w)
+		}
+	}
+	for i := range late {
+		if !r.settle(&late[i], false) {
+			p.waiting = append(p.waiting, late[i])
 		}
 	}
 	return p.answers
@@ -72,8 +81,8 @@
 	ends    []time.Duration // when its requests end, the first first; nil until it is needed
 }
 
-// settle answers one ask if it can.
-func (r *round) settle(w *waiter) bool {
+// settle answers one ask if it can; with inTime only if its first event will not be late.
+func (r *round) settle(w *waiter, inTime bool) bool {
 	p := r.planner
 	w.tried = true
 	a := w.ask
@@ -93,12 +102,17 @@
 	}
 	q := r.queue(a.Service)
 	if !w.heavy && q.blocked {
-		return r.hold(&a, q)
+		return !inTime && r.hold(&a, q)
 	}
 	c, reserves, ok := p.place(r.now, &a, servers)
-	if !ok {
+	switch {
+	case !ok && inTime:
 		q.blocked = q.blocked || !w.heavy && len(a.Avoid) == 0
+		return false
+	case !ok:
 		return r.hold(&a, q)
+	case inTime && !w.heavy && c.first > a.FirstAim:
+		return false // those that can be in time go first
 	}
 	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(r.now, &a, c, reserves)})
 	return true
