budget, gateway: share the budget of repeats by the fleet's size also just after a start

Change: an account starts with one repeat at most; for 6 s a host reckons with 200 hosts. TestFleetThatStartsAgainStaysWithinTheBound.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -70,7 +70,7 @@
 	}
 	a := b.services[service]
 	if a == nil {
-		a = &account{slack: b.part(), last: now}
+		a = &account{slack: min(b.part(), 1), last: now}
 		b.services[service] = a
 	}
 	passed := now.Sub(a.last)
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -47,3 +47,21 @@
 		t.Error("service b has no budget after a has used its own")
 	}
 }
+
+// All hosts of a fleet start again at once: what they grant together from the first moment on stays within the bound.
+func TestFleetThatStartsAgainStaysWithinTheBound(t *testing.T) {
+	const hosts = 143
+	start := time.Unix(1000, 0)
+	granted := 0
+	for range hosts {
+		b := &Budget{Ratio: 0.2, Slack: 407, Window: 10 * time.Second, Hosts: func() int { return 200 }}
+		for at := time.Duration(0); at < b.Window; at += 50 * time.Millisecond {
+			if b.Take(start.Add(at), "s") {
+				granted++
+			}
+		}
+	}
+	if granted > 407 {
+		t.Errorf("%d repeats in a window, bound 407", granted)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	feed    *feed.Feed
 	desk    *placement.Desk
 	pool    *backend.Pool
+	started time.Time
 	metrics *metrics.Root
 	budget  *budget.Budget
 	relay   *relay.Relay
@@ -119,7 +120,21 @@
 	return nil
 }
 
+// budgetHosts returns how many hosts share the budget of repeats; a host that has just started may not know most of them.
+func (g *Gateway) budgetHosts() int {
+	const (
+		learnTime = 6 * time.Second
+		unknown   = 200
+	)
+	hosts := g.desk.Hosts()
+	if steady.Now().Sub(g.started) < learnTime {
+		return max(hosts, unknown)
+	}
+	return hosts
+}
+
 func (g *Gateway) wire() {
+	g.started = steady.Now()
 	self := roster.Member{Address: g.Site.Peers, Weight: g.Site.ProcessorShare}
 	g.metrics = metrics.New()
 	scope := g.metrics.Scope
@@ -135,7 +150,7 @@
 	g.feed.MaxAge = g.desk.MaxAge
 	g.feed.Changed = g.desk.Update
 	g.budget = &budget.Budget{
-		Ratio: g.Site.RetryRatio, Slack: g.Site.RetrySlack, Window: g.Site.RetryWindow, Hosts: g.desk.Hosts,
+		Ratio: g.Site.RetryRatio, Slack: g.Site.RetrySlack, Window: g.Site.RetryWindow, Hosts: g.budgetHosts,
 	}
 	dialed := scope.Counter("backend_connections")
 	g.pool = &backend.Pool{Codec: g.Headers, Dialed: func() { dialed.Inc(1) }}
