relay, planner: silence alone ends no stream, and only a long pass explains it

Change: a repeat is paid for before a silent server is given up, else the host waits on; a pass explains silence if it takes over 250 ms. Tests: TestSilentStreamIsNotCutWithoutBudget, TestPatienceOnlyForLongPasses, both red before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/site"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
 )
@@ -341,3 +342,24 @@
 			strings.Contains(string(text), "turmericshunt_first_event_bucket") && strings.Contains(string(text), "turmericshunt_config_version")
 	})
 }
+
+// Silence alone must not end a stream: without a repeat in the budget the host goes on waiting for the first replica.
+func TestSilentStreamIsNotCutWithoutBudget(t *testing.T) {
+	t.Parallel()
+	f := &fault{}
+	w := newWorld(t, 1, f)
+	for _, h := range w.hosts {
+		h.gateway.Reload(&site.Site{RetryWindow: time.Hour, RevokeTime: time.Hour})
+	}
+	f.set(func(string, *http.Request) replica.Fault { return replica.FaultPause })
+	var all sync.WaitGroup
+	for range 4 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			a := w.post(0, "/quotes/1", "q")
+			w.wantWhole(a, wholeStream(a.id))
+		}()
+	}
+	all.Wait()
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -195,3 +195,23 @@
 		}
 	}
 }
+
+func TestPatienceOnlyForLongPasses(t *testing.T) {
+	p := newDomainPlanner(3)
+	short := shortAsk(0)
+	plan := planOf(t, p, at(0), short)
+	p.Started(at(60), "h", short.ID)
+	if wait := p.Patience(at(1200), "h", short.ID); wait != 0 {
+		t.Errorf("%v more for a stream beside which nothing is read", wait)
+	}
+	p.Adopt(at(1200), Held{Ask: longAsk(1), Replica: plan.Replica.ID})
+	if wait := p.Patience(at(1300), "h", short.ID); wait < time.Second {
+		t.Errorf("%v more while a prompt of three seconds is read", wait)
+	}
+	other := shortAsk(2)
+	p.Adopt(at(6000), Held{Ask: other, Replica: plan.Replica.ID})
+	p.Started(at(6050), "h", other.ID)
+	if wait := p.Patience(at(6100), "h", short.ID); wait == 0 {
+		t.Error("no patience with a server that has just shown that it works")
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -40,7 +40,7 @@
 	if !j.writing {
 		wait += o.Parts + o.Own
 	}
-	if wait > 0 || now.Sub(s.sign) < signTime {
+	if wait > usualPass || now.Sub(s.sign) < signTime {
 		return wait + signTime
 	}
 	return 0
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -18,6 +18,8 @@
 	downTimeMax = 4 * time.Second
 	// After a sign of life a server is taken as alive for this time.
 	signTime = 500 * time.Millisecond
+	// A pass that takes longer explains a silence.
+	usualPass = 250 * time.Millisecond
 )
 
 // server is one replica with the work it has.
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -39,5 +39,10 @@
 	}
 }
 
+// mayRepeat tells whether the call may be sent once more if the sending under way ends without an answer.
+func (p *progress) mayRepeat() bool {
+	return p.repeat != call.RepeatNever && p.runs+1 < p.attempts
+}
+
 // ran tells whether the call may have run.
 func (p *progress) ran() bool { return p.runs > 0 }
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -43,6 +43,7 @@
 	print    uint64
 	avoid    []string
 	began    bool // the answer's head has been written
+	paid     bool // the next repeat is taken from the budget
 	failure  *answer
 	first    time.Duration // from receipt to the first event
 	passed   time.Time     // when the last events were passed on
@@ -83,15 +84,11 @@
 			return
 		}
 		t.avoid = append(t.avoid, placed.Plan.Replica.ID)
-		if !t.progress.again(outcome) {
-			t.fail(outcome)
-			return
-		}
-		if !t.relay.Budget.Take(steady.Now(), t.call.Service) {
-			t.relay.Meters.Counter("retries_over_budget").Inc(1)
+		if !t.progress.again(outcome) || !t.pay() {
 			t.fail(outcome)
 			return
 		}
+		t.paid = false
 	}
 }
 
@@ -193,10 +190,7 @@
 	if err != nil {
 		return planner.OutcomeRefused, err
 	}
-	var patience func() time.Duration
-	if t.call.PromptTokens > 0 {
-		patience = func() time.Duration { return t.relay.Desk.Patience(t.ctx, placed.ID) }
-	}
+	patience := func() time.Duration { return t.patience(placed.ID) }
 	x, err := t.relay.Pool.Open(t.ctx, t.call, a, t.silence(plan), patience)
 	if err != nil {
 		return outcomeOf(err), err
@@ -218,6 +212,28 @@
 	}
 }
 
+// patience returns how much longer to wait after a silence; 0 means that the call is sent to another server. Silence alone
+// doesn't end a call that can't be sent again.
+func (t *transfer) patience(id string) time.Duration {
+	if wait := t.relay.Desk.Patience(t.ctx, id); wait > 0 {
+		return wait
+	}
+	if !t.progress.mayRepeat() || !t.pay() {
+		return minGap
+	}
+	return 0
+}
+
+// pay takes a repeat from the shared budget, once for each sending.
+func (t *transfer) pay() bool {
+	if !t.paid && !t.relay.Budget.Take(steady.Now(), t.call.Service) {
+		t.relay.Meters.Counter("retries_over_budget").Inc(1)
+		return false
+	}
+	t.paid = true
+	return true
+}
+
 // silence returns how long nothing may come before the answer's first bytes.
 func (t *transfer) silence(plan *planner.Plan) time.Duration {
 	switch {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -27,6 +27,7 @@
 	FaultLose         // runs it and closes the connection without an answer
 	FaultSilent       // runs it and sends nothing
 	FaultExtra        // sends a second answer after its own
+	FaultPause        // sends nothing for a while after its third event
 )
 
 // Seen is what a replica noted of a request that reached it.
@@ -40,6 +41,9 @@
 	Ran       bool
 }
 
+// PauseTime is how long FaultPause sends nothing.
+const PauseTime = 2500 * time.Millisecond
+
 // Log collects what all replicas of a test have seen.
 type Log struct {
 	mu   sync.Mutex
@@ -271,6 +275,9 @@
 		select {
 		case e := <-events:
 			text := Event(id, last+e.Number)
+			if fault == FaultPause && e.Number == 4 {
+				time.Sleep(PauseTime)
+			}
 			if fault == FaultBreak && e.Number == 3 {
 				_, _ = io.WriteString(w, text[:len(text)/2])
 				_ = http.NewResponseController(w).Flush()
