planner: keep some engines from heavy reading, so that short prompts find a place

Change: from four engines on one, and one in 16 more, read no heavy prompt while short ones come or nothing is known. Test: TestHugePromptsLeaveEnginesForShortOnes, red before.

--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -19,6 +19,10 @@
 	holdStep = 200 * time.Millisecond
 	// Gain of placing a prompt that is late anyway, as a share of its value.
 	lateGain = 0.06
+	// From so many engines on, and such a rate of short prompts, one engine and one in so many more read no heavy prompt.
+	reserveFrom  = 4
+	reserveRate  = 0.5
+	reserveShare = 16
 	// How fast the rate of short prompts is learnt.
 	rateMemory = 1500 * time.Millisecond
 	// Short prompts that one engine takes in a second without making them late.
@@ -42,11 +46,12 @@
 		}
 	}
 	crowd := p.crowdOf(now, len(servers), busy)
+	most := p.mostReaders(now, len(servers)) - busy
 	var best choice
 	var reserves []int
 	found := false
 	for _, readers := range readerCounts {
-		if readers > len(views) || readers > maxReaders {
+		if readers > len(views) || readers > maxReaders || readers > most {
 			break
 		}
 		c, split, ok := p.joined(now, a, views, crowd, readers)
@@ -60,6 +65,15 @@
 	return best, reserves, true
 }
 
+// mostReaders returns how many of the servers may read heavy prompts at once, so that some are left for short ones.
+func (p *Planner) mostReaders(now time.Time, servers int) int {
+	seen := !p.shorts.last.IsZero() // a new planner doesn't know yet what comes
+	if servers < reserveFrom || seen && p.shorts.perSecond(now) < reserveRate {
+		return servers
+	}
+	return servers - 1 - servers/reserveShare
+}
+
 // placingGain is what a prompt gains by being placed now, with its first event after first, instead of a little later.
 func placingGain(a *Ask, first time.Duration) float64 {
 	gain := firstLoss(first+holdStep, a.FirstAim, a) - firstLoss(first, a.FirstAim, a)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -215,3 +215,33 @@
 		t.Error("no patience with a server that has just shown that it works")
 	}
 }
+
+// However large the prompt, some engine stays free for short ones that keep coming.
+func TestHugePromptsLeaveEnginesForShortOnes(t *testing.T) {
+	for _, test := range []struct{ replicas, before int }{{5, 40}, {16, 40}, {54, 40}, {5, 0}, {16, 0}} {
+		replicas := test.replicas
+		p := newDomainPlanner(replicas)
+		for i := range test.before {
+			a := shortAsk(i)
+			planOf(t, p, at(50*i), a)
+			p.Started(at(50*i+40), "h", a.ID)
+			p.Ended(at(50*i+45), "h", a.ID, OutcomeDone)
+		}
+		for i := range 3 {
+			huge := longAsk(100 + i)
+			huge.PromptTokens = 330000
+			p.Ask(at(2010), huge)
+		}
+		for ms := 2010; ms < 2100; ms += 20 {
+			p.Settle(at(ms))
+		}
+		p.Ask(at(2100), shortAsk(200))
+		var plan *Plan
+		for _, answer := range p.Settle(at(2100)) {
+			plan = answer.Plan
+		}
+		if plan == nil || plan.First > 300*time.Millisecond {
+			t.Errorf("%d replicas, %d short prompts before: one beside huge ones gets %+v", replicas, test.before, plan)
+		}
+	}
+}
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -71,6 +71,22 @@
 	faultyAt time.Time // last signal, start or stop
 }
 
+// hostPort returns a port for a host's process, below those that the system gives to others.
+func hostPort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	const lowest, ports = 10000, 20000
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports)))
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return l.Addr().(*net.TCPAddr).AddrPort()
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
+}
+
 func listenerPort(t *testing.T, h http.Handler) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -78,10 +94,6 @@
 		t.Fatal(err)
 	}
 	address := l.Addr().(*net.TCPAddr).AddrPort()
-	if h == nil {
-		l.Close()
-		return address
-	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
@@ -131,7 +143,7 @@
 	d.configure([]string{"key-0", "key-1"})
 	var peers []string
 	for range hostCount {
-		peers = append(peers, listenerPort(t, nil).String())
+		peers = append(peers, hostPort(t).String())
 	}
 	for i := range hostCount {
 		d.addHost(i, peers, storeAddress)
@@ -165,7 +177,7 @@
 
 func (d *deployment) addHost(i int, peers []string, store netip.AddrPort) {
 	h := &host{
-		name: fmt.Sprintf("front-%d", i), callers: listenerPort(d.t, nil), ready: listenerPort(d.t, nil),
+		name: fmt.Sprintf("front-%d", i), callers: hostPort(d.t), ready: hostPort(d.t),
 		settings: filepath.Join(d.folder, fmt.Sprintf("%d.toml", i)),
 	}
 	text := fmt.Sprintf(`nodeName = %q
