--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -19,9 +19,8 @@
 	holdStep = 200 * time.Millisecond
 	// Gain of placing a prompt that is late anyway, as a share of its value.
 	lateGain = 0.06
-	// From so many engines on, and such a rate of short prompts, one engine and one in so many more read no heavy prompt.
+	// From so many engines on one in so many, and one at least, reads no heavy prompt.
 	reserveFrom  = 4
-	reserveRate  = 0.5
 	reserveShare = 16
 	// How fast the rate of short prompts is learnt.
 	rateMemory = 1500 * time.Millisecond
@@ -46,7 +45,7 @@
 		}
 	}
 	crowd := p.crowdOf(now, len(servers), busy)
-	most := p.mostReaders(now, len(servers)) - busy
+	most := mostReaders(len(servers)) - busy
 	var best choice
 	var reserves []int
 	found := false
@@ -65,13 +64,12 @@
 	return best, reserves, true
 }
 
-// mostReaders returns how many of the servers may read heavy prompts at once, so that some are left for short ones.
-func (p *Planner) mostReaders(now time.Time, servers int) int {
-	seen := !p.shorts.last.IsZero() // a new planner doesn't know yet what comes
-	if servers < reserveFrom || seen && p.shorts.perSecond(now) < reserveRate {
+// mostReaders returns how many of the servers may read heavy prompts at once, so that short ones that come find a place.
+func mostReaders(servers int) int {
+	if servers < reserveFrom {
 		return servers
 	}
-	return servers - 1 - servers/reserveShare
+	return servers - max(servers/reserveShare, 1)
 }
 
 // placingGain is what a prompt gains by being placed now, with its first event after first, instead of a little later.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -218,7 +218,9 @@
 
 // However large the prompt, some engine stays free for short ones that keep coming.
 func TestHugePromptsLeaveEnginesForShortOnes(t *testing.T) {
-	for _, test := range []struct{ replicas, before int }{{5, 40}, {16, 40}, {54, 40}, {5, 0}, {16, 0}} {
+	for _, test := range []struct{ replicas, before int }{
+		{5, 40}, {16, 40}, {54, 40}, {5, 0}, {16, 0}, {5, 1}, {16, 1},
+	} {
 		replicas := test.replicas
 		p := newDomainPlanner(replicas)
 		for i := range test.before {
@@ -230,14 +232,14 @@
 		for i := range 3 {
 			huge := longAsk(100 + i)
 			huge.PromptTokens = 330000
-			p.Ask(at(2010), huge)
+			p.Ask(at(8000), huge)
 		}
-		for ms := 2010; ms < 2100; ms += 20 {
+		for ms := 8000; ms < 8100; ms += 20 {
 			p.Settle(at(ms))
 		}
-		p.Ask(at(2100), shortAsk(200))
+		p.Ask(at(8100), shortAsk(200))
 		var plan *Plan
-		for _, answer := range p.Settle(at(2100)) {
+		for _, answer := range p.Settle(at(8100)) {
 			plan = answer.Plan
 		}
 		if plan == nil || plan.First > 300*time.Millisecond {
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -68,7 +68,8 @@
 	mu       sync.Mutex
 	process  *exec.Cmd
 	running  bool
-	faultyAt time.Time // last signal, start or stop
+	exited   chan struct{} // closed when process has ended
+	faultyAt time.Time     // last signal, start or stop
 }
 
 // hostPort returns a port for a host's process, below those that the system gives to others.
@@ -208,9 +209,16 @@
 	d.t.Cleanup(func() { h.kill() })
 }
 
+// start starts the host unless it runs, once its earlier process has ended.
 func (d *deployment) start(h *host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.running {
+		return
+	}
+	if h.exited != nil {
+		<-h.exited
+	}
 	logs, err := os.OpenFile(filepath.Join(d.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		d.t.Error(err)
@@ -222,10 +230,12 @@
 		d.t.Error(err)
 		return
 	}
-	h.process, h.running, h.faultyAt = cmd, true, time.Now()
+	exited := make(chan struct{})
+	h.process, h.running, h.faultyAt, h.exited = cmd, true, time.Now(), exited
 	go func() {
 		err := cmd.Wait()
 		logs.Close()
+		close(exited)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.process == cmd && h.running {
