--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -72,12 +72,18 @@
 	faultyAt time.Time     // last signal, start or stop
 }
 
-// hostPort returns a port for a host's process, below those that the system gives to others.
+// portsTaken counts the ports that hostPort has tried in this process.
+var portsTaken int
+
+// hostPort returns a port for a host's process, below those that the system gives to others and apart from those of
+// soaks in other processes.
 func hostPort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	const lowest, ports = 10000, 20000
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports)))
+	const lowest, ports, blocks = 10000, 200, 100
+	for range ports {
+		port := lowest + os.Getpid()%blocks*ports + portsTaken%ports
+		portsTaken++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
