planner, site, platform: count engines as busy by heavy reading only; drop settings that nothing uses

Cause: in a wave of short prompts the reading of these alone passed for heavy reading, and no long prompt found readers.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -31,19 +31,17 @@
 
 // Engine holds the figures of a service's model engines that predictions are made from.
 type Engine struct {
-	Slots          int
-	MemoryTokens   int
-	PassSteps      int           // steps of a pass in which some request writes
-	Step           time.Duration // of one token step
-	StepWriter     time.Duration // added to a step for each request that writes
-	StepContext    time.Duration // added to a step for 1,000 tokens of context
-	ReadRate       float64       // prompt tokens a second
-	PairsTime      time.Duration // for a million pairs of a token and an earlier one
-	ChunkTokens    int           // prompt tokens read in one step at most
-	StepHop        time.Duration // added to a step of a request whose prompt several engines hold
-	UsualAnswer    int           // mean output tokens
-	EventTokens    int           // output tokens in one event of a stream
-	ReservationMax int           // reservations of memory outstanding at one engine
+	Slots        int
+	MemoryTokens int
+	PassSteps    int           // steps of a pass in which some request writes
+	Step         time.Duration // of one token step
+	StepWriter   time.Duration // added to a step for each request that writes
+	StepContext  time.Duration // added to a step for 1,000 tokens of context
+	ReadRate     float64       // prompt tokens a second
+	PairsTime    time.Duration // for a million pairs of a token and an earlier one
+	ChunkTokens  int           // prompt tokens read in one step at most
+	StepHop      time.Duration // added to a step of a request whose prompt several engines hold
+	EventTokens  int           // output tokens in one event of a stream
 }
 
 // Service is a set of replicas that run the same program.
--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -37,14 +37,14 @@
 	busy := 0
 	for _, s := range servers {
 		v := viewOf(now, s)
-		if v.parts+v.own > clearReading {
+		if v.parts > clearReading || s.readsHeavy() {
 			busy++
 		}
 		if s.lag(now) <= 0 && s.helps < s.slots() {
 			views = append(views, v)
 		}
 	}
-	crowd := p.crowdOf(now, len(servers), busy)
+	room := p.crowdOf(now, len(servers), busy)
 	most := mostReaders(len(servers)) - busy
 	var best choice
 	var reserves []int
@@ -53,7 +53,7 @@
 		if readers > len(views) || readers > maxReaders || readers > most {
 			break
 		}
-		c, split, ok := p.joined(now, a, views, crowd, readers)
+		c, split, ok := p.joined(now, a, views, room, readers)
 		if ok && (!found || c.loss < best.loss) {
 			best, reserves, found = c, split, true
 		}
@@ -79,7 +79,7 @@
 }
 
 // joined returns the best choice of readers servers, of which one writes, and the memory to reserve at the others.
-func (p *Planner) joined(now time.Time, a *Ask, views []view, crowd crowd, readers int) (choice, []int, bool) {
+func (p *Planner) joined(now time.Time, a *Ask, views []view, room crowd, readers int) (choice, []int, bool) {
 	spots := make([]spot, 0, len(views))
 	for i := range views {
 		v := &views[i]
@@ -115,7 +115,7 @@
 	if readers > 1 {
 		c.first += jointTime
 	}
-	c.harm += crowd.loss(readers, c.lead.pass)
+	c.harm += room.loss(readers, c.lead.pass)
 	c.loss += c.harm + ownLoss(a, c.first, &c.lead) + readerWeight*float64(readers-1)
 	return c, reserves, true
 }
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -12,8 +12,7 @@
 	ask      Ask
 	server   *server
 	helpers  []*server
-	reserves []int // tokens reserved at each helper
-	placed   time.Time
+	reserves []int     // tokens reserved at each helper
 	first    time.Time // predicted or seen first event
 	aim      time.Time // the first event is late after this
 	expires  time.Time
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -61,7 +61,6 @@
 		server:   s,
 		helpers:  c.helpers,
 		reserves: reserves,
-		placed:   now,
 		first:    now.Add(c.first),
 		aim:      now.Add(a.FirstAim),
 		expires:  now.Add(a.Deadline + expiryGrace),
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -133,7 +133,7 @@
 		return
 	}
 	j := &job{
-		key: key, ask: h.Ask, server: s, placed: now, first: now,
+		key: key, ask: h.Ask, server: s, first: now,
 		aim: now.Add(h.Ask.FirstAim), expires: now.Add(h.Ask.Deadline + expiryGrace),
 		tokens: h.Ask.PromptTokens + h.Ask.OutputTokens,
 	}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/pass"
@@ -111,3 +112,8 @@
 
 // domainTime is within which several replicas of a failure domain that can't be reached mean that it is cut off.
 const domainTime = time.Second
+
+// readsHeavy tells whether the server reads, or will read, a heavy prompt of its own.
+func (s *server) readsHeavy() bool {
+	return slices.ContainsFunc(s.jobs, func(j *job) bool { return j.heavy && !j.writing })
+}
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -122,7 +122,6 @@
 		Rank:         c.Rank,
 		Avoid:        t.avoid,
 		Print:        t.print,
-		Again:        t.progress.ran(),
 		Leave:        leave,
 		MaxPause:     maxPause,
 	}
