metrics, cli, gateway: give each root its own registry, and make tests hold beside load

Causes: metrics of several hosts in one process shared the library's global registry, so that those of all but one were missing (TestMetricsTellOutcomes; TestRootsOfOneProcessAreApart is red before); the log line that TestHostsWithoutSeedsFindEachOther looked for comes only when the planner changes, so it now reads a gauge of hosts; the fake host of TestApplyWithLostAnswers had no lock, though a client may send again before the handler of a lost answer has ended. planner, relay, explain: plainer names.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	answers  []func(w http.ResponseWriter) // to changes, in order; the last one repeats
 	versions []adminapi.HostVersion
 	token    string
+
+	mu sync.Mutex
 }
 
 func accept(w http.ResponseWriter) {
@@ -42,6 +45,9 @@
 func lose(http.ResponseWriter) { panic(http.ErrAbortHandler) }
 
 func (h *fakeHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The client may send again before the handler of a lost answer has ended.
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.token = r.Header.Get("Authorization")
 	section := adminapi.Section{Section: "services", Revision: 3, Digest: strings.Repeat("ab", 32), Body: "[\n  {\"name\": \"orders\"}\n]"}
 	when := time.Date(2026, 12, 3, 21, 0, 0, 0, time.UTC)
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -15,7 +15,7 @@
 		Use:   "explain REQUEST_ID LOGFILE...",
 		Short: "Prints a request's way through the logs of entry hosts, and the cause of its end",
 		Long: `Prints what the logs of entry hosts on the users' platform say about one request, in order, with the
-changes of belief about hosts and replicas on its way, and sums up why it ended as it did.`,
+changes of state about hosts and replicas on its way, and sums up why it ended as it did.`,
 		Example: "  turmericshunt explain 9c41d07be2a35f68 front-1.log front-2.log",
 		Args:    cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -14,7 +14,7 @@
 
 const (
 	maxLine = 1 << 20 // bytes
-	// How long before the request's first line changes of belief may have mattered.
+	// How long before the request's first line changes of state may have mattered.
 	before = 3 * time.Second
 )
 
@@ -52,8 +52,8 @@
 	return b.String()
 }
 
-// beliefs are the events that tell what hosts believed of their surroundings.
-var beliefs = []string{"replica_", "planner_chosen", "host_lost", "host_regained", "store_", "configuration_in_force", "host_st"}
+// stateChanges are the events that tell that hosts learnt something about their surroundings.
+var stateChanges = []string{"replica_", "planner_chosen", "host_lost", "host_regained", "store_", "configuration_in_force", "host_st"}
 
 // Log collects lines of several hosts.
 type Log struct {
@@ -108,7 +108,7 @@
 	return line, line.Event != "" && !line.Time.IsZero()
 }
 
-// Way returns the lines about the request with the given id in order, with the changes of belief that touch the hosts
+// Way returns the lines about the request with the given id in order, with the changes of state that touch the hosts
 // and replicas on its way. It is empty if no line names the request.
 func (l *Log) Way(id string) []Line {
 	var way []Line
@@ -131,7 +131,7 @@
 	slices.SortStableFunc(way, byTime)
 	from, to := way[0].Time.Add(-before), way[len(way)-1].Time
 	for _, line := range l.lines {
-		if line.Time.Before(from) || line.Time.After(to) || !hosts[line.Host] || !isBelief(line.Event) {
+		if line.Time.Before(from) || line.Time.After(to) || !hosts[line.Host] || !isStateChange(line.Event) {
 			continue
 		}
 		if r := line.Get("replica"); r != "" && !replicas[r] {
@@ -143,8 +143,8 @@
 	return way
 }
 
-func isBelief(event string) bool {
-	return slices.ContainsFunc(beliefs, func(prefix string) bool { return strings.HasPrefix(event, prefix) })
+func isStateChange(event string) bool {
+	return slices.ContainsFunc(stateChanges, func(prefix string) bool { return strings.HasPrefix(event, prefix) })
 }
 
 // Cause sums up why the request ended as it did, from its own lines.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -321,26 +320,22 @@
 	t.Parallel()
 	w := newSeededWorld(t, 3, &fault{}, 0)
 	for _, h := range w.hosts {
-		w.eventually("the host knows the others", func() bool {
-			return strings.Contains(h.logs.String(), `"hosts":3`)
-		})
+		w.eventually("the host knows the others", func() bool { return strings.Contains(h.metrics(), "turmericshunt_hosts 3\n") })
 	}
 }
 
 func TestMetricsTellOutcomes(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 1, &fault{})
-	w.post(0, "/quotes/1", "q")
-	w.eventually("the counters are served", func() bool {
-		resp, err := http.Get("http://" + w.hosts[0].site.Metrics.String() + "/metrics")
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		text, err := io.ReadAll(resp.Body)
-		return err == nil && strings.Contains(string(text), `turmericshunt_requests{outcome="completed",prompt_length="up_to_8k"}`) &&
-			strings.Contains(string(text), "turmericshunt_first_event_bucket") && strings.Contains(string(text), "turmericshunt_config_version")
-	})
+	defer w.logOnFailure()
+	a := w.post(0, "/quotes/1", "q")
+	w.wantWhole(a, wholeStream(a.id))
+	for _, name := range []string{
+		`turmericshunt_requests{outcome="completed",prompt_length="up_to_8k"}`, "turmericshunt_first_event_bucket",
+		"turmericshunt_config_version",
+	} {
+		w.eventually(name+" is served", func() bool { return strings.Contains(w.hosts[0].metrics(), name) })
+	}
 }
 
 // Silence alone must not end a stream: without a repeat in the budget the host goes on waiting for the first replica.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -340,3 +340,17 @@
 		w.t.Log(h.logs.String())
 	}
 }
+
+// metrics returns what the host serves on its metrics address.
+func (h *host) metrics() string {
+	resp, err := http.Get("http://" + h.site.Metrics.String() + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -25,7 +26,10 @@
 
 // New makes a root whose names start with turmericshunt.
 func New() *Root {
+	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer:              registry,
+		Gatherer:                registry,
 		DefaultTimerType:        prometheus.HistogramTimerType,
 		DefaultHistogramBuckets: timeBuckets,
 		OnRegisterError:         func(error) {},
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -32,3 +32,18 @@
 		}
 	}
 }
+
+func TestRootsOfOneProcessAreApart(t *testing.T) {
+	first, second := New(), New()
+	first.Scope.Counter("requests").Inc(1)
+	second.Scope.Counter("requests").Inc(2)
+	first.Close()
+	second.Close()
+	for i, r := range []*Root{first, second} {
+		w := httptest.NewRecorder()
+		r.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		if want := "turmericshunt_requests " + string(rune('1'+i)) + "\n"; !strings.Contains(w.Body.String(), want) {
+			t.Errorf("root %d: no line %q", i, want)
+		}
+	}
+}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -137,6 +137,8 @@
 		}
 	}
 	d.choose(now)
+	d.Meters.Gauge("hosts").Update(float64(d.Roster.Size()))
+	d.Meters.Gauge("asks_waiting").Update(float64(d.local.Waiting()))
 	for _, address := range d.Roster.Contacts(now) {
 		d.Roster.Asked(now, address)
 		d.contact(ctx, now, address)
--- a/internal/planner/ask.go
+++ b/internal/planner/ask.go
@@ -20,7 +20,7 @@
 	Deadline     time.Duration `cbor:"9,keyasint,omitempty"`
 	Rank         int           `cbor:"10,keyasint,omitempty"` // 0 is the most urgent
 	Avoid        []string      `cbor:"11,keyasint,omitempty"` // replicas that failed this request or ran it already
-	Print        uint64        `cbor:"12,keyasint,omitempty"` // hash by which a request that crashes engines is known again
+	Fingerprint  uint64        `cbor:"12,keyasint,omitempty"` // hash by which a request that crashes engines is known again
 	Leave        time.Duration `cbor:"14,keyasint,omitempty"` // until the caller leaves if no event has come; 0 if it doesn't
 	MaxPause     time.Duration `cbor:"15,keyasint,omitempty"` // pause between events after which the caller leaves
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -124,13 +124,13 @@
 	for i := range maxCrashes {
 		a := shortAsk(i)
 		a.Host = fmt.Sprint("h", i)
-		a.Print = 17
+		a.Fingerprint = 17
 		planOf(t, p, at(100*i), a)
 		p.Ended(at(100*i+50), a.Host, a.ID, OutcomeBroken)
 	}
 	a := shortAsk(50)
 	a.Host = "another"
-	a.Print = 17
+	a.Fingerprint = 17
 	p.Ask(at(1000), a)
 	if answers := p.Settle(at(1000)); len(answers) != 1 || answers[0].Refusal == nil || answers[0].Refusal.Cause != CauseCrashes {
 		t.Errorf("answers %+v", answers)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -118,11 +118,11 @@
 }
 
 func (p *Planner) noteCrash(now time.Time, j *job) {
-	if j.ask.Print == 0 {
+	if j.ask.Fingerprint == 0 {
 		return
 	}
-	c := p.crashes[j.ask.Print]
-	p.crashes[j.ask.Print] = crashes{count: c.count + 1, last: now}
+	c := p.crashes[j.ask.Fingerprint]
+	p.crashes[j.ask.Fingerprint] = crashes{count: c.count + 1, last: now}
 }
 
 // Adopt takes over a request that another planner placed.
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -90,7 +90,7 @@
 	switch {
 	case a.Deadline <= 0:
 		return p.refuse(&a, CauseOutOfTime, minRetryAfter)
-	case a.Print != 0 && p.crashes[a.Print].count >= maxCrashes:
+	case a.Fingerprint != 0 && p.crashes[a.Fingerprint].count >= maxCrashes:
 		return p.refuse(&a, CauseCrashes, crashMemory)
 	}
 	servers := p.candidates(r.now, &a)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,7 +72,7 @@
 		client:   ctx,
 		ctx:      limited,
 		progress: progress{repeat: c.Repeat, attempts: c.Attempts},
-		print:    fingerprint(c),
+		hash:     fingerprint(c),
 	}
 	if c.Resumes {
 		t.events.last = c.LastEvent
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -40,7 +40,7 @@
 	ctx      context.Context // ends with client and at the deadline
 	progress progress
 	events   events
-	print    uint64
+	hash     uint64 // by which a request that crashes servers is known again
 	avoid    []string
 	began    bool // the answer's head has been written
 	paid     bool // the next repeat is taken from the budget
@@ -121,7 +121,7 @@
 		Deadline:     c.Deadline().Sub(now),
 		Rank:         c.Rank,
 		Avoid:        t.avoid,
-		Print:        t.print,
+		Fingerprint:  t.hash,
 		Leave:        leave,
 		MaxPause:     maxPause,
 	}
