ingress, placement: log the HTTP server's errors and panics, go on after a failed accept

Found by reading the diff: net/http's reports, panics among them, were thrown away, and one failed accept ended a host's listening to others.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -74,10 +76,18 @@
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytes,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		ErrorLog:          log.New(serverErrors{g.Log}, "", 0),
 	}
 }
 
+// serverErrors takes what net/http reports, panics with their stacks among it, into the log.
+type serverErrors struct{ log *eventlog.Log }
+
+func (e serverErrors) Write(text []byte) (int, error) {
+	e.log.Warn("server_error", slog.String("error", strings.TrimSpace(string(text))))
+	return len(text), nil
+}
+
 // Ready tells whether new connections are welcome.
 func (g *Ingress) Ready() bool {
 	return g.leaving.Load() == 0 && g.Feed.Catalog() != nil && g.fresh(steady.Now())
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
@@ -18,6 +20,8 @@
 	// How often the members are passed on over one link: an interval for each so many of them.
 	memberInterval     = time.Second
 	membersPerInterval = 30
+	// Pause after a connection could not be accepted, as when descriptors run out.
+	acceptPause = 50 * time.Millisecond
 	// How often asks that wait are looked at again.
 	settleInterval = 20 * time.Millisecond
 	// A link that carries nothing but answers to beats is closed after this time.
@@ -81,9 +85,14 @@
 func (d *Desk) accept(listener net.Listener) {
 	for {
 		c, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			d.Log.Warn("accept_failed", slog.String("error", err.Error()))
+			time.Sleep(acceptPause)
+			continue
+		}
 		p := &peer{link: link.New(c)}
 		d.mu.Lock()
 		d.inbound[p] = true
