standin: give tests ports that nobody else is given

Cause, as in the soak: a port from the system, closed and opened again later, can go to another socket meanwhile; the host's error was not shown.

--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/site"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
+	"github.com/turmericshunt/turmericshunt/internal/standin/ports"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
 	"github.com/turmericshunt/turmericshunt/platform"
 )
@@ -109,12 +110,11 @@
 
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return address
 }
 
 func newWorld(t *testing.T, hosts int, f *fault) *world {
@@ -175,7 +175,11 @@
 	}}
 	w.hosts = append(w.hosts, h)
 	go func() {
-		h.done <- h.gateway.Run(ctx)
+		err := h.gateway.Run(ctx)
+		if err != nil {
+			w.t.Errorf("%s: %v", s.Host, err)
+		}
+		h.done <- err
 		log.Close()
 	}()
 	w.t.Cleanup(func() {
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -21,6 +21,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
+	"github.com/turmericshunt/turmericshunt/internal/standin/ports"
 	"github.com/turmericshunt/turmericshunt/internal/standin/relay"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
 )
@@ -72,26 +73,13 @@
 	faultyAt time.Time     // last signal, start or stop
 }
 
-// portsTaken counts the ports that hostPort has tried in this process.
-var portsTaken int
-
-// hostPort returns a port for a host's process, below those that the system gives to others and apart from those of
-// soaks in other processes.
 func hostPort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	const lowest, ports, blocks = 10000, 200, 100
-	for range ports {
-		port := lowest + os.Getpid()%blocks*ports + portsTaken%ports
-		portsTaken++
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		l.Close()
-		return l.Addr().(*net.TCPAddr).AddrPort()
+	address, err := ports.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return netip.AddrPort{}
+	return address
 }
 
 func listenerPort(t *testing.T, h http.Handler) netip.AddrPort {
