placement, catalog: one way to the planner's link and to dropping a host; no fields that nothing reads

The test for a usable link to the planner stood in six places and the forgetting of a host in two; three fields of the catalog were decoded and never read. Behaviour unchanged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,19 +14,18 @@
 
 // Route says where the calls under one prefix of a host name go.
 type Route struct {
-	Name      string
-	Host      string
-	Prefix    string
-	Shares    []Share
-	Repeat    call.Repeat
-	Stream    bool
-	Attempts  int
-	Limit     time.Duration
-	FirstAim  time.Duration
-	GapAim    time.Duration
-	Rank      int
-	Public    bool // needs no key
-	HasPrompt bool
+	Name     string
+	Host     string
+	Prefix   string
+	Shares   []Share
+	Repeat   call.Repeat
+	Stream   bool
+	Attempts int
+	Limit    time.Duration
+	FirstAim time.Duration
+	GapAim   time.Duration
+	Rank     int
+	Public   bool // needs no key
 }
 
 // Engine holds the figures of a service's model engines that predictions are made from.
@@ -46,10 +45,8 @@
 
 // Service is a set of replicas that run the same program.
 type Service struct {
-	Name        string
-	HealthPath  string
-	Connections int     // that one replica takes from all hosts together
-	Engine      *Engine // nil for a plain service
+	Name   string
+	Engine *Engine // nil for a plain service
 }
 
 // Workspace is a customer with a share of the system.
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -83,6 +83,15 @@
 
 func (d *Desk) self() netip.AddrPort { return d.Roster.Self().Address }
 
+// plannerLink returns the link to the host that plans for this one, or nil if that is this host or it isn't connected.
+func (d *Desk) plannerLink() *peer {
+	p := d.links[d.current]
+	if d.current == d.self() || p == nil || p.link == nil {
+		return nil
+	}
+	return p
+}
+
 // Hosts returns how many entry hosts there are, as far as this one knows.
 func (d *Desk) Hosts() int {
 	d.mu.Lock()
@@ -146,7 +155,7 @@
 	for p := range d.inbound {
 		d.sendBeat(now, p, true)
 	}
-	if p := d.links[d.current]; p != nil && p.link != nil {
+	if p := d.plannerLink(); p != nil {
 		d.sendBeat(now, p, false)
 	}
 }
@@ -196,8 +205,7 @@
 
 // send passes an ask to the planner and tells whether that is another host.
 func (d *Desk) send(a planner.Ask) bool {
-	p := d.links[d.current]
-	if d.current != d.self() && p != nil && p.link != nil && !p.link.Closed() {
+	if p := d.plannerLink(); p != nil && !p.link.Closed() {
 		p.link.Send(&link.Message{Ask: &a})
 		return true
 	}
@@ -255,7 +263,7 @@
 		return
 	}
 	h.local = true
-	if p := d.links[d.current]; d.current != d.self() && p != nil && p.link != nil {
+	if p := d.plannerLink(); p != nil {
 		p.link.Send(&link.Message{Sync: &link.Sync{Held: []planner.Held{h.held}}})
 	}
 }
@@ -274,7 +282,7 @@
 		d.local.Started(now, d.self().String(), id)
 		d.settle(now)
 	}
-	if p := d.links[d.current]; d.current != d.self() && p != nil && p.link != nil {
+	if p := d.plannerLink(); p != nil {
 		p.link.Send(&link.Message{Started: &link.Report{ID: id}})
 	}
 }
@@ -284,8 +292,8 @@
 func (d *Desk) Patience(ctx context.Context, id string) time.Duration {
 	d.mu.Lock()
 	h := d.held[id]
-	p := d.links[d.current]
-	if h == nil || h.local || d.current == d.self() || p == nil || p.link == nil {
+	p := d.plannerLink()
+	if h == nil || h.local || p == nil {
 		defer d.mu.Unlock()
 		return d.local.Patience(steady.Now(), d.self().String(), id)
 	}
@@ -321,7 +329,7 @@
 	now := steady.Now()
 	d.local.Ended(now, d.self().String(), id, outcome)
 	d.settle(now)
-	if p := d.links[d.current]; d.current != d.self() && p != nil && p.link != nil {
+	if p := d.plannerLink(); p != nil {
 		p.link.Send(&link.Message{Ended: &link.Report{ID: id, Outcome: outcome}})
 	}
 }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -116,12 +116,17 @@
 		return
 	}
 	if d.links[p.address] == p {
-		delete(d.links, p.address)
-		if d.Roster.Failed(now, p.address) {
-			d.Log.Warn("host_lost", slog.String("peer", p.address.String()), slog.String("error", err.Error()))
-		}
-		d.choose(now)
+		d.drop(now, p, err)
+	}
+}
+
+// drop forgets the link to a host that can't be reached, and chooses the planner anew.
+func (d *Desk) drop(now time.Time, p *peer, err error) {
+	delete(d.links, p.address)
+	if d.Roster.Failed(now, p.address) {
+		d.Log.Warn("host_lost", slog.String("peer", p.address.String()), slog.String("error", err.Error()))
 	}
+	d.choose(now)
 }
 
 func (d *Desk) hasInbound(address netip.AddrPort) bool {
@@ -183,11 +188,7 @@
 	now := steady.Now()
 	p.dialing = false
 	if err != nil {
-		delete(d.links, p.address)
-		if d.Roster.Failed(now, p.address) {
-			d.Log.Warn("host_lost", slog.String("peer", p.address.String()), slog.String("error", err.Error()))
-		}
-		d.choose(now)
+		d.drop(now, p, err)
 		return
 	}
 	p.link = l
@@ -213,7 +214,7 @@
 		d.settle(now)
 		return
 	}
-	if p := d.links[d.current]; p != nil && p.link != nil {
+	if p := d.plannerLink(); p != nil {
 		d.sync(now, p)
 	}
 }
