suspect, host: let edge hosts pass on evidence of crashing prompts however they heard of it

In the product nothing was passed on between failure domains in fleets of more than 41 hosts. Ruled out: the verdict and its waits (all hosts that had the news were right); the scheduler's own notice of the crash. Change: an edge host passes on evidence by whatever message it came (member.List.Relay, host.relaySuspicions; the model does the same). Merge reports evidence only: a clearing is sent as an age, is news again at each hop and would be passed on without end. The crashes kept of a prompt are the latest on all hosts, else two hosts with five of them are news to each other without end. The new tests fail without the changes.

--- a/internal/bench/crash/crash_test.go
+++ b/internal/bench/crash/crash_test.go
@@ -17,3 +17,14 @@
 		}
 	}
 }
+
+// TestEdgeHostThatHearsByProbeTellsTheOthers plays runs in which the first host's messages to its edge hosts are late,
+// so that they hear of the second crash by a probe.
+func TestEdgeHostThatHearsByProbeTellsTheOthers(t *testing.T) {
+	for _, seed := range []uint64{215, 1338, 1652} {
+		r := Simulate(Scenario{Crashers: 1, Resend: true}, seed, func(*suspect.Ledger) {})
+		if r.MostLost > targetLost {
+			t.Errorf("seed %d: one prompt took %d servers", seed, r.MostLost)
+		}
+	}
+}
--- a/internal/bench/crash/world.go
+++ b/internal/bench/crash/world.go
@@ -166,8 +166,8 @@
 	if a == b || a.dead || b.dead || w.rand.Float64() < gossipLoss {
 		return
 	}
-	b.ledger.Merge(w.Now, a.ledger.Recent(w.Now))
-	a.ledger.Merge(w.Now, b.ledger.Recent(w.Now))
+	w.learn(b, a, a.ledger.Recent(w.Now))
+	w.learn(a, b, b.ledger.Recent(w.Now))
 }
 
 // start brings a backend server up with a new epoch, which its scheduler reads from its load report.
@@ -203,25 +203,26 @@
 func (w *world) noticed(h *host, i int) {
 	h.refused[i] = w.Now
 	h.ledger.Crashed(w.Now, w.servers[i].name)
-	w.tell(h, func(peer *host) bool { return domain(peer.index) == domain(h.index) }, w.relay)
+	w.tell(h, func(peer *host) bool { return domain(peer.index) == domain(h.index) })
 }
 
-// relay passes news on to the edge hosts of the other failure domains, which tell their own.
-func (w *world) relay(h *host) {
+// learn takes in a peer's news; an edge host passes evidence on that it didn't have.
+func (w *world) learn(h, from *host, news []protocol.Suspicion) {
 	edges := w.edges()
-	if !slices.Contains(edges, h.index) {
+	if h.dead || !h.ledger.Merge(w.Now, news) || !slices.Contains(edges, h.index) {
 		return
 	}
-	others := func(peer *host) bool {
-		return slices.Contains(edges, peer.index) && domain(peer.index) != domain(h.index)
+	if domain(from.index) == domain(h.index) {
+		w.tell(h, func(peer *host) bool {
+			return slices.Contains(edges, peer.index) && domain(peer.index) != domain(h.index)
+		})
+		return
 	}
-	w.tell(h, others, func(peer *host) {
-		w.tell(peer, func(x *host) bool { return domain(x.index) == domain(peer.index) }, func(*host) {})
-	})
+	w.tell(h, func(peer *host) bool { return domain(peer.index) == domain(h.index) })
 }
 
 // tell sends a host's news to chosen peers, over connections that repeat what is lost.
-func (w *world) tell(h *host, chosen func(*host) bool, then func(*host)) {
+func (w *world) tell(h *host, chosen func(*host) bool) {
 	news := h.ledger.Recent(w.Now)
 	for _, peer := range w.hosts {
 		if peer == h || !chosen(peer) {
@@ -231,11 +232,7 @@
 		if w.rand.Float64() < gossipLoss {
 			delay += w.spread(repeatTime)
 		}
-		w.After(delay, func() {
-			if !peer.dead && peer.ledger.Merge(w.Now, news) {
-				then(peer)
-			}
-		})
+		w.After(delay, func() { w.learn(peer, h, news) })
 	}
 }
 
--- a/internal/heartbeat/exchange.go
+++ b/internal/heartbeat/exchange.go
@@ -103,6 +103,13 @@
 	return e.Members.Alive()
 }
 
+// Relay returns the hosts to which this one passes on news that it had from another.
+func (e *Exchange) Relay(from protocol.Host) []protocol.Host {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Members.Relay(from)
+}
+
 // All returns all known hosts with their states.
 func (e *Exchange) All() []protocol.Member {
 	e.mu.Lock()
--- a/internal/host/news.go
+++ b/internal/host/news.go
@@ -55,7 +55,9 @@
 func (n *news) Take(p *protocol.Probe) {
 	now := time.Now()
 	h := n.host
-	h.suspects.Merge(now, p.Suspicions)
+	if h.suspects.Merge(now, p.Suspicions) {
+		h.relaySuspicions(p.From)
+	}
 	n.mu.Lock()
 	n.board.PostAggregates(now, n.foreign(p.Aggregates))
 	n.mu.Unlock()
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -146,7 +146,19 @@
 	if len(told) > maxToldOfCrash {
 		told = inDomain(told, h.self.FailureDomain)
 	}
-	for _, x := range told {
+	h.announce(told)
+}
+
+// relaySuspicions passes new evidence on to the hosts that its first host doesn't reach itself.
+func (h *Host) relaySuspicions(from protocol.Host) {
+	if len(h.members.Alive()) > maxToldOfCrash {
+		h.announce(h.members.Relay(from))
+	}
+}
+
+// announce sends this host's news to others without waiting for the next probes.
+func (h *Host) announce(to []protocol.Host) {
+	for _, x := range to {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), suspicionTimeout)
 			defer cancel()
--- a/internal/member/choose.go
+++ b/internal/member/choose.go
@@ -111,6 +111,22 @@
 	return slices.DeleteFunc(list, func(d string) bool { return d == l.Self.FailureDomain })
 }
 
+// Relay returns the hosts to which this one passes on news that it had from another: an edge host tells the edge
+// hosts of the other failure domains what it heard in its own, and its own failure domain what came from others.
+func (l *List) Relay(from protocol.Host) []protocol.Host {
+	if !l.isEdge() {
+		return nil
+	}
+	if !l.isOwn(from) {
+		return slices.DeleteFunc(slices.Clone(l.others()), func(h protocol.Host) bool { return h.Name == from.Name })
+	}
+	var hosts []protocol.Host
+	for _, domain := range l.domains() {
+		hosts = append(hosts, l.Edges(domain)...)
+	}
+	return hosts
+}
+
 func (l *List) isEdge() bool {
 	return slices.ContainsFunc(l.Edges(l.Self.FailureDomain), func(h protocol.Host) bool { return h.Name == l.Self.Name })
 }
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -240,3 +240,37 @@
 		t.Error("hosts agree without refutation, so the test does not see what it is for")
 	}
 }
+
+// TestRelayReachesAllHosts loses the first host's messages to its edge hosts, which hear the news from another host.
+func TestRelayReachesAllHosts(t *testing.T) {
+	n := newNetwork(1, "", 7, 5, 4)
+	for _, first := range n.Hosts() {
+		knows := map[string]bool{first.Name: true}
+		var hear func(at, from protocol.Host)
+		hear = func(at, from protocol.Host) {
+			if knows[at.Name] {
+				return
+			}
+			knows[at.Name] = true
+			for _, next := range n.List(at).Relay(from) {
+				hear(next, at)
+			}
+		}
+		edges := n.List(first).Edges(first.FailureDomain)
+		var between protocol.Host
+		for _, h := range n.Hosts() {
+			if h.FailureDomain == first.FailureDomain && h != first && !slices.Contains(edges, h) {
+				between = h
+				hear(h, first)
+			}
+		}
+		for _, edge := range edges {
+			if edge != first {
+				hear(edge, between)
+			}
+		}
+		if len(knows) != len(n.Hosts()) {
+			t.Errorf("from %s: %d of %d hosts know", first.Name, len(knows), len(n.Hosts()))
+		}
+	}
+}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -36,7 +36,7 @@
 	if lost == nil {
 		lost = &loss{crash: c, at: at, changed: now, contents: make(map[content]bool)}
 		l.losses[c] = lost
-		l.changes++
+		l.evidence++
 	}
 	if at.Before(lost.at) {
 		lost.at = at
@@ -58,13 +58,35 @@
 			return
 		}
 	}
-	l.touch(now, s)
-	if len(s.causes) == maxCauses {
-		s.causes = s.causes[1:]
+	if len(s.causes) == maxCauses && !l.dropOldest(s, lost.at) {
+		return
 	}
+	l.learn(now, s)
 	s.causes = append(s.causes, c)
 }
 
+// dropOldest makes room for a crash at the given time; it reports false when the known ones are all later.
+//
+// All hosts keep the same crashes so, and none of them is news to a host that dropped it.
+func (l *Ledger) dropOldest(s *suspicion, at time.Time) bool {
+	oldest, earliest := -1, at
+	for i, c := range s.causes {
+		lost := l.losses[c.crash]
+		if lost == nil {
+			oldest = i
+			break
+		}
+		if lost.at.Before(earliest) {
+			oldest, earliest = i, lost.at
+		}
+	}
+	if oldest < 0 {
+		return false
+	}
+	s.causes = slices.Delete(s.causes, oldest, oldest+1)
+	return true
+}
+
 // suspicion returns the record of a content, or nil when there are too many.
 func (l *Ledger) suspicion(k content) *suspicion {
 	s := l.contents[k]
@@ -75,17 +97,17 @@
 	return s
 }
 
-// touch marks a suspicion as changed, so that peers hear of it.
-func (l *Ledger) touch(now time.Time, s *suspicion) {
+// learn marks a suspicion as changed by new evidence, so that peers hear of it.
+func (l *Ledger) learn(now time.Time, s *suspicion) {
 	s.changed = now
-	l.changes++
+	l.evidence++
 }
 
 // strengthen adds another host's evidence to a known cause.
 func (l *Ledger) strengthen(now time.Time, s *suspicion, known *cause, c cause) {
 	if c.ran && !known.ran {
 		known.ran = true
-		l.touch(now, s)
+		l.learn(now, s)
 	}
 	known.own = known.own || c.own
 	if c.began.Before(known.began) {
@@ -99,7 +121,7 @@
 		return
 	}
 	s.cleared = at
-	l.touch(now, s)
+	s.changed = now
 	s.causes = slices.DeleteFunc(s.causes, func(c cause) bool {
 		lost := l.losses[c.crash]
 		if lost != nil && lost.at.After(at) {
@@ -154,7 +176,7 @@
 		return
 	}
 	s.condemned = true
-	l.touch(now, s)
+	l.learn(now, s)
 	l.attribute(c.content, s)
 }
 
--- a/internal/suspect/ledger.go
+++ b/internal/suspect/ledger.go
@@ -128,7 +128,7 @@
 	swept    time.Time
 	settled  time.Time
 	cursor   int
-	changes  uint64 // grows with each change that peers should hear of
+	evidence uint64 // grows with each crash, cause and verdict that peers should hear of at once
 
 	hasty  bool // gives verdicts without waiting for other crashes; for tests
 	simple bool // counts crashes without asking what else explains them; for tests
@@ -339,7 +339,7 @@
 		for i := range s.causes {
 			if c := &s.causes[i]; c.crash == g.crash && !c.ran {
 				c.ran = true
-				l.touch(now, s)
+				l.learn(now, s)
 			}
 		}
 	}
--- a/internal/suspect/ledger_test.go
+++ b/internal/suspect/ledger_test.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -165,3 +166,44 @@
 		l.Check(now, "w", 7)
 	}
 }
+
+func TestClearingIsNotPassedOnForever(t *testing.T) {
+	hosts := []*Ledger{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}}
+	hosts[0].Started(at(0), "s1", attempt("e1", "r1", 1), "w", 1, false)
+	hosts[0].Crashed(at(time.Second), "s1")
+	for _, l := range hosts[1:] {
+		l.Merge(at(time.Second), hosts[0].Recent(at(time.Second)))
+	}
+	hosts[0].Started(at(2*time.Second), "s2", attempt("e1", "r1", 2), "w", 1, true)
+	hosts[0].Completed(at(3*time.Second), "s2", attempt("e1", "r1", 2))
+	for hop := range 30 {
+		from, to := hosts[hop%len(hosts)], hosts[(hop+1)%len(hosts)]
+		sent := at(3*time.Second + time.Duration(hop)*10*time.Millisecond)
+		news := from.Recent(sent)
+		if to.Merge(sent.Add(5*time.Millisecond), news) && hop >= len(hosts) {
+			t.Fatalf("hop %d: still news", hop)
+		}
+	}
+}
+
+func TestManyCrashesAreNewsOnce(t *testing.T) {
+	a, b := &Ledger{Host: "e1"}, &Ledger{Host: "e2"}
+	crashed := func(l *Ledger, i int) {
+		began, server := at(time.Duration(2*i)*time.Second), fmt.Sprintf("s%d", i)
+		l.Started(began, server, attempt(l.Host, "r1", uint32(i)), "w", 1, false)
+		l.Crashed(began.Add(time.Second), server)
+	}
+	for i := range maxCauses {
+		crashed(a, i)
+		crashed(b, i+1)
+	}
+	now := at(20 * time.Second)
+	for range 2 * maxCauses {
+		ofA, ofB := a.Recent(now), b.Recent(now)
+		a.Merge(now, ofB)
+		b.Merge(now, ofA)
+	}
+	if a.Merge(now, b.Recent(now)) || b.Merge(now, a.Recent(now)) {
+		t.Error("hosts still have news for each other")
+	}
+}
--- a/internal/suspect/news.go
+++ b/internal/suspect/news.go
@@ -8,16 +8,18 @@
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 )
 
-// Merge takes in what other hosts suspect and reports whether any of it was new, so that a relay passes it on once.
+// Merge takes in what other hosts suspect and reports whether it held new evidence, which a relay passes on once.
+//
+// A clearing is no evidence: it is sent as an age, looks later at each host and would be passed on without end.
 func (l *Ledger) Merge(now time.Time, news []protocol.Suspicion) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prepare(now)
-	before := l.changes
+	before := l.evidence
 	for i := range news {
 		l.merge(now, &news[i])
 	}
-	return l.changes != before
+	return l.evidence != before
 }
 
 func (l *Ledger) merge(now time.Time, n *protocol.Suspicion) {
@@ -43,7 +45,7 @@
 	}
 	if n.Alone && n.Crashes >= crashesToCondemn && !s.condemned {
 		s.condemned = true
-		l.touch(now, s)
+		l.learn(now, s)
 		l.attribute(k, s)
 	}
 }
