planner: predict the first event of adopted requests

Cause: a request taken over from another planner was due at once, so its replica counted as behind its predictions 40 ms later; heavy prompts kept away from it and short ones reckoned with a lag that grew until its prompt was read. Change: its first event is predicted as for a request placed here. Test: TestAdoptedRequestIsNotOverdue (460 ms behind before).

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -247,3 +247,16 @@
 		}
 	}
 }
+
+// A request that another planner placed is not behind a prediction that nobody made.
+func TestAdoptedRequestIsNotOverdue(t *testing.T) {
+	p := newDomainPlanner(1)
+	s := p.ordered["llm"][0]
+	p.Adopt(at(0), Held{Ask: longAsk(0), Replica: s.replica.ID})
+	if lag := s.lag(at(500)); lag != 0 {
+		t.Errorf("behind by %v while a prompt of seconds is read", lag)
+	}
+	if lag := s.lag(at(20000)); lag == 0 {
+		t.Error("not behind long after the prompt should have been read")
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -153,6 +153,8 @@
 		s.model.Write(now, j.name(), h.Ask.PromptTokens/(len(j.helpers)+1), j.joint())
 	default:
 		p.read(now, j)
+		o := s.model.Outlook(now)
+		j.first = o.Begin.Add(s.model.Steps(0, 0) + o.Parts + o.Own)
 	}
 }
 
