planner: let long prompts wait for the engines that read them in time; late ones yield

In waves over the slots, light prompts that were late already took places from those still in time, and placements at the edge of the aim came 2 to 30 ms after it. Change: a heavy prompt that would be late waits if engines that will be clear read it in time; heavy prompts that will be late wait for those that can be in time; in time means a chance to be late under 0.3; late light prompts take a place only beyond what the next second's prompts need. Tests: TestBurstOfLongPromptsNearTheReadingRate and TestLongPromptWaitsForEnginesThatReadItInTime fail before; pattern "long prompts near what the engines can read".

--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -61,9 +61,33 @@
 	if !found || best.harm > placingGain(a, best.first) {
 		return choice{}, nil, false
 	}
+	if best.first > a.FirstAim && inTimeLater(a, views, len(servers)) {
+		return choice{}, nil, false
+	}
 	return best, reserves, true
 }
 
+// inTimeLater tells whether a prompt that would be late now can be in time by waiting for engines that will be clear.
+func inTimeLater(a *Ask, views []view, servers int) bool {
+	clear := make([]time.Duration, 0, len(views))
+	for i := range views {
+		v := &views[i]
+		clear = append(clear, v.begin+v.parts+v.own)
+	}
+	slices.Sort(clear)
+	for i, wait := range clear {
+		readers := min(i+1, maxReaders, mostReaders(servers)-(len(clear)-i-1))
+		if readers < 1 {
+			continue
+		}
+		read := pass.ReadTime(views[0].server.model.Engine, a.PromptTokens, readers)
+		if lateness(wait+views[0].steps+read+jointTime, a.FirstAim) < inTimeRisk {
+			return true
+		}
+	}
+	return false
+}
+
 // mostReaders returns how many of the servers may read heavy prompts at once, so that short ones that come find a place.
 func mostReaders(servers int) int {
 	if servers < reserveFrom {
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -292,6 +292,11 @@
 		{3 * time.Second, [3]float64{1, 1, 3}},
 		{6 * time.Second, [3]float64{1, 1, 0.2}},
 	}},
+	{"long prompts near what the engines can read", []phase{
+		{3 * time.Second, [3]float64{1, 1, 0.5}},
+		{10 * time.Second, [3]float64{0.6, 1, 3.5}},
+		{4 * time.Second, [3]float64{1, 1, 0.5}},
+	}},
 	{"wave over the slots", []phase{
 		{3 * time.Second, [3]float64{1, 1, 0.5}},
 		{8 * time.Second, [3]float64{3.6, 0.5, 0.05}},
@@ -336,3 +341,28 @@
 		}
 	}
 }
+
+// The users' aim of three quarters of the worth in time, for the long prompts of a burst that takes most of the reading
+// that the engines can do: a prompt that would be late waits for the engines that together read it in time, and what is
+// late anyway doesn't take them.
+func TestBurstOfLongPromptsNearTheReadingRate(t *testing.T) {
+	const target = 0.75
+	var owed, earned float64
+	for seed := range uint64(4) {
+		all := arrivals(seed+1, patterns[3].phases)
+		play(newPlanned(), all)
+		for _, r := range all {
+			if r.class.name != "dossier" {
+				continue
+			}
+			size := 0.3 + 0.7*float64(r.tokens)/r.class.tokens
+			owed += size
+			if r.inAim() {
+				earned += size
+			}
+		}
+	}
+	if share := earned / owed; share < target {
+		t.Errorf("%.3f of the worth of long prompts in time, target %.2f", share, target)
+	}
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -248,6 +248,38 @@
 	}
 }
 
+// With all but a few engines reading for most of a second more, a prompt that these would read late waits for others.
+func TestLongPromptWaitsForEnginesThatReadItInTime(t *testing.T) {
+	p := newDomainPlanner(16)
+	const reading = 13
+	for i, s := range p.ordered["llm"][:reading] {
+		a := longAsk(i)
+		a.PromptTokens = 60000
+		p.Adopt(at(0), Held{Ask: a, Replica: s.replica.ID})
+	}
+	long := longAsk(99)
+	long.PromptTokens = 250000
+	p.Ask(at(1), long)
+	for ms := 1; ms < 3000; ms += 10 {
+		for _, s := range p.ordered["llm"][:reading] {
+			if len(s.jobs) > 0 && s.model.Outlook(at(ms)).Own == 0 {
+				p.Started(at(ms), "h", s.jobs[0].key.id)
+				p.Ended(at(ms), "h", s.jobs[0].key.id, OutcomeDone)
+			}
+		}
+		for _, answer := range p.Settle(at(ms)) {
+			if answer.Plan == nil {
+				t.Fatalf("refused after %d ms", ms)
+			}
+			if first := at(ms).Add(answer.Plan.First).Sub(at(1)); first > long.FirstAim {
+				t.Errorf("placed after %d ms, first event %v after its aim", ms, first-long.FirstAim)
+			}
+			return
+		}
+	}
+	t.Error("never placed")
+}
+
 // A request that another planner placed is not behind a prediction that nobody made.
 func TestAdoptedRequestIsNotOverdue(t *testing.T) {
 	p := newDomainPlanner(1)
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -11,6 +11,10 @@
 	shortestRun = 100 * time.Millisecond
 	// What a request at a plain service usually takes.
 	plainTime = 60 * time.Millisecond
+	// An ask counts as in time if it misses its aim with no more than this probability.
+	inTimeRisk = 0.3
+	// Light prompts that come within this time are expected to need a place before those that are late.
+	scarceWindow = time.Second
 )
 
 // Settle returns the answers that can be given now. It must be called after each other method, and at short
@@ -76,9 +80,10 @@
 
 // queue is what a round has learnt of a service.
 type queue struct {
-	ahead   int             // asks that found no place
-	blocked bool            // no place is left for light prompts
-	ends    []time.Duration // when its requests end, the first first; nil until it is needed
+	ahead      int             // asks that found no place
+	blocked    bool            // no place is left for light prompts
+	heavyWaits bool            // a heavy prompt that can be in time found no place
+	ends       []time.Duration // when its requests end, the first first; nil until it is needed
 }
 
 // settle answers one ask if it can; with inTime only if its first event will not be late.
@@ -108,11 +113,16 @@
 	switch {
 	case !ok && inTime:
 		q.blocked = q.blocked || !w.heavy && len(a.Avoid) == 0
+		q.heavyWaits = q.heavyWaits || w.heavy && a.FirstAim > 0
 		return false
 	case !ok:
 		return r.hold(&a, q)
-	case inTime && !w.heavy && c.first > a.FirstAim:
+	case inTime && lateness(c.first, a.FirstAim) > inTimeRisk:
 		return false // those that can be in time go first
+	case !inTime && w.heavy && q.heavyWaits:
+		return r.hold(&a, q) // the engines that will be clear are for one that can be in time
+	case !inTime && !w.heavy && r.scarce(a.Service, q):
+		return r.hold(&a, q) // its place is worth more to one that comes in time
 	}
 	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(r.now, &a, c, reserves)})
 	return true
@@ -127,6 +137,19 @@
 	return q
 }
 
+// scarce tells whether the places that are free, or will be soon, only do for the light prompts that are to come.
+func (r *round) scarce(service string, q *queue) bool {
+	places := 0
+	for _, s := range r.planner.ordered[service] {
+		if s.usable(r.now) {
+			places += s.slots() - len(s.jobs)
+		}
+	}
+	soon, _ := slices.BinarySearch(r.ends(service, q), scarceWindow)
+	coming := r.planner.shorts.perSecond(r.now) * scarceWindow.Seconds()
+	return float64(places+soon) < coming
+}
+
 // hold keeps an ask waiting, or refuses it if no place is free in time.
 func (r *round) hold(a *Ask, q *queue) bool {
 	wait := r.freeAfter(a.Service, q)
@@ -139,19 +162,26 @@
 
 // freeAfter estimates when the servers will have taken the asks ahead and one more.
 func (r *round) freeAfter(service string, q *queue) time.Duration {
-	if q.ends == nil {
-		q.ends = []time.Duration{}
-		for _, s := range r.planner.ordered[service] {
-			for _, j := range s.jobs {
-				q.ends = append(q.ends, max(0, endOf(j).Sub(r.now)))
-			}
-		}
-		slices.Sort(q.ends)
-	}
-	if len(q.ends) == 0 {
+	ends := r.ends(service, q)
+	if len(ends) == 0 {
 		return 0
 	}
-	return q.ends[min(q.ahead, len(q.ends)-1)]
+	return ends[min(q.ahead, len(ends)-1)]
+}
+
+// ends returns when the service's requests are expected to end, the first first.
+func (r *round) ends(service string, q *queue) []time.Duration {
+	if q.ends != nil {
+		return q.ends
+	}
+	q.ends = []time.Duration{}
+	for _, s := range r.planner.ordered[service] {
+		for _, j := range s.jobs {
+			q.ends = append(q.ends, max(0, endOf(j).Sub(r.now)))
+		}
+	}
+	slices.Sort(q.ends)
+	return q.ends
 }
 
 // tooLarge tells whether all servers together lack the memory for the ask.
