--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +17,8 @@
 	maxLine = 1 << 20 // bytes
 	// How long before the request's first line changes of state may have mattered.
 	before = 3 * time.Second
+	// Times are in UTC.
+	timeFormat = "15:04:05.000"
 )
 
 // Line is one line of a log.
@@ -45,7 +48,7 @@
 // String returns the line for people.
 func (l *Line) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s  %s  %s", l.Time.UTC().Format("15:04:05.000"), l.Host, l.Event)
+	fmt.Fprintf(&b, "%s  %s  %s", l.Time.UTC().Format(timeFormat), l.Host, l.Event)
 	for _, f := range l.Fields {
 		fmt.Fprintf(&b, "  %s=%s", f.Name, f.Value)
 	}
@@ -140,9 +143,34 @@
 		way = append(way, line)
 	}
 	slices.SortStableFunc(way, byTime)
+	if !slices.ContainsFunc(way, func(line Line) bool { return ends(&line) }) {
+		way = l.appendRestart(way)
+	}
 	return way
 }
 
+// appendRestart adds the next start of the host that had the request last, which tells that it ended before.
+func (l *Log) appendRestart(way []Line) []Line {
+	last := way[len(way)-1]
+	var next *Line
+	for i := range l.lines {
+		line := &l.lines[i]
+		later := line.Host == last.Host && line.Event == "host_started" && line.Time.After(last.Time)
+		if later && (next == nil || line.Time.Before(next.Time)) {
+			next = line
+		}
+	}
+	if next == nil {
+		return way
+	}
+	return append(way, *next)
+}
+
+// ends tells whether a line says how a request ended.
+func ends(line *Line) bool {
+	return line.Event == "request_ended" || line.Event == "request_rejected" || line.Event == "request_refused"
+}
+
 func isStateChange(event string) bool {
 	return slices.ContainsFunc(stateChanges, func(prefix string) bool { return strings.HasPrefix(event, prefix) })
 }
@@ -159,6 +187,10 @@
 			cause = "attempt at " + line.Get("replica") + " " + line.Get("outcome") + ": " + line.Get("error")
 		case "request_ended":
 			cause = endCause(line, cause)
+		case "host_started":
+			if i == len(way)-1 {
+				cause = line.Host + " was lost with the request; it started again at " + line.Time.UTC().Format(timeFormat)
+			}
 		}
 	}
 	return cause
@@ -170,6 +202,10 @@
 	case outcome == "completed":
 		return "completed after " + line.Get("took_ms") + " ms, first event after " + line.Get("first_ms") +
 			" ms, longest pause " + line.Get("gap_ms") + " ms"
+	case strings.Contains(attempt, " canceled: "):
+		// The connection to the replica was closed because of this end.
+		replica := strings.Fields(attempt)[2]
+		return outcome + " after " + line.Get("took_ms") + " ms with " + cmp.Or(line.Get("events"), "no") + " events from " + replica
 	case strings.HasPrefix(attempt, "attempt at"):
 		return outcome + " after " + line.Get("took_ms") + " ms; last " + attempt
 	case line.Get("cause") != "":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -19,13 +19,23 @@
 {"time":"2026-08-18T18:42:38.3Z","level":"INFO","event":"request_ended","host":"front-1","request_id":"r4","outcome":"completed","took_ms":6000,"first_ms":120,"gap_ms":900}
 `
 
+// The host front-3 is killed while it has a request.
+const log3 = `
+{"time":"2026-08-18T18:42:39.3Z","level":"INFO","event":"request_planned","host":"front-3","request_id":"r5","replica":"i-1","first_ms":640}
+{"time":"2026-08-18T18:42:39.4Z","level":"INFO","event":"request_planned","host":"front-3","request_id":"r6","replica":"i-1","first_ms":640}
+{"time":"2026-08-18T18:42:40.4Z","level":"INFO","event":"attempt_ended","host":"front-3","request_id":"r6","replica":"i-1","outcome":"canceled","error":"read answer: use of closed network connection"}
+{"time":"2026-08-18T18:42:40.4Z","level":"INFO","event":"request_ended","host":"front-3","request_id":"r6","outcome":"timeout","took_ms":1000,"events":7}
+{"time":"2026-08-18T18:42:41.5Z","level":"INFO","event":"host_started","host":"front-3","version":"1"}
+{"time":"2026-08-18T18:42:51.5Z","level":"INFO","event":"host_started","host":"front-3","version":"1"}
+`
+
 const log2 = `{"time":"2026-08-18T18:42:34.1Z","level":"WARN","event":"host_lost","host":"front-2","peer":"10.0.0.1:8229"}
 `
 
 func read(t *testing.T) *Log {
 	t.Helper()
 	l := &Log{}
-	for _, text := range []string{log1, log2} {
+	for _, text := range []string{log1, log2, log3} {
 		if _, err := l.Read(strings.NewReader(text)); err != nil {
 			t.Fatal(err)
 		}
@@ -48,6 +58,8 @@
 		"r2": "request_rejected: unknown key",
 		"r3": "timeout after 6000 ms without an attempt: it waited for a place",
 		"r4": "completed after 6000 ms, first event after 120 ms, longest pause 900 ms",
+		"r6": "timeout after 1000 ms with 7 events from i-1",
+		"r5": "front-3 was lost with the request; it started again at 18:42:41.500",
 	} {
 		if got := Cause(l.Way(id)); got != want {
 			t.Errorf("%s: %q, want %q", id, got, want)
