planner: weigh whether writers finish in time; place nothing past its limit

Change: the model counts passes; what a longer pass adds to the risk that a writer is not done by its deadline is a part of the harm. A plan whose first event would come after the caller's limit is not made; a prompt that all engines together can't read in time is refused at once. Tests: TestLongReadingBesideLateWritersLetsThemFinish, TestLongReadingSparesWritersNearTheirDeadline, TestPromptThatCantBeReadInTimeIsNotPlaced; each fails before.

--- a/internal/pass/pass.go
+++ b/internal/pass/pass.go
@@ -36,6 +36,7 @@
 	own     []Read
 	reading []Read // in the pass under way
 	began   time.Time
+	passes  int
 	// While some request writes: the end of the pass under way. Else: until when reading has been reckoned.
 	clock time.Time
 }
@@ -53,6 +54,9 @@
 	return time.Duration((linear + pairs) / float64(parts))
 }
 
+// Passes returns how many passes with writers the engine has begun; each writer makes an event in each.
+func (m *Model) Passes() int { return m.passes }
+
 // Writers returns how many requests write.
 func (m *Model) Writers() int { return len(m.writers) }
 
@@ -155,6 +159,7 @@
 	capacity := m.Engine.PassSteps * m.Engine.ChunkTokens
 	m.reading = m.reading[:0]
 	m.began = at
+	m.passes++
 	reading := m.takeTokens(&m.parts, &capacity)
 	reading += m.takeTokens(&m.own, &capacity)
 	m.clock = at.Add(max(m.Steps(0, 0)+m.paced(reading), time.Millisecond))
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -18,6 +18,7 @@
 	expires  time.Time
 	tokens   int // memory at its server
 	writing  bool
+	passes   int // of its server's engine when it began to write
 	late     bool
 	heavy    bool
 }
@@ -55,3 +56,21 @@
 		a.Leave = max(a.Leave-d, 1)
 	}
 }
+
+// deadline returns when the request must be done.
+func (j *job) deadline() time.Time { return j.expires.Add(-expiryGrace) }
+
+// toWrite returns how long a request that writes is likely to need until its last event, in passes of the given steps.
+func (j *job) toWrite(steps time.Duration) time.Duration {
+	model := j.server.model
+	events := j.ask.LikelyTokens/model.Engine.EventTokens + 1
+	left := max(events-(model.Passes()-j.passes), events/unexpectedShare, 1)
+	return time.Duration(float64(left) * usualReading * float64(steps))
+}
+
+const (
+	// A request that has written what was likely goes on for one in so many of its events.
+	unexpectedShare = 4
+	// How much longer than their token steps passes take with the reading of short prompts.
+	usualReading = 1.25
+)
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -366,3 +366,26 @@
 		t.Errorf("%.3f of the worth of long prompts in time, target %.2f", share, target)
 	}
 }
+
+// Long prompts that are read beside short ones which are late already must not keep them until their callers' time is
+// over: at most one in a hundred isn't done by then.
+func TestLongReadingBesideLateWritersLetsThemFinish(t *testing.T) {
+	const mostUnfinished = 0.01
+	var asked, unfinished int
+	for seed := range uint64(4) {
+		all := arrivals(seed+1, patterns[3].phases)
+		play(newPlanned(), all)
+		for _, r := range all {
+			if r.class.name != "quick" || r.refused {
+				continue
+			}
+			asked++
+			if !r.done || r.last.Sub(r.arrived) > r.class.deadline {
+				unfinished++
+			}
+		}
+	}
+	if float64(unfinished) > mostUnfinished*float64(asked) {
+		t.Errorf("%d of %d short prompts not done within their callers' time", unfinished, asked)
+	}
+}
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -98,7 +98,7 @@
 		sp.finish = v.begin + v.steps + v.parts + read
 	}
 	for _, j := range v.server.jobs {
-		sp.harm += lossBeside(now, j, before, after)
+		sp.harm += v.lossBeside(now, j, before, after)
 	}
 	return sp
 }
@@ -110,18 +110,30 @@
 }
 
 // lossBeside returns what job j is expected to lose when a pass takes after instead of before.
-func lossBeside(now time.Time, j *job, before, after time.Duration) float64 {
+func (v *view) lossBeside(now time.Time, j *job, before, after time.Duration) float64 {
 	worth := value(j.ask.PromptTokens)
 	if !j.writing {
 		left := j.aim.Sub(now)
 		first := j.first.Sub(now)
 		return worth * (firstLoss(first+after-before, left, &j.ask) - firstLoss(first, left, &j.ask))
 	}
+	unfinished := v.unfinished(now, j, before, after)
 	if j.late {
 		leave := j.ask.MaxPause
-		return worth * (1 - lateLoss) * (lateness(after, leave) - lateness(before, leave))
+		return worth * (1 - lateLoss) * (lateness(after, leave) - lateness(before, leave) + unfinished)
 	}
-	return worth * (pauseLoss(after, &j.ask) - pauseLoss(before, &j.ask))
+	return worth * (pauseLoss(after, &j.ask) - pauseLoss(before, &j.ask) + unfinished)
+}
+
+// unfinished returns the probability that a request that writes isn't done by its deadline because the next pass takes
+// after instead of before.
+func (v *view) unfinished(now time.Time, j *job, before, after time.Duration) float64 {
+	left := j.deadline().Sub(now)
+	rest := j.toWrite(v.steps)
+	if after+rest < left/2 {
+		return 0
+	}
+	return lateness(after+rest, left) - lateness(before+rest, left)
 }
 
 // choice is a set of servers for one ask.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -292,3 +292,49 @@
 		t.Error("not behind long after the prompt should have been read")
 	}
 }
+
+// A prompt that its caller's time is too short for takes no engine's time; if no number of engines could do it, it is
+// refused at once.
+func TestPromptThatCantBeReadInTimeIsNotPlaced(t *testing.T) {
+	tests := []struct {
+		name     string
+		engines  int
+		busy     int // engines that read another prompt for seconds
+		deadline time.Duration
+		refused  bool
+	}{
+		{"one engine", 1, 0, 5 * time.Second, true},
+		{"all but one busy", 8, 7, 5 * time.Second, false},
+		{"too short for all together", 8, 0, 300 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		p := newDomainPlanner(tt.engines)
+		for i, s := range p.ordered["llm"][:tt.busy] {
+			p.Adopt(at(0), Held{Ask: longAsk(i), Replica: s.replica.ID})
+		}
+		a := longAsk(99)
+		a.PromptTokens, a.Deadline, a.Leave = 250000, tt.deadline, tt.deadline
+		p.Ask(at(1), a)
+		answers := p.Settle(at(1))
+		if refused := len(answers) == 1 && answers[0].Refusal != nil; refused != tt.refused || len(answers) > 0 && answers[0].Plan != nil {
+			t.Errorf("%s: answers %+v", tt.name, answers)
+		}
+	}
+}
+
+// Of two engines with a writer that is late already, long reading goes to the one whose writer has time left.
+func TestLongReadingSparesWritersNearTheirDeadline(t *testing.T) {
+	p := newDomainPlanner(2)
+	for i, deadline := range []time.Duration{1500 * time.Millisecond, 10 * time.Second} {
+		a := shortAsk(i)
+		a.Deadline, a.LikelyTokens = deadline, 21*testEngine.EventTokens
+		p.Adopt(at(0), Held{Ask: a, Replica: p.ordered["llm"][i].replica.ID, Writing: true})
+		p.jobs[jobKey{"h", a.ID}].late = true
+	}
+	long := longAsk(9)
+	long.PromptTokens = 60000
+	plan := planOf(t, p, at(100), long)
+	if want := p.ordered["llm"][1].replica.ID; plan.Replica.ID != want || len(plan.Helpers) > 0 {
+		t.Errorf("read by %s and %v, want %s alone", plan.Replica.ID, plan.Helpers, want)
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -22,6 +22,7 @@
 		return
 	}
 	j.server.model.Write(now, j.name(), j.ask.PromptTokens/(len(j.helpers)+1), j.joint())
+	j.passes = j.server.model.Passes()
 	for _, h := range j.helpers {
 		h.model.Leave(now, j.name(), false)
 	}
@@ -151,6 +152,7 @@
 	case h.Writing:
 		j.writing = true
 		s.model.Write(now, j.name(), h.Ask.PromptTokens/(len(j.helpers)+1), j.joint())
+		j.passes = s.model.Passes()
 	default:
 		p.read(now, j)
 		o := s.model.Outlook(now)
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
 
 const (
@@ -110,6 +112,7 @@
 		return !inTime && r.hold(&a, q)
 	}
 	c, reserves, ok := p.place(r.now, &a, servers)
+	ok = ok && c.first < a.limit()
 	switch {
 	case !ok && inTime:
 		q.blocked = q.blocked || !w.heavy && len(a.Avoid) == 0
@@ -154,12 +157,21 @@
 func (r *round) hold(a *Ask, q *queue) bool {
 	wait := r.freeAfter(a.Service, q)
 	q.ahead++
-	if need := wait + shortestRun; need > a.limit() {
+	if need := wait + r.planner.leastRun(a); need > a.limit() {
 		return r.planner.refuse(a, CauseBusy, max(wait, minRetryAfter))
 	}
 	return false
 }
 
+// leastRun returns the time to an ask's first event if all engines were clear.
+func (p *Planner) leastRun(a *Ask) time.Duration {
+	if !p.isHeavy(a) {
+		return shortestRun
+	}
+	readers := min(maxReaders, mostReaders(len(p.ordered[a.Service])))
+	return max(shortestRun, pass.ReadTime(p.engines[a.Service], a.PromptTokens, readers))
+}
+
 // freeAfter estimates when the servers will have taken the asks ahead and one more.
 func (r *round) freeAfter(service string, q *queue) time.Duration {
 	ends := r.ends(service, q)
