--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -61,6 +61,9 @@
 // Warn writes one line about something that an operator may have to look at.
 func (l *Log) Warn(name string, fields ...slog.Attr) { l.write(slog.LevelWarn, name, fields) }
 
+// Milliseconds makes a field of a duration in milliseconds.
+func Milliseconds(name string, d time.Duration) slog.Attr { return slog.Int64(name, d.Milliseconds()) }
+
 func (l *Log) write(level slog.Level, name string, fields []slog.Attr) {
 	if !l.allow(name) {
 		l.dropped.Add(1)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -203,7 +203,7 @@
 	f.catalog.Store(c)
 	f.Meters.Gauge("config_version").Update(float64(c.Version))
 	f.Log.Event("configuration_in_force", slog.Int64("version", c.Version), slog.Int64("revision", doc.Revision),
-		slog.String("source", source), slog.Duration("proof_age", steady.Now().Sub(proof)))
+		slog.String("source", source), eventlog.Milliseconds("proof_age_ms", steady.Now().Sub(proof)))
 	f.notify()
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -158,7 +158,7 @@
 	}
 	if workspace != nil && !g.fresh(c.Received) {
 		g.refuse(w, c, retryNoProof, "configuration may be out of date",
-			slog.Duration("proof_age", c.Received.Sub(g.Feed.Proof())))
+			eventlog.Milliseconds("proof_age_ms", c.Received.Sub(g.Feed.Proof())))
 		return false
 	}
 	return true
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -186,7 +186,7 @@
 	if !ok && ctx.Err() == nil {
 		d.Meters.Counter("planner_passed_over").Inc(1)
 		d.Log.Warn("planner_passed_over", slog.String("request_id", a.ID), slog.String("planner", d.Planner().String()),
-			slog.Duration("waited", steady.Now().Sub(asked)))
+			eventlog.Milliseconds("waited_ms", steady.Now().Sub(asked)))
 		a, wait = d.askLocally(a, asked)
 		answer, ok = d.await(ctx, wait, false)
 	}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
+	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/wait"
@@ -87,5 +88,5 @@
 	}
 	r.Log.Warn("release_failed", slog.String("request_id", id), slog.String("engine", one.engine.String()),
 		slog.String("ticket", one.ticket), slog.String("error", err.Error()),
-		millisecondsField("tried_for_ms", steady.Now().Sub(began)))
+		eventlog.Milliseconds("tried_for_ms", steady.Now().Sub(began)))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,7 +125,7 @@
 		slog.String("outcome", outcome),
 		slog.Int64("config_version", c.ConfigSeen),
 		slog.Int("prompt_tokens", c.PromptTokens),
-		millisecondsField("took_ms", steady.Now().Sub(c.Received)),
+		eventlog.Milliseconds("took_ms", steady.Now().Sub(c.Received)),
 	}, fields...)
 	r.Log.Event("request_ended", fields...)
 	r.Meters.Tagged(map[string]string{"outcome": outcome, "prompt_length": promptLength(c)}).Counter("requests").Inc(1)
@@ -157,7 +157,3 @@
 		scope.Timer("longest_pause").Record(t.gap)
 	}
 }
-
-func millisecondsField(name string, d time.Duration) slog.Attr {
-	return slog.Int64(name, d.Milliseconds())
-}
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
@@ -74,7 +75,7 @@
 		if outcome == planner.OutcomeDone {
 			t.meterAnswer()
 			t.relay.end(t.call, "completed", slog.String("replica", placed.Plan.Replica.ID),
-				millisecondsField("first_ms", t.first), millisecondsField("gap_ms", t.gap),
+				eventlog.Milliseconds("first_ms", t.first), eventlog.Milliseconds("gap_ms", t.gap),
 				slog.Int("events", t.events.count))
 			return
 		}
@@ -133,8 +134,8 @@
 	if p := placed.Plan; p != nil {
 		t.relay.Log.Event("request_planned", slog.String("request_id", c.ID), slog.String("route", c.Route),
 			slog.String("replica", p.Replica.ID), slog.String("helpers", helperNames(p.Helpers)),
-			millisecondsField("first_ms", p.First), millisecondsField("pass_ms", p.Pass),
-			millisecondsField("asked_for_ms", steady.Now().Sub(now)), slog.Int("prompt_tokens", c.PromptTokens),
+			eventlog.Milliseconds("first_ms", p.First), eventlog.Milliseconds("pass_ms", p.Pass),
+			eventlog.Milliseconds("asked_for_ms", steady.Now().Sub(now)), slog.Int("prompt_tokens", c.PromptTokens),
 			slog.Int64("config_version", c.ConfigSeen))
 	}
 	return placed, nil
@@ -166,7 +167,7 @@
 		slog.Int("runs", t.progress.runs),
 		slog.Int("refusals", t.progress.refusals),
 		slog.Int("events", t.events.count),
-		millisecondsField("left_ms", t.call.Deadline().Sub(steady.Now())),
+		eventlog.Milliseconds("left_ms", t.call.Deadline().Sub(steady.Now())),
 	}
 	if err != nil {
 		fields = append(fields, slog.String("error", err.Error()))
@@ -371,7 +372,7 @@
 func (t *transfer) refused(r *planner.Refusal) {
 	t.relay.Meters.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
 	t.relay.end(t.call, "refused", slog.String("cause", string(r.Cause)),
-		millisecondsField("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.ran()))
+		eventlog.Milliseconds("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.ran()))
 	switch {
 	case t.began:
 		panic(http.ErrAbortHandler)
