--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -61,3 +63,17 @@
 		t.Errorf("%d lines, want about %d", n, maxLinesPerSecond)
 	}
 }
+
+// BenchmarkEvent makes a line of a planned request, which is among the longest, beyond the limit of lines a second.
+func BenchmarkEvent(b *testing.B) {
+	l := New(io.Discard, "front-1")
+	defer l.Close()
+	for b.Loop() {
+		l.logger.LogAttrs(context.Background(), slog.LevelInfo, "request_planned",
+			slog.String("request_id", "9c41d07be2a35f68"), slog.String("route", "r-xkdqrq2"),
+			slog.String("replica", "i-200863cfe1"), slog.String("helpers", "i-2a0a69b531 i-9419ec1c54"),
+			Milliseconds("first_ms", 84*time.Millisecond), Milliseconds("pass_ms", 64*time.Millisecond),
+			Milliseconds("asked_for_ms", 2*time.Millisecond), slog.Int("prompt_tokens", 17756),
+			slog.Int64("config_version", 3))
+	}
+}
