planner: move predicted first events with the reading that joins their pass

Cause: each short prompt's first event was predicted when it was placed; those placed later into the same pass put it off, and the next one was weighed against the old prediction, so passes were filled beyond the aim. Test: TestFirstEventsMoveWithLaterReading fails before.

--- a/internal/pass/pass.go
+++ b/internal/pass/pass.go
@@ -54,6 +54,11 @@
 	return time.Duration((linear + pairs) / float64(parts))
 }
 
+// Reads tells whether the pass under way reads the prompt, or the part, of request id.
+func (m *Model) Reads(id string) bool {
+	return len(m.writers) > 0 && slices.ContainsFunc(m.reading, func(r Read) bool { return r.ID == id })
+}
+
 // Passes returns how many passes with writers the engine has begun; each writer makes an event in each.
 func (m *Model) Passes() int { return m.passes }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -89,16 +89,29 @@
 func (p *Planner) read(now time.Time, j *job) {
 	parts := len(j.helpers) + 1
 	for i, s := range append([]*server{j.server}, j.helpers...) {
-		s.model.Join(now, pass.Read{
+		r := pass.Read{
 			ID:     j.name(),
 			Tokens: j.ask.PromptTokens / parts,
 			Time:   pass.ReadTime(s.model.Engine, j.ask.PromptTokens, parts),
 			Part:   i > 0,
-		})
+		}
+		s.model.Join(now, r)
+		if r.Part || s.model.Writers() > 0 {
+			s.putOff(j, time.Duration(float64(r.Time)*s.model.Pace))
+		}
 		p.markLate(now, s)
 	}
 }
 
+// putOff moves the predicted first events of the requests that are read in one pass with j.
+func (s *server) putOff(j *job, d time.Duration) {
+	for _, other := range s.jobs {
+		if other != j && !other.writing && !s.model.Reads(other.name()) {
+			other.first = other.first.Add(d)
+		}
+	}
+}
+
 // markLate notes the writers at s that the coming pass makes late.
 func (p *Planner) markLate(now time.Time, s *server) {
 	o := s.model.Outlook(now)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -338,3 +338,19 @@
 		t.Errorf("read by %s and %v, want %s alone", plan.Replica.ID, plan.Helpers, want)
 	}
 }
+
+// Short prompts that are read in one pass get their first events together, when all of them are read.
+func TestFirstEventsMoveWithLaterReading(t *testing.T) {
+	p := newDomainPlanner(1)
+	s := p.ordered["llm"][0]
+	p.Adopt(at(0), Held{Ask: shortAsk(0), Replica: s.replica.ID, Writing: true})
+	for i := range 5 {
+		planOf(t, p, at(10), shortAsk(i+1))
+	}
+	last := p.jobs[jobKey{"h", shortAsk(5).ID}].first
+	for i := range 5 {
+		if first := p.jobs[jobKey{"h", shortAsk(i + 1).ID}].first; first.Sub(last).Abs() > time.Millisecond {
+			t.Errorf("prompt %d is expected %v before the last one of its pass", i, last.Sub(first))
+		}
+	}
+}
