gateway, cli: a host's status, and a check of the platform's configuration

`gateway status ADDRESS` prints what a running entry host knows (planner, hosts, replicas, configuration and the age of its proof), from /status of the metrics address; `gateway check-config FILE` prints what a document would put in force, what is not read, and routes to services that it lacks.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
@@ -111,6 +114,13 @@
 	return nil
 }
 
+// Routes returns all routes in the order of their hosts and prefixes.
+func (c *Catalog) Routes() []*Route {
+	return slices.SortedFunc(maps.Values(c.routes), func(a, b *Route) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
+	})
+}
+
 // Service returns the named service, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -55,6 +55,7 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file; by default the one that $"+platform.SettingsVariable+" names")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	cmd.AddCommand(p.gatewayStatusCommand(), p.checkConfigCommand())
 	return cmd
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	addServer(group, monitoring, g.metrics.Handler)
+	addServer(group, monitoring, g.monitoring())
 	return nil
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -358,3 +358,17 @@
 	}
 	all.Wait()
 }
+
+func TestStatusTellsWhatAHostKnows(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, &fault{})
+	defer w.logOnFailure()
+	w.eventually("both hosts name the same planner and know each other", func() bool {
+		a, b := w.hosts[0].status(), w.hosts[1].status()
+		return a.Planner == b.Planner && a.PlansHere != b.PlansHere && len(a.Hosts) == 2 && len(b.Hosts) == 2
+	})
+	s := w.hosts[0].status()
+	if s.Configuration.Version == 0 || len(s.Replicas) != len(w.replicas) || !s.Ready || s.Host != w.hosts[0].site.Host {
+		t.Errorf("got %+v", s)
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -23,6 +23,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
 	"github.com/turmericshunt/turmericshunt/internal/standin/ports"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
+	"github.com/turmericshunt/turmericshunt/pkg/hoststatus"
 	"github.com/turmericshunt/turmericshunt/platform"
 )
 
@@ -358,3 +359,17 @@
 	}
 	return string(text)
 }
+
+// status reads what the host tells about itself; it is zero if the host doesn't answer.
+func (h *host) status() hoststatus.Status {
+	var s hoststatus.Status
+	resp, err := http.Get("http://" + h.site.Metrics.String() + "/status")
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return hoststatus.Status{}
+	}
+	return s
+}
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,27 @@
 	return d.Roster.Size()
 }
 
+// Members returns the addresses of the entry hosts that this one knows, itself first.
+func (d *Desk) Members() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	addresses := []netip.AddrPort{d.self()}
+	for _, m := range d.Roster.Members(steady.Now()) {
+		if m.Address != d.self() {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	slices.SortFunc(addresses[1:], netip.AddrPort.Compare)
+	return addresses
+}
+
+// Waiting returns how many asks wait at this host's planner.
+func (d *Desk) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.local.Waiting()
+}
+
 // AddSeeds adds hosts that may know others.
 func (d *Desk) AddSeeds(seeds []netip.AddrPort) {
 	d.mu.Lock()
