--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -44,7 +44,7 @@
 			views = append(views, v)
 		}
 	}
-	room := p.crowdOf(now, len(servers), busy)
+	room := p.crowdOf(now, a.Service, len(servers), busy)
 	most := mostReaders(len(servers)) - busy
 	var best choice
 	var reserves []int
@@ -152,13 +152,14 @@
 	stake   float64
 }
 
-func (p *Planner) crowdOf(now time.Time, servers, busy int) crowd {
-	rate := p.shorts.perSecond(now)
+func (p *Planner) crowdOf(now time.Time, service string, servers, busy int) crowd {
+	shorts := p.shortsOf(service)
+	rate := shorts.perSecond(now)
 	return crowd{
 		servers: servers,
 		busy:    busy,
 		free:    max(servers-int(rate/shortRate)-1, 1),
-		stake:   lateLoss * value(p.shorts.tokens) * rate,
+		stake:   lateLoss * value(shorts.tokens) * rate,
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -40,7 +40,7 @@
 	jobs     map[jobKey]*job
 	waiting  []waiter
 	crashes  map[uint64]crashes
-	shorts   shortRateMeter
+	shorts   map[string]*shortRateMeter // by service
 	answers  []Answer
 	swept    time.Time
 	tried    time.Time // when asks that wait were last tried
@@ -63,6 +63,7 @@
 		ordered:  make(map[string][]*server),
 		jobs:     make(map[jobKey]*job),
 		crashes:  make(map[uint64]crashes),
+		shorts:   make(map[string]*shortRateMeter),
 	}
 }
 
@@ -122,10 +123,20 @@
 	heavy := p.isHeavy(&a)
 	p.waiting = append(p.waiting, waiter{ask: a, arrived: now, heavy: heavy})
 	if !heavy && a.PromptTokens > 0 {
-		p.shorts.note(now, a.PromptTokens)
+		p.shortsOf(a.Service).note(now, a.PromptTokens)
 	}
 }
 
+// shortsOf returns the meter of a service's short prompts.
+func (p *Planner) shortsOf(service string) *shortRateMeter {
+	m := p.shorts[service]
+	if m == nil {
+		m = &shortRateMeter{}
+		p.shorts[service] = m
+	}
+	return m
+}
+
 // isHeavy tells whether the ask's prompt takes long to read.
 func (p *Planner) isHeavy(a *Ask) bool {
 	engine := p.engines[a.Service]
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -354,3 +354,21 @@
 		}
 	}
 }
+
+// A wave of short prompts for one service doesn't keep a long prompt from the idle engines of another.
+func TestServicesDoNotCrowdEachOther(t *testing.T) {
+	plan := func(wave bool) *Plan {
+		p := newDomainPlanner(8)
+		for i := range 200 {
+			if a := shortAsk(i); wave {
+				a.Service = "other"
+				p.Ask(at(5*i), a)
+				p.Settle(at(5 * i))
+			}
+		}
+		return planOf(t, p, at(1000), longAsk(0))
+	}
+	if alone, beside := plan(false), plan(true); len(alone.Helpers) != len(beside.Helpers) {
+		t.Errorf("%d helpers alone, %d beside another service's wave", len(alone.Helpers), len(beside.Helpers))
+	}
+}
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -4,19 +4,13 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
 
 const (
-	// The time that a request needs at least once it has a place.
-	shortestRun = 100 * time.Millisecond
 	// What a request at a plain service usually takes.
 	plainTime = 60 * time.Millisecond
-	// An ask counts as in time if it misses its aim with no more than this probability.
-	inTimeRisk = 0.3
-	// Light prompts that come within this time are expected to need a place before those that are late.
-	scarceWindow = time.Second
+	// When a caller may come back whose service has no replica.
+	noReplicaRetryAfter = time.Second
 )
 
 // Settle returns the answers that can be given now. It must be called after each other method, and at short
@@ -72,128 +66,19 @@
 	}
 }
 
-// round is one pass over the asks that wait.
-type round struct {
-	planner *Planner
-	now     time.Time
-	due     bool
-	queues  map[string]*queue // by service
-}
-
-// queue is what a round has learnt of a service.
-type queue struct {
-	ahead      int             // asks that found no place
-	blocked    bool            // no place is left for light prompts
-	heavyWaits bool            // a heavy prompt that can be in time found no place
-	ends       []time.Duration // when its requests end, the first first; nil until it is needed
-}
-
-// settle answers one ask if it can; with inTime only if its first event will not be late.
-func (r *round) settle(w *waiter, inTime bool) bool {
-	p := r.planner
-	w.tried = true
-	a := w.ask
-	a.Elapse(r.now.Sub(w.arrived))
+// unservable returns why no server can serve the ask, however long it waits, or nil.
+func (p *Planner) unservable(a *Ask, servers []*server) *Refusal {
 	switch {
 	case a.Deadline <= 0:
-		return p.refuse(&a, CauseOutOfTime, minRetryAfter)
+		return &Refusal{Cause: CauseOutOfTime, RetryAfter: minRetryAfter}
 	case a.Fingerprint != 0 && p.crashes[a.Fingerprint].count >= maxCrashes:
-		return p.refuse(&a, CauseCrashes, crashMemory)
-	}
-	servers := p.candidates(r.now, &a)
-	if len(servers) == 0 {
-		return p.refuse(&a, CauseNoReplica, time.Second)
-	}
-	if tooLarge(&a, servers) {
-		return p.refuse(&a, CauseTooLarge, crashMemory)
-	}
-	q := r.queue(a.Service)
-	if !w.heavy && q.blocked {
-		return !inTime && r.hold(&a, q)
-	}
-	c, reserves, ok := p.place(r.now, &a, servers)
-	ok = ok && c.first < a.limit()
-	switch {
-	case !ok && inTime:
-		q.blocked = q.blocked || !w.heavy && len(a.Avoid) == 0
-		q.heavyWaits = q.heavyWaits || w.heavy && a.FirstAim > 0
-		return false
-	case !ok:
-		return r.hold(&a, q)
-	case inTime && lateness(c.first, a.FirstAim) > inTimeRisk:
-		return false // those that can be in time go first
-	case !inTime && w.heavy && q.heavyWaits:
-		return r.hold(&a, q) // the engines that will be clear are for one that can be in time
-	case !inTime && !w.heavy && r.scarce(a.Service, q):
-		return r.hold(&a, q) // its place is worth more to one that comes in time
-	}
-	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Plan: p.put(r.now, &a, c, reserves)})
-	return true
-}
-
-func (r *round) queue(service string) *queue {
-	q := r.queues[service]
-	if q == nil {
-		q = &queue{}
-		r.queues[service] = q
-	}
-	return q
-}
-
-// scarce tells whether the places that are free, or will be soon, only do for the light prompts that are to come.
-func (r *round) scarce(service string, q *queue) bool {
-	places := 0
-	for _, s := range r.planner.ordered[service] {
-		if s.usable(r.now) {
-			places += s.slots() - len(s.jobs)
-		}
-	}
-	soon, _ := slices.BinarySearch(r.ends(service, q), scarceWindow)
-	coming := r.planner.shorts.perSecond(r.now) * scarceWindow.Seconds()
-	return float64(places+soon) < coming
-}
-
-// hold keeps an ask waiting, or refuses it if no place is free in time.
-func (r *round) hold(a *Ask, q *queue) bool {
-	wait := r.freeAfter(a.Service, q)
-	q.ahead++
-	if need := wait + r.planner.leastRun(a); need > a.limit() {
-		return r.planner.refuse(a, CauseBusy, max(wait, minRetryAfter))
-	}
-	return false
-}
-
-// leastRun returns the time to an ask's first event if all engines were clear.
-func (p *Planner) leastRun(a *Ask) time.Duration {
-	if !p.isHeavy(a) {
-		return shortestRun
-	}
-	readers := min(maxReaders, mostReaders(len(p.ordered[a.Service])))
-	return max(shortestRun, pass.ReadTime(p.engines[a.Service], a.PromptTokens, readers))
-}
-
-// freeAfter estimates when the servers will have taken the asks ahead and one more.
-func (r *round) freeAfter(service string, q *queue) time.Duration {
-	ends := r.ends(service, q)
-	if len(ends) == 0 {
-		return 0
-	}
-	return ends[min(q.ahead, len(ends)-1)]
-}
-
-// ends returns when the service's requests are expected to end, the first first.
-func (r *round) ends(service string, q *queue) []time.Duration {
-	if q.ends != nil {
-		return q.ends
-	}
-	q.ends = []time.Duration{}
-	for _, s := range r.planner.ordered[service] {
-		for _, j := range s.jobs {
-			q.ends = append(q.ends, max(0, endOf(j).Sub(r.now)))
-		}
+		return &Refusal{Cause: CauseCrashes, RetryAfter: crashMemory}
+	case len(servers) == 0:
+		return &Refusal{Cause: CauseNoReplica, RetryAfter: noReplicaRetryAfter}
+	case tooLarge(a, servers):
+		return &Refusal{Cause: CauseTooLarge, RetryAfter: crashMemory}
 	}
-	slices.Sort(q.ends)
-	return q.ends
+	return nil
 }
 
 // tooLarge tells whether all servers together lack the memory for the ask.
@@ -217,7 +102,7 @@
 	return j.first.Add(time.Duration(events) * j.server.model.Steps(0, 0))
 }
 
-func (p *Planner) refuse(a *Ask, cause Cause, after time.Duration) bool {
-	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Refusal: &Refusal{Cause: cause, RetryAfter: after}})
+func (p *Planner) refuse(a *Ask, refusal *Refusal) bool {
+	p.answers = append(p.answers, Answer{ID: a.ID, Host: a.Host, Refusal: refusal})
 	return true
 }
