--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -15,7 +15,6 @@
 	"testing"
 	"time"
 
-	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/gateway"
 	"github.com/turmericshunt/turmericshunt/internal/site"
@@ -32,11 +31,7 @@
 	testKey    = "key-of-hule"
 )
 
-var figures = &catalog.Engine{
-	Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 200 * time.Microsecond,
-	StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-	PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51,
-}
+var figures = passes.QuickEngine()
 
 // world is a small deployment: a store, replicas of two services and entry hosts, all in this process.
 type world struct {
--- a/internal/pass/pass_test.go
+++ b/internal/pass/pass_test.go
@@ -4,16 +4,12 @@
 	"testing"
 	"time"
 
-	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
 )
 
 var (
 	start  = time.Unix(1000, 0)
-	engine = &catalog.Engine{
-		Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 850 * time.Microsecond,
-		StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-		PairsTime: 184 * time.Microsecond, ChunkTokens: 2048,
-	}
+	engine = passes.SampleEngine()
 )
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -8,15 +8,12 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
 )
 
 var (
 	start      = time.Unix(1000, 0)
-	testEngine = &catalog.Engine{
-		Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 850 * time.Microsecond,
-		StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-		PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51, StepHop: 50 * time.Microsecond,
-	}
+	testEngine = passes.SampleEngine()
 )
 
 func newTestPlanner(replicas int) *Planner {
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -160,11 +160,7 @@
 	return earned / owed, quickEarned / quickOwed
 }
 
-var figures = &catalog.Engine{
-	Slots: slots, MemoryTokens: 315000, PassSteps: 51, Step: 850 * time.Microsecond,
-	StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-	PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51, StepHop: 50 * time.Microsecond,
-}
+var figures = passes.SampleEngine()
 
 func engineName(i int) string { return fmt.Sprintf("i-%02d", i) }
 
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -18,7 +18,6 @@
 	"testing"
 	"time"
 
-	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
 	"github.com/turmericshunt/turmericshunt/internal/standin/ports"
@@ -34,11 +33,7 @@
 	restartTime = 300 * time.Millisecond
 )
 
-var figures = &catalog.Engine{
-	Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 200 * time.Microsecond,
-	StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-	PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51,
-}
+var figures = passes.QuickEngine()
 
 // deployment is a store and replicas in this process, behind relays, and entry hosts as processes.
 type deployment struct {
--- a/internal/standin/passes/passes_test.go
+++ b/internal/standin/passes/passes_test.go
@@ -4,17 +4,11 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/turmericshunt/turmericshunt/internal/catalog"
 )
 
 var (
 	start   = time.Unix(1000, 0)
-	figures = &catalog.Engine{
-		Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 850 * time.Microsecond,
-		StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-		PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51, StepHop: 50 * time.Microsecond,
-	}
+	figures = SampleEngine()
 )
 
 // firsts runs the fleet to its end and returns the time of each request's first event and how many there were.
--- a/internal/standin/program/fleet.go
+++ b/internal/standin/program/fleet.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
@@ -33,11 +32,7 @@
 	plainService = "order-desk"
 )
 
-var fleetFigures = &catalog.Engine{
-	Slots: 16, MemoryTokens: 315000, PassSteps: 51, Step: 850 * time.Microsecond,
-	StepWriter: 4250 * time.Nanosecond, StepContext: 2850 * time.Nanosecond, ReadRate: 177000,
-	PairsTime: 184 * time.Microsecond, ChunkTokens: 2048, EventTokens: 51, StepHop: 50 * time.Microsecond,
-}
+var fleetFigures = passes.SampleEngine()
 
 func (p *Program) fleetCommand() *cobra.Command {
 	f := &fleet{}
