planner: an ask without time for any place blocks no other

Cause: when a plan's first event would come after its caller's limit the round took it that no place is left for any short prompt (found by reading the diff). Test: TestAskWithoutTimeBlocksNoOther fails before.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -372,3 +372,21 @@
 		t.Errorf("%d helpers alone, %d beside another service's wave", len(alone.Helpers), len(beside.Helpers))
 	}
 }
+
+// A short prompt whose caller leaves too soon for any place doesn't keep the places from those behind it.
+func TestAskWithoutTimeBlocksNoOther(t *testing.T) {
+	p := newDomainPlanner(2)
+	for i, s := range p.ordered["llm"] {
+		p.Adopt(at(0), Held{Ask: shortAsk(i), Replica: s.replica.ID, Writing: true})
+	}
+	hurried := shortAsk(10)
+	hurried.FirstAim, hurried.Deadline = 200*time.Millisecond, 60*time.Millisecond
+	p.Ask(at(1), hurried)
+	p.Ask(at(1), shortAsk(11))
+	for _, answer := range p.Settle(at(1)) {
+		if answer.ID == shortAsk(11).ID && answer.Plan != nil {
+			return
+		}
+	}
+	t.Error("the ask behind it waits")
+}
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -45,11 +45,11 @@
 	if q.blocked && !w.heavy {
 		return !inTime && r.hold(&a, q)
 	}
-	c, reserves, ok := r.planner.place(r.now, &a, servers)
-	ok = ok && c.first < a.limit()
+	c, reserves, found := r.planner.place(r.now, &a, servers)
+	ok := found && c.first < a.limit()
 	switch {
 	case !ok && inTime:
-		q.blocked = q.blocked || !w.heavy && len(a.Avoid) == 0
+		q.blocked = q.blocked || !found && !w.heavy && len(a.Avoid) == 0
 		q.heavyWaits = q.heavyWaits || w.heavy && a.FirstAim > 0
 		return false
 	case inTime && lateness(c.first, a.FirstAim) > inTimeRisk:
