--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -69,14 +69,15 @@
 
 // inTimeLater tells whether a prompt that would be late now can be in time by waiting for engines that will be clear.
 func inTimeLater(a *Ask, views []view, servers int) bool {
-	clear := make([]time.Duration, 0, len(views))
+	waits := make([]time.Duration, 0, len(views)) // until each engine is clear
 	for i := range views {
 		v := &views[i]
-		clear = append(clear, v.begin+v.parts+v.own)
+		waits = append(waits, v.begin+v.parts+v.own)
 	}
-	slices.Sort(clear)
-	for i, wait := range clear {
-		readers := min(i+1, maxReaders, mostReaders(servers)-(len(clear)-i-1))
+	slices.Sort(waits)
+	for i, wait := range waits {
+		free, reading := i+1, len(waits)-i-1
+		readers := min(free, maxReaders, mostReaders(servers)-reading)
 		if readers < 1 {
 			continue
 		}
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -4,6 +4,13 @@
 	"time"
 )
 
+const (
+	// A request that has written what was likely goes on for one in so many of its events.
+	unexpectedShare = 4
+	// How much longer than their token steps passes take with the reading of short prompts.
+	usualReading = 1.25
+)
+
 type jobKey struct{ host, id string }
 
 // job is a request that runs or waits at a server.
@@ -67,10 +74,3 @@
 	left := max(events-(model.Passes()-j.passes), events/unexpectedShare, 1)
 	return time.Duration(float64(left) * usualReading * float64(steps))
 }
-
-const (
-	// A request that has written what was likely goes on for one in so many of its events.
-	unexpectedShare = 4
-	// How much longer than their token steps passes take with the reading of short prompts.
-	usualReading = 1.25
-)
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -67,7 +67,7 @@
 
 // dropOldest makes room for a crash at the given time; it reports false when the known ones are all later.
 //
-// All hosts keep the same crashes so, and none of them is news to a host that dropped it.
+// So all hosts keep the same crashes of a prompt, and none of these is news to a host that has dropped it.
 func (l *Ledger) dropOldest(s *suspicion, at time.Time) bool {
 	oldest, earliest := -1, at
 	for i, c := range s.causes {
