planner: work out once a view what a job beside costs already

What a request at a server loses anyway, its time left and what it has still to write do not depend on the reading that is weighed beside it, yet were worked out again for each number of readers of a long prompt. The number of events that a stream is likely to have stood twice.

--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -110,7 +110,7 @@
 		v := &views[i]
 		read := pass.ReadTime(v.server.model.Engine, a.PromptTokens, readers)
 		if v.parts+v.own <= clearReading || v.parts+v.own+read <= lightReading {
-			spots = append(spots, v.spotAt(now, read, true))
+			spots = append(spots, v.spotAt(read, true))
 		}
 	}
 	if len(spots) < readers {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -67,10 +67,12 @@
 // deadline returns when the request must be done.
 func (j *job) deadline() time.Time { return j.expires.Add(-expiryGrace) }
 
+// likelyEvents returns how many events the request's stream is likely to have.
+func (j *job) likelyEvents() int { return j.ask.LikelyTokens/j.server.model.Engine.EventTokens + 1 }
+
 // toWrite returns how long a request that writes is likely to need until its last event, in passes of the given steps.
 func (j *job) toWrite(steps time.Duration) time.Duration {
-	model := j.server.model
-	events := j.ask.LikelyTokens/model.Engine.EventTokens + 1
-	left := max(events-(model.Passes()-j.passes), events/unexpectedShare, 1)
+	events := j.likelyEvents()
+	left := max(events-(j.server.model.Passes()-j.passes), events/unexpectedShare, 1)
 	return time.Duration(float64(left) * usualReading * float64(steps))
 }
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -74,31 +74,40 @@
 	parts  time.Duration // of reading that waits
 	own    time.Duration
 	fails  float64 // share of requests expected to fail
+	beside []neighbor
 }
 
 func viewOf(now time.Time, s *server) view {
 	o := s.model.Outlook(now)
-	return view{
+	v := view{
 		server: s,
 		begin:  o.Begin.Sub(now) + s.lag(now),
 		steps:  s.model.Steps(0, 0),
 		parts:  o.Parts,
 		own:    o.Own,
 		fails:  s.failureShare(now),
+		beside: make([]neighbor, len(s.jobs)),
 	}
+	for i, j := range s.jobs {
+		v.beside[i] = neighborOf(now, j, &v)
+	}
+	return v
 }
 
+// pass returns how long the next pass takes without further reading.
+func (v *view) pass() time.Duration { return v.steps + v.parts + v.own }
+
 // spotAt reckons what reading for the given time costs, of a part for another server or of a prompt of the server's own.
-func (v *view) spotAt(now time.Time, read time.Duration, part bool) spot {
+func (v *view) spotAt(read time.Duration, part bool) spot {
 	read = time.Duration(float64(read) * v.server.model.Pace)
-	before := v.steps + v.parts + v.own
+	before := v.pass()
 	after := before + read
 	sp := spot{server: v.server, pass: after, begin: v.begin + v.parts + v.own, finish: v.begin + after, fails: v.fails}
 	if part {
 		sp.finish = v.begin + v.steps + v.parts + read
 	}
-	for _, j := range v.server.jobs {
-		sp.harm += v.lossBeside(now, j, before, after)
+	for i := range v.beside {
+		sp.harm += v.beside[i].loss(before, after)
 	}
 	return sp
 }
@@ -109,31 +118,54 @@
 	return time.Duration(tokens/capacity) * s.model.Steps(0, 0)
 }
 
-// lossBeside returns what job j is expected to lose when a pass takes after instead of before.
-func (v *view) lossBeside(now time.Time, j *job, before, after time.Duration) float64 {
-	worth := value(j.ask.PromptTokens)
+// neighbor is a job at a server with what doesn't depend on the reading that is weighed beside it.
+type neighbor struct {
+	job   *job
+	worth float64
+	left  time.Duration // until its deadline if it writes, else until its aim
+	rest  time.Duration // until its last event if it writes, else until its first
+	// What it loses by lateness, and the risk that it isn't done by its deadline, in the next pass as it is.
+	already    float64
+	unfinished float64
+}
+
+func neighborOf(now time.Time, j *job, v *view) neighbor {
+	n := neighbor{job: j, worth: value(j.ask.PromptTokens)}
 	if !j.writing {
-		left := j.aim.Sub(now)
-		first := j.first.Sub(now)
-		return worth * (firstLoss(first+after-before, left, &j.ask) - firstLoss(first, left, &j.ask))
+		n.left = j.aim.Sub(now)
+		n.rest = j.first.Sub(now)
+		n.already = firstLoss(n.rest, n.left, &j.ask)
+		return n
 	}
-	unfinished := v.unfinished(now, j, before, after)
-	if j.late {
-		leave := j.ask.MaxPause
-		return worth * (1 - lateLoss) * (lateness(after, leave) - lateness(before, leave) + unfinished)
+	n.left = j.deadline().Sub(now)
+	n.rest = j.toWrite(v.steps)
+	n.already = n.pauseLoss(v.pass())
+	n.unfinished = lateness(v.pass()+n.rest, n.left)
+	return n
+}
+
+// pauseLoss returns what a job that writes loses when the next pass takes d.
+func (n *neighbor) pauseLoss(d time.Duration) float64 {
+	if n.job.late {
+		return (1 - lateLoss) * lateness(d, n.job.ask.MaxPause)
 	}
-	return worth * (pauseLoss(after, &j.ask) - pauseLoss(before, &j.ask) + unfinished)
+	return pauseLoss(d, &n.job.ask)
 }
 
-// unfinished returns the probability that a request that writes isn't done by its deadline because the next pass takes
-// after instead of before.
-func (v *view) unfinished(now time.Time, j *job, before, after time.Duration) float64 {
-	left := j.deadline().Sub(now)
-	rest := j.toWrite(v.steps)
-	if after+rest < left/2 {
-		return 0
+// loss returns what the job is expected to lose when the next pass takes after instead of before.
+func (n *neighbor) loss(before, after time.Duration) float64 {
+	if !n.job.writing {
+		return n.worth * (firstLoss(n.rest+after-before, n.left, &n.job.ask) - n.already)
+	}
+	loss := n.pauseLoss(after) - n.already
+	if after+n.rest < n.left/2 {
+		return n.worth * loss // it will be done long before its deadline
+	}
+	unfinished := lateness(after+n.rest, n.left) - n.unfinished
+	if n.job.late {
+		unfinished *= 1 - lateLoss
 	}
-	return lateness(after+rest, left) - lateness(before+rest, left)
+	return n.worth * (loss + unfinished)
 }
 
 // choice is a set of servers for one ask.
@@ -153,7 +185,7 @@
 			continue
 		}
 		v := viewOf(now, s)
-		sp := v.spotAt(now, pass.ReadTime(s.model.Engine, a.PromptTokens, 1), false)
+		sp := v.spotAt(pass.ReadTime(s.model.Engine, a.PromptTokens, 1), false)
 		loss := sp.harm + ownLoss(a, sp.finish, &sp) - packWeight*s.shortShare()
 		if loss < best.loss {
 			best, found = choice{lead: sp, harm: sp.harm, loss: loss, first: sp.finish}, true
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -98,8 +98,7 @@
 	if j.server.model == nil {
 		return j.first.Add(plainTime)
 	}
-	events := j.ask.LikelyTokens/j.server.model.Engine.EventTokens + 1
-	return j.first.Add(time.Duration(events) * j.server.model.Steps(0, 0))
+	return j.first.Add(time.Duration(j.likelyEvents()) * j.server.model.Steps(0, 0))
 }
 
 func (p *Planner) refuse(a *Ask, refusal *Refusal) bool {
