--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -31,7 +31,6 @@
 	net       *net.TCPConn
 	reader    *bufio.Reader
 	address   netip.AddrPort
-	used      bool
 	idleSince time.Time
 	idleFor   time.Duration
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -68,7 +68,6 @@
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
 		if cn.usable(now) {
-			cn.used = true
 			return cn
 		}
 		cn.close()
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -188,9 +189,7 @@
 // pass writes a server's whole answer.
 func (t *transfer) pass(a *answer) {
 	h := t.writer.Header()
-	for name, values := range a.reply.Header {
-		h[name] = values
-	}
+	maps.Copy(h, a.reply.Header)
 	if t.call.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
@@ -249,9 +248,7 @@
 		return
 	}
 	h := t.writer.Header()
-	for name, values := range reply.Header {
-		h[name] = values
-	}
+	maps.Copy(h, reply.Header)
 	h.Del("Content-Length")
 	t.began = true
 	t.writer.WriteHeader(reply.Status)
@@ -269,6 +266,3 @@
 	}
 	return http.NewResponseController(t.writer).Flush()
 }
-
-// refusedRetry is when a caller may come back whose call several servers refused.
-const refusedRetry = 300 * time.Millisecond
