roster: work out each host's score once an order

Each beat chooses the planner, and the comparison of the sort hashed and took logarithms of both hosts anew. Behaviour unchanged. BenchmarkPlanner (new, 143 hosts): 262 us before, 67 us after; a planner of so many hosts does it 570 times a second.

--- /dev/null
+++ b/internal/roster/bench_test.go
@@ -0,0 +1,22 @@
+package roster
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// BenchmarkPlanner chooses the planner among 143 hosts, as each beat makes a host do.
+func BenchmarkPlanner(b *testing.B) {
+	now := time.Unix(1000, 0)
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8000)
+	}
+	r := New(now, Member{Address: address(0), Weight: 0.5}, nil)
+	for i := range 142 {
+		r.Heard(now, Member{Address: address(i + 1), Weight: 0.2})
+	}
+	for b.Loop() {
+		r.Planner(now)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -212,24 +212,34 @@
 
 // order returns the hosts that may plan, the preferred first.
 func (r *Roster) order() []Member {
-	var members []Member
+	var ranked []scored
 	if !r.self.Leaving {
-		members = append(members, r.self)
+		ranked = append(ranked, scored{r.self, score(r.self)})
 	}
 	for _, e := range r.entries {
 		if !e.heard.IsZero() && !e.member.Leaving {
-			members = append(members, e.member)
+			ranked = append(ranked, scored{e.member, score(e.member)})
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		if c := cmp.Compare(score(a), score(b)); c != 0 {
+	slices.SortFunc(ranked, func(a, b scored) int {
+		if c := cmp.Compare(a.score, b.score); c != 0 {
 			return c
 		}
-		return a.Address.Compare(b.Address)
+		return a.member.Address.Compare(b.member.Address)
 	})
+	members := make([]Member, 0, len(ranked))
+	for i := range ranked {
+		members = append(members, ranked[i].member)
+	}
 	return members
 }
 
+// scored is a member with its score, which takes too long to work out for each comparison.
+type scored struct {
+	member Member
+	score  float64
+}
+
 // score is smallest for the host that is preferred; hosts with more processor get small scores more often.
 func score(m Member) float64 {
 	var key [18]byte
