--- a/internal/cli/gatewaytools.go
+++ b/internal/cli/gatewaytools.go
@@ -78,15 +78,7 @@
 			if err != nil {
 				return &Error{Op: "check-config", Kind: KindFailed, Err: err}
 			}
-			config, err := platform.DecodeConfiguration(data)
-			if err != nil {
-				return &Error{Op: "check-config", Kind: KindInvalid, Err: errors.Wrap(err, args[0])}
-			}
-			known, err := platform.KnownPart(data)
-			if err != nil {
-				return &Error{Op: "check-config", Kind: KindInvalid, Err: errors.Wrap(err, args[0])}
-			}
-			ignored, err := unread.Fields(data, known)
+			config, ignored, err := checkConfiguration(data)
 			if err != nil {
 				return &Error{Op: "check-config", Kind: KindInvalid, Err: errors.Wrap(err, args[0])}
 			}
@@ -95,6 +87,20 @@
 	}
 }
 
+// checkConfiguration decodes a document and finds the fields of it that are not read.
+func checkConfiguration(data []byte) (*catalog.Catalog, []string, error) {
+	config, err := platform.DecodeConfiguration(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	known, err := platform.KnownPart(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	ignored, err := unread.Fields(data, known)
+	return config, ignored, err
+}
+
 func printConfiguration(w io.Writer, config *catalog.Catalog, ignored []string) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "version %d\n", config.Version)
--- a/internal/eventlog/page_test.go
+++ b/internal/eventlog/page_test.go
@@ -1,7 +1,6 @@
 package eventlog
 
 import (
-	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -215,6 +214,6 @@
 		}
 	}
 	if len(inCode) == 0 {
-		t.Error(fmt.Sprint("no events under ", sourceRoot))
+		t.Errorf("no events under %s", sourceRoot)
 	}
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -342,29 +342,27 @@
 }
 
 // metrics returns what the host serves on its metrics address.
-func (h *host) metrics() string {
-	resp, err := http.Get("http://" + h.site.Metrics.String() + "/metrics")
-	if err != nil {
-		return ""
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return ""
-	}
-	return string(text)
-}
+func (h *host) metrics() string { return string(h.monitoring("/metrics")) }
 
 // status reads what the host tells about itself; it is zero if the host doesn't answer.
 func (h *host) status() hoststatus.Status {
 	var s hoststatus.Status
-	resp, err := http.Get("http://" + h.site.Metrics.String() + "/status")
+	if err := json.Unmarshal(h.monitoring("/status"), &s); err != nil {
+		return hoststatus.Status{}
+	}
+	return s
+}
+
+// monitoring reads a path of the host's metrics address; it returns nothing if the host doesn't answer.
+func (h *host) monitoring(path string) []byte {
+	resp, err := http.Get("http://" + h.site.Metrics.String() + path)
 	if err != nil {
-		return s
+		return nil
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
-		return hoststatus.Status{}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil
 	}
-	return s
+	return text
 }
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -281,7 +282,7 @@
 		asked: asked,
 	}
 	d.held[a.ID] = h
-	if h.held.Ask.ID[len(a.ID)-1:] != localSuffix {
+	if !strings.HasSuffix(a.ID, localSuffix) {
 		return
 	}
 	h.local = true
