ingress, cli: a key is checked against one configuration and its own verified time

Cause: admit read the configuration and the time at which it was verified one after the other. One call now returns both, and a request reads it once.

SIGHUP ended a process that had not started its settings watcher yet. The gateway command now handles it before it reads its settings. TestHangupAtStart sends it at that moment; without the handler the test process ended by the signal.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -23,6 +25,10 @@
 		Example: "  turmericshunt gateway --settings /etc/turmericshunt/settings.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// An unhandled SIGHUP ends the process, so it is handled before anything else.
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			defer signal.Stop(hangups)
 			if file == "" {
 				file = p.Getenv(platform.SettingsVariable)
 			}
@@ -45,7 +51,7 @@
 				DecodeConfiguration: platform.DecodeConfiguration,
 				Log:                 log,
 				Version:             p.Version,
-				WatchSettings:       (&settingsWatcher{path: file, log: log}).run,
+				WatchSettings:       (&settingsWatcher{path: file, log: log, hangups: hangups}).run,
 			}
 			if err := g.Run(cmd.Context()); err != nil {
 				return &Error{Op: "gateway", Kind: KindFailed, Err: err}
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
@@ -21,6 +19,7 @@
 type settingsWatcher struct {
 	path    string
 	log     *eventlog.Log
+	hangups <-chan os.Signal // receives SIGHUP
 	modTime time.Time // of the file at the last check
 	size    int64     // of the file at the last check, in bytes
 }
@@ -28,9 +27,6 @@
 // run calls reload with the new settings after each signal or change, and returns when ctx ends. Settings that can't be
 // loaded are logged and skipped.
 func (w *settingsWatcher) run(ctx context.Context, reload func(s *site.Settings)) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	w.fileChanged()
@@ -39,7 +35,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-signals:
+		case <-w.hangups:
 			signaled = true
 		case <-poll.C:
 		}
--- a/internal/cli/reload_test.go
+++ b/internal/cli/reload_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"os"
@@ -13,6 +14,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/site"
+	"github.com/turmericshunt/turmericshunt/platform"
 )
 
 const (
@@ -36,7 +38,10 @@
 	t.Cleanup(log.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	received, done := make(chan *site.Settings, 100), make(chan struct{})
-	watcher := settingsWatcher{path: path, log: log}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangups) })
+	watcher := settingsWatcher{path: path, log: log, hangups: hangups}
 	go func() {
 		defer close(done)
 		_ = watcher.run(ctx, func(s *site.Settings) { received <- s })
@@ -49,10 +54,6 @@
 }
 
 func TestSettingsAreReadAgainOnHangup(t *testing.T) {
-	// Without a handler, a SIGHUP that arrives before the watcher's own signal.Notify would kill the test process.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	_, reloaded := watchSettings(t)
 	deadline := time.After(reloadTimeout)
 	for {
@@ -72,6 +73,24 @@
 	}
 }
 
+// A SIGHUP that comes before the settings are read doesn't end the process.
+func TestHangupAtStart(t *testing.T) {
+	var out bytes.Buffer
+	p := &Program{Out: &out, Err: &out, Getenv: func(name string) string {
+		if name != platform.SettingsVariable {
+			return ""
+		}
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(100 * time.Millisecond) // the signal may be delivered on another thread
+		return platformSample
+	}}
+	if code := p.Run(t.Context(), []string{"gateway", "--check"}); code != ExitOK {
+		t.Errorf("exit code %d\n%s", code, out.String())
+	}
+}
+
 func TestChangedSettingsAreReadWithoutSignal(t *testing.T) {
 	path, reloaded := watchSettings(t)
 	text, err := os.ReadFile(path)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -66,9 +65,8 @@
 	OnChange func()
 	Metrics  tally.Scope
 
-	configuration atomic.Pointer[catalog.Configuration]
-
 	mu              sync.Mutex
+	configuration   *catalog.Configuration // decoded from document; nil until there is one
 	document        Document
 	compressed      []byte    // document.Data compressed; nil until a peer needs it
 	verifiedAt      time.Time // when document was last verified to be the newest
@@ -83,15 +81,12 @@
 // Init makes the cache ready for use; it must be called before any other method.
 func (c *Cache) Init() { c.replicaList = replica.NewList() }
 
-// Configuration returns the active configuration, or nil if there is none yet.
-func (c *Cache) Configuration() *catalog.Configuration { return c.configuration.Load() }
-
-// VerifiedAt returns the time at which the active configuration was last verified to be the newest. It is zero if that
-// has not happened yet.
-func (c *Cache) VerifiedAt() time.Time {
+// Active returns the active configuration and the time at which it was last verified to be the newest. Both are read at
+// once, because the time says nothing about another configuration. They are nil and zero until there is one.
+func (c *Cache) Active() (config *catalog.Configuration, verifiedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.verifiedAt
+	return c.configuration, c.verifiedAt
 }
 
 // Replicas returns the active replicas; the slice must not be modified.
@@ -168,7 +163,10 @@
 	}
 }
 
-func (c *Cache) configAge() time.Duration { return steady.Now().Sub(c.VerifiedAt()) }
+func (c *Cache) configAge() time.Duration {
+	_, verifiedAt := c.Active()
+	return steady.Now().Sub(verifiedAt)
+}
 
 func (c *Cache) replicaAge() time.Duration {
 	c.mu.Lock()
@@ -206,14 +204,15 @@
 		c.Log.Warn("configuration_unreadable", slog.Int64("revision", doc.Revision), slog.String("error", err.Error()))
 		return
 	}
-	if previous := c.configuration.Load(); previous != nil && config.Version < previous.Version {
-		c.Log.Warn("configuration_older", slog.Int64("version", config.Version), slog.Int64("in_force", previous.Version))
+	if c.configuration != nil && config.Version < c.configuration.Version {
+		c.Log.Warn("configuration_older", slog.Int64("version", config.Version),
+			slog.Int64("in_force", c.configuration.Version))
 		return
 	}
 	c.document = doc
 	c.compressed = nil
 	c.verifiedAt = verifiedAt
-	c.configuration.Store(config)
+	c.configuration = config
 	c.Metrics.Gauge("config_version").Update(float64(config.Version))
 	c.Log.Event("configuration_in_force", slog.Int64("version", config.Version), slog.Int64("revision", doc.Revision),
 		slog.String("source", source), eventlog.Milliseconds("proof_age_ms", steady.Now().Sub(verifiedAt)))
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -39,12 +39,17 @@
 }
 
 func (c *Cache) activeVersion() int64 {
-	if c := c.Configuration(); c != nil {
-		return c.Version
+	if config, _ := c.Active(); config != nil {
+		return config.Version
 	}
 	return 0
 }
 
+func (c *Cache) activeVerifiedAt() time.Time {
+	_, verifiedAt := c.Active()
+	return verifiedAt
+}
+
 func TestConfigurationNeverReverts(t *testing.T) {
 	c := newCache(t)
 	now := steady.Now()
@@ -52,8 +57,8 @@
 	c.applyDocument(document(4, 40), now.Add(time.Second), "peer")
 	c.applyDocument(document(4, 60), now.Add(time.Second), "store")
 	c.applyDocument(Document{Data: []byte("bad"), Revision: 70}, now.Add(time.Second), "store")
-	if c.activeVersion() != 5 || !c.VerifiedAt().Equal(now) {
-		t.Errorf("version %d active, want 5; verified time moved by %v", c.activeVersion(), c.VerifiedAt().Sub(now))
+	if c.activeVersion() != 5 || !c.activeVerifiedAt().Equal(now) {
+		t.Errorf("version %d active, want 5; verified time moved by %v", c.activeVersion(), c.activeVerifiedAt().Sub(now))
 	}
 	c.applyDocument(document(7, 80), now.Add(2*time.Second), "peer")
 	if c.activeVersion() != 7 {
@@ -66,12 +71,12 @@
 	now := steady.Now()
 	c.applyDocument(document(5, 50), now, "store")
 	c.applyDocument(document(5, 50), now.Add(-time.Second), "peer")
-	if !c.VerifiedAt().Equal(now) {
-		t.Errorf("verified time moved by %v, want 0s", c.VerifiedAt().Sub(now))
+	if !c.activeVerifiedAt().Equal(now) {
+		t.Errorf("verified time moved by %v, want 0s", c.activeVerifiedAt().Sub(now))
 	}
 	c.applyDocument(document(5, 50), now.Add(time.Second), "peer")
-	if c.VerifiedAt().Sub(now) != time.Second {
-		t.Errorf("verified time moved by %v, want 1s", c.VerifiedAt().Sub(now))
+	if c.activeVerifiedAt().Sub(now) != time.Second {
+		t.Errorf("verified time moved by %v, want 1s", c.activeVerifiedAt().Sub(now))
 	}
 }
 
@@ -89,8 +94,8 @@
 	if to.activeVersion() != 5 {
 		t.Fatalf("version %d active, want 5", to.activeVersion())
 	}
-	if to.VerifiedAt().After(verifiedAt) || verifiedAt.Sub(to.VerifiedAt()) > 10*time.Millisecond {
-		t.Errorf("verified time is %v later after the import, want -10ms to 0s", to.VerifiedAt().Sub(verifiedAt))
+	if to.activeVerifiedAt().After(verifiedAt) || verifiedAt.Sub(to.activeVerifiedAt()) > 10*time.Millisecond {
+		t.Errorf("verified time is %v later after the import, want -10ms to 0s", to.activeVerifiedAt().Sub(verifiedAt))
 	}
 }
 
@@ -138,8 +143,8 @@
 func TestFailedReadKeepsVerifiedTime(t *testing.T) {
 	c := newCache(t)
 	c.Store = &fakeStore{err: errors.New("down")}
-	if err := c.timedRead(t.Context(), c.readConfiguration); err == nil || !c.VerifiedAt().IsZero() || c.Configuration() != nil {
-		t.Errorf("failed read: error %v, verified time %v", err, c.VerifiedAt())
+	if err := c.timedRead(t.Context(), c.readConfiguration); err == nil || !c.activeVerifiedAt().IsZero() || c.activeVersion() != 0 {
+		t.Errorf("failed read: error %v, verified time %v", err, c.activeVerifiedAt())
 	}
 	c.Store = &fakeStore{}
 	if err := c.timedRead(t.Context(), c.readConfiguration); err != nil || c.activeVersion() != 1 {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -38,9 +38,9 @@
 		WaitingRequests: g.placement.Waiting(),
 		Hosts:           g.placement.Members(),
 	}
-	if c := g.cache.Configuration(); c != nil {
-		s.Configuration.Version = c.Version
-		s.Configuration.VerifiedAgeMS = steady.Now().Sub(g.cache.VerifiedAt()).Milliseconds()
+	if config, verifiedAt := g.cache.Active(); config != nil {
+		s.Configuration.Version = config.Version
+		s.Configuration.VerifiedAgeMS = steady.Now().Sub(verifiedAt).Milliseconds()
 	}
 	for _, r := range g.cache.Replicas() {
 		s.Replicas = append(s.Replicas, hoststatus.Replica{
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,7 +17,6 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
-	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
@@ -47,9 +46,15 @@
 	DecodeRequestHead(r *http.Request, received time.Time) (*call.Call, error)
 }
 
+// Configurations provides the active configuration, which is feed.Cache. Active returns it together with the time at
+// which it was last verified to be the newest; it is nil if there is none yet.
+type Configurations interface {
+	Active() (config *catalog.Configuration, verifiedAt time.Time)
+}
+
 // Ingress is the HTTP server for callers. Its exported fields must be set before Init.
 type Ingress struct {
-	Cache   *feed.Cache
+	Cache   Configurations
 	Relay   *relay.Relay
 	Decoder Decoder
 	Log     *eventlog.Log
@@ -95,7 +100,8 @@
 // Ready reports whether the host should get new connections: it isn't stopping, and it has a configuration that was
 // verified recently enough.
 func (g *Ingress) Ready() bool {
-	return g.stoppingSince.Load() == 0 && g.Cache.Configuration() != nil && g.recentlyVerified(steady.Now())
+	config, verifiedAt := g.Cache.Active()
+	return g.stoppingSince.Load() == 0 && config != nil && g.recentlyVerified(steady.Now(), verifiedAt)
 }
 
 // BeginStop begins to stop the host: each response is the last on its connection, and idle connections are closed.
@@ -110,12 +116,12 @@
 // Active returns the number of requests being served.
 func (g *Ingress) Active() int { return int(g.active.Load()) }
 
-// recentlyVerified reports whether keys that are valid by the active configuration may be accepted. That is so if there
-// is no revocation limit, or if the configuration was last verified to be the newest less than the limit minus
-// verificationMargin ago: a key in it can only have been revoked since then.
-func (g *Ingress) recentlyVerified(now time.Time) bool {
+// recentlyVerified reports whether keys may be accepted that are valid by a configuration that was last verified to be
+// the newest at verifiedAt. That is so if there is no revocation limit, or if verifiedAt is less than the limit minus
+// verificationMargin ago: a key in the configuration can only have been revoked since then.
+func (g *Ingress) recentlyVerified(now, verifiedAt time.Time) bool {
 	limit := time.Duration(g.revocationLimit.Load())
-	return limit == 0 || now.Sub(g.Cache.VerifiedAt()) < limit-verificationMargin
+	return limit == 0 || now.Sub(verifiedAt) < limit-verificationMargin
 }
 
 // ServeHTTP admits one request and passes it to the relay.
@@ -128,16 +134,16 @@
 		g.reject(w, "", http.StatusBadRequest, "improper head", slog.String("error", err.Error()))
 		return
 	}
-	if !g.admit(w, c) || !g.readBody(w, r, c) {
+	config, verifiedAt := g.Cache.Active()
+	if !g.admit(w, c, config, verifiedAt) || !g.readBody(w, r, c, config.Limits) {
 		return
 	}
 	g.Relay.Serve(r.Context(), w, c)
 }
 
-// admit checks a call against the active configuration and sets the fields that depend on it. If it returns false, it
-// has responded to the caller.
-func (g *Ingress) admit(w http.ResponseWriter, c *call.Call) bool {
-	config := g.Cache.Configuration()
+// admit checks a call against a configuration that was last verified to be the newest at verifiedAt, and sets the
+// fields of the call that depend on it. If it returns false, it has responded to the caller.
+func (g *Ingress) admit(w http.ResponseWriter, c *call.Call, config *catalog.Configuration, verifiedAt time.Time) bool {
 	if config == nil {
 		g.refuse(w, c, retryUnverified, "no configuration yet")
 		return false
@@ -164,9 +170,9 @@
 		g.reject(w, c.ID, http.StatusUnauthorized, "unknown key", slog.Int64("config_version", config.Version))
 		return false
 	}
-	if workspace != nil && !g.recentlyVerified(c.Received) {
+	if workspace != nil && !g.recentlyVerified(c.Received, verifiedAt) {
 		g.refuse(w, c, retryUnverified, "configuration may be out of date",
-			eventlog.Milliseconds("proof_age_ms", c.Received.Sub(g.Cache.VerifiedAt())))
+			eventlog.Milliseconds("proof_age_ms", c.Received.Sub(verifiedAt)))
 		return false
 	}
 	return true
@@ -191,10 +197,10 @@
 
 // readBody reads the complete body into c, because it may have to be sent more than once. If the body is too long, it
 // responds to the caller and returns false. If the body can't be read, it aborts the connection.
-func (g *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) bool {
+func (g *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, limits catalog.Limits) bool {
 	limit := int64(defaultMaxBody)
-	if config := g.Cache.Configuration(); config.Limits.MaxBodyBytes > 0 {
-		limit = config.Limits.MaxBodyBytes
+	if limits.MaxBodyBytes > 0 {
+		limit = limits.MaxBodyBytes
 	}
 	if r.ContentLength > limit {
 		// A caller that is still writing when the connection is closed may not see the response.
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -183,7 +183,8 @@
 	defer c.mu.Unlock()
 	now := steady.Now()
 	replicas := c.Cache.Replicas()
-	c.localPlanner.SetEngines(engines(c.Cache.Configuration(), replicas))
+	config, _ := c.Cache.Active()
+	c.localPlanner.SetEngines(engines(config, replicas))
 	c.localPlanner.SetReplicas(now, replicas)
 	c.sendResults(now)
 	for p := range c.inbound {
