feed, replica, platform: a store that is restored from an older copy

Cause: all that compared revisions took them to rise only. After a restore they go back and are given out again, what was acknowledged may be lost, and leases are given out again. Now: - era and revision are one value (revision.Revision), read from Store-Era; a store that names no era is in era 0; - configurations are ordered by the operator's version first, so that hosts which know different eras agree, and none goes back; - a read verifies nothing until 2 s after this host knows the era.

A check of the era beside the time was found to be redundant and left out. Watches are not used, so 410 needs nothing.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -20,8 +20,8 @@
 	path    string
 	log     *eventlog.Log
 	hangups <-chan os.Signal // receives SIGHUP
-	modTime time.Time // of the file at the last check
-	size    int64     // of the file at the last check, in bytes
+	modTime time.Time        // of the file at the last check
+	size    int64            // of the file at the last check, in bytes
 }
 
 // run calls reload with the new settings after each signal or change, and returns when ctx ends. Settings that can't be
--- /dev/null
+++ b/internal/feed/exchange.go
@@ -0,0 +1,140 @@
+package feed
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/revision"
+)
+
+// State is the configuration and the replicas that one host sends to another. Revisions are sent as numbers with the
+// eras beside them, since hosts of earlier versions know the numbers only.
+type State struct {
+	ConfigRevision  int64             `cbor:"1,keyasint,omitempty"`
+	ConfigData      []byte            `cbor:"2,keyasint,omitempty"` // compressed; omitted if the receiver has it
+	ReplicaRevision int64             `cbor:"3,keyasint,omitempty"`
+	Replicas        []replica.Replica `cbor:"4,keyasint,omitempty"` // omitted if the receiver has them
+	HasReplicas     bool              `cbor:"5,keyasint,omitempty"`
+	// ConfigVerified and ReplicaRead are times relative to the base time that link.Heartbeat.State defines.
+	ConfigVerified time.Duration `cbor:"6,keyasint,omitempty"` // when the configuration was last verified to be the newest
+	ReplicaRead    time.Duration `cbor:"7,keyasint,omitempty"` // when the replicas were read from the store
+	ReplicaDigest  uint64        `cbor:"8,keyasint,omitempty"` // digest of the set of replicas; 0 if the sender has none
+	ConfigVersion  int64         `cbor:"9,keyasint,omitempty"`
+	ConfigEra      int64         `cbor:"10,keyasint,omitempty"` // of ConfigRevision
+	ReplicaEra     int64         `cbor:"11,keyasint,omitempty"` // of ReplicaRevision
+	Era            int64         `cbor:"12,keyasint,omitempty"` // newest era of the store that the sender knows
+	UntilRewritten time.Duration `cbor:"13,keyasint,omitempty"` // until the store has all again that was written before Era
+}
+
+// Versions identifies the configuration and the set of replicas that a host has. The zero value is that of a host that
+// has neither. Hosts of earlier versions report no ConfigVersion.
+type Versions struct {
+	ConfigVersion  int64
+	ConfigRevision revision.Revision
+	ReplicaDigest  uint64
+}
+
+// Versions returns what this host has.
+func (c *Cache) Versions() Versions {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.versions()
+}
+
+func (c *Cache) versions() Versions {
+	v := Versions{ConfigRevision: c.document.Revision, ReplicaDigest: c.replicaDigest}
+	if c.configuration != nil {
+		v.ConfigVersion = c.configuration.Version
+	}
+	return v
+}
+
+// Export returns the state to send to a peer that has the given versions. It omits what the peer has. Times in the state
+// are relative to base.
+func (c *Cache) Export(base time.Time, peer Versions) State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := c.versions()
+	s := State{
+		ConfigVersion:   own.ConfigVersion,
+		ConfigRevision:  own.ConfigRevision.Number,
+		ConfigEra:       own.ConfigRevision.Era,
+		ReplicaRevision: c.replicaRevision.Number,
+		ReplicaEra:      c.replicaRevision.Era,
+		ReplicaDigest:   c.replicaDigest,
+		HasReplicas:     c.replicaDigest != 0 && c.replicaDigest != peer.ReplicaDigest,
+		ConfigVerified:  c.verifiedAt.Sub(base),
+		ReplicaRead:     c.replicasReadAt.Sub(base),
+		Era:             c.era,
+		UntilRewritten:  max(c.rewrittenAt.Sub(c.now()), 0),
+	}
+	if own.hasNewerDocument(peer) {
+		if c.compressed == nil {
+			c.compressed = compress(c.document.Data)
+		}
+		s.ConfigData = c.compressed
+	}
+	if s.HasReplicas {
+		s.Replicas = c.replicas
+	}
+	return s
+}
+
+// hasNewerDocument reports whether v has a newer configuration document than peer.
+func (v Versions) hasNewerDocument(peer Versions) bool {
+	if peer.ConfigVersion == 0 {
+		return v.ConfigRevision.Number > peer.ConfigRevision.Number
+	}
+	return compareDocuments(v.ConfigVersion, v.ConfigRevision, peer.ConfigVersion, peer.ConfigRevision) > 0
+}
+
+// Import takes over what is newer in the state that a peer sent. Times in the state are relative to base.
+func (c *Cache) Import(base time.Time, s State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.observeEra(now, s.Era, now.Add(s.UntilRewritten))
+	c.importConfiguration(base, s)
+	c.importReplicas(base, s)
+}
+
+// importConfiguration activates the configuration in the state if it is newer. If the state contains none because this
+// host has the same, it takes over the verified time.
+func (c *Cache) importConfiguration(base time.Time, s State) {
+	doc := Document{Revision: revision.New(s.ConfigEra, s.ConfigRevision)}
+	switch {
+	case s.ConfigRevision == 0:
+	case s.ConfigData != nil:
+		data, err := decompress(s.ConfigData)
+		if err != nil {
+			c.Log.Warn("configuration_unreadable", slog.Int64("revision", s.ConfigRevision),
+				slog.Int64("era", s.ConfigEra), slog.String("error", err.Error()))
+			return
+		}
+		doc.Data = data
+		c.applyDocument(doc, base.Add(s.ConfigVerified), "peer")
+	case doc.Revision == c.document.Revision:
+		c.applyDocument(doc, base.Add(s.ConfigVerified), "peer")
+	}
+}
+
+// importReplicas takes over the replicas in the state if they are newer. For replicas of the same revision, the later
+// read is the newer.
+func (c *Cache) importReplicas(base time.Time, s State) {
+	readAt := base.Add(s.ReplicaRead)
+	readRevision := revision.New(s.ReplicaEra, s.ReplicaRevision)
+	order := readRevision.Compare(c.replicaRevision)
+	newer := order > 0 || order == 0 && readAt.After(c.replicasReadAt)
+	switch {
+	case s.ReplicaRevision == 0 || !newer:
+	case s.HasReplicas:
+		c.replicaRevision = readRevision
+		c.replicasReadAt = readAt
+		c.applyChanges(c.replicaList.Replace(readAt, s.Replicas))
+	case s.ReplicaDigest == c.replicaDigest:
+		c.replicaRevision = readRevision
+		c.replicasReadAt = readAt
+		c.replicaList.ConfirmRead(readAt)
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/revision"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
@@ -26,32 +28,21 @@
 	agePollInterval = 100 * time.Millisecond
 	// The maximum pause after a failed read; the pause doubles with each consecutive failure.
 	maxBackoff = 2 * time.Second
+	// How long after a restore of the store the operator may take to write again what the store has lost. Until then, the
+	// document that the store holds may not be the newest one.
+	rewriteTime = 2 * time.Second
 )
 
 // Document is a configuration document as read from the store.
 type Document struct {
 	Data     []byte
-	Revision int64 // of its last change
+	Revision revision.Revision // of its last change
 }
 
 // Store reads from the platform's store. If a method returns an error, its other results say nothing about the store.
 type Store interface {
 	Configuration(ctx context.Context) (Document, error)
-	Replicas(ctx context.Context) ([]replica.Replica, int64, error)
-}
-
-// State is the configuration and the replicas that one host sends to another.
-type State struct {
-	ConfigRevision  int64             `cbor:"1,keyasint,omitempty"`
-	ConfigData      []byte            `cbor:"2,keyasint,omitempty"` // compressed; omitted if the receiver has it
-	ReplicaRevision int64             `cbor:"3,keyasint,omitempty"`
-	Replicas        []replica.Replica `cbor:"4,keyasint,omitempty"` // omitted if the receiver has them
-	HasReplicas     bool              `cbor:"5,keyasint,omitempty"`
-	// ConfigVerified and ReplicaRead are times relative to the base time that link.Heartbeat.State defines.
-	ConfigVerified time.Duration `cbor:"6,keyasint,omitempty"` // when the configuration was last verified to be the newest
-	ReplicaRead    time.Duration `cbor:"7,keyasint,omitempty"` // when the replicas were read from the store
-
-	ReplicaDigest uint64 `cbor:"8,keyasint,omitempty"` // digest of the set of replicas; 0 if the sender has none
+	Replicas(ctx context.Context) ([]replica.Replica, revision.Revision, error)
 }
 
 // Cache holds the active configuration and replicas of a host. Its exported fields must be set before use.
@@ -65,21 +56,29 @@
 	OnChange func()
 	Metrics  tally.Scope
 
+	now func() time.Time // steady.Now, but for tests
+
 	mu              sync.Mutex
 	configuration   *catalog.Configuration // decoded from document; nil until there is one
 	document        Document
-	compressed      []byte    // document.Data compressed; nil until a peer needs it
-	verifiedAt      time.Time // when document was last verified to be the newest
+	compressed      []byte            // document.Data compressed; nil until a peer needs it
+	verifiedAt      time.Time         // when document was last verified to be the newest
+	skipped         revision.Revision // of the last document that was not activated
+	era             int64             // newest era of the store that this host knows
+	rewrittenAt     time.Time         // when the store has all again that was written before era; see rewriteTime
 	replicaList     *replica.List
 	replicas        []replica.Replica // the active ones; replaced as a whole, never modified
-	replicaRevision int64             // revision of the store at which the replicas were read
+	replicaRevision revision.Revision // of the store when the replicas were read
 	replicasReadAt  time.Time         // when this host or a peer started to read the replicas
 	replicaDigest   uint64            // of replicas; 0 until replicas are known
 	storeDown       bool              // the last read failed
 }
 
 // Init makes the cache ready for use; it must be called before any other method.
-func (c *Cache) Init() { c.replicaList = replica.NewList() }
+func (c *Cache) Init() {
+	c.replicaList = replica.NewList()
+	c.now = steady.Now
+}
 
 // Active returns the active configuration and the time at which it was last verified to be the newest. Both are read at
 // once, because the time says nothing about another configuration. They are nil and zero until there is one.
@@ -138,9 +137,9 @@
 func (c *Cache) timedRead(ctx context.Context, read func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	startedAt := steady.Now()
+	startedAt := c.now()
 	err := read(ctx)
-	c.Metrics.Timer("store_reads").Record(steady.Now().Sub(startedAt))
+	c.Metrics.Timer("store_reads").Record(c.now().Sub(startedAt))
 	c.Metrics.Gauge("config_proof_age_seconds").Update(c.configAge().Seconds())
 	if err != nil {
 		c.Metrics.Counter("store_reads_failed").Inc(1)
@@ -165,58 +164,112 @@
 
 func (c *Cache) configAge() time.Duration {
 	_, verifiedAt := c.Active()
-	return steady.Now().Sub(verifiedAt)
+	return c.now().Sub(verifiedAt)
 }
 
 func (c *Cache) replicaAge() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return steady.Now().Sub(c.replicasReadAt)
+	return c.now().Sub(c.replicasReadAt)
+}
+
+// Era returns the newest era of the store that this host knows; it rises when the store is restored from an older copy.
+func (c *Cache) Era() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
 }
 
+// observeEra takes over a newer era of the store, in which the store has all again at rewrittenAt that was written
+// before.
+func (c *Cache) observeEra(now time.Time, era int64, rewrittenAt time.Time) {
+	switch {
+	case era > c.era:
+		c.Log.Warn("store_restored", slog.Int64("era", era), slog.Int64("before", c.era))
+		c.era = era
+		c.rewrittenAt = rewrittenAt
+		c.replicaList.BeginRestore(now)
+	case era == c.era && rewrittenAt.Before(c.rewrittenAt):
+		c.rewrittenAt = rewrittenAt
+	}
+}
+
+// observeRead takes over the era of a response of the store that this host has received at now.
+func (c *Cache) observeRead(now time.Time, era int64) { c.observeEra(now, era, now.Add(rewriteTime)) }
+
 func (c *Cache) readConfiguration(ctx context.Context) error {
-	startedAt := steady.Now()
+	startedAt := c.now()
 	doc, err := c.Store.Configuration(ctx)
 	if err != nil {
 		return err
 	}
-	c.applyDocument(doc, startedAt, "store")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeRead(c.now(), doc.Revision.Era)
+	c.applyDocument(doc, c.verifiedBy(startedAt), "store")
 	return nil
 }
 
-// applyDocument activates doc if its revision is newer than that of the active configuration, it can be decoded and its
-// version is not older. If the revisions are equal, it only moves the verified time forward to verifiedAt.
-// verifiedAt is a time at which doc was the newest configuration.
+// verifiedBy returns a time at which the document of a read that was started at readAt was the newest one. It returns
+// zero if a newer one may have been lost with the last restore of the store and not be written again.
+func (c *Cache) verifiedBy(readAt time.Time) time.Time {
+	if readAt.Before(c.rewrittenAt) {
+		return time.Time{}
+	}
+	return readAt
+}
+
+// applyDocument activates doc if it can be decoded and is newer than the active document. A document with a higher
+// version is newer; of two with the same version, the one with the later revision is. If doc is the active document or
+// replaces it, applyDocument moves the verified time forward to verifiedAt, a time at which doc was the newest
+// configuration. A time that holds for a document holds for a newer one too.
 func (c *Cache) applyDocument(doc Document, verifiedAt time.Time, source string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case doc.Revision < c.document.Revision:
+	if doc.Revision == c.skipped {
 		return
-	case doc.Revision == c.document.Revision:
-		if verifiedAt.After(c.verifiedAt) {
-			c.verifiedAt = verifiedAt
-		}
+	}
+	changed := doc.Revision != c.document.Revision
+	if changed && !c.activate(doc) {
 		return
 	}
+	if verifiedAt.After(c.verifiedAt) {
+		c.verifiedAt = verifiedAt
+	}
+	if changed {
+		c.Log.Event("configuration_in_force", slog.Int64("version", c.configuration.Version),
+			slog.Int64("revision", doc.Revision.Number), slog.Int64("era", doc.Revision.Era), slog.String("source", source),
+			eventlog.Milliseconds("proof_age_ms", c.now().Sub(c.verifiedAt)))
+		c.notifyChanged()
+	}
+}
+
+// activate makes doc active and reports true if it can be decoded and is newer than the active document.
+func (c *Cache) activate(doc Document) bool {
 	config, err := c.Decode(doc.Data)
 	if err != nil {
-		c.Log.Warn("configuration_unreadable", slog.Int64("revision", doc.Revision), slog.String("error", err.Error()))
-		return
+		c.skipped = doc.Revision
+		c.Log.Warn("configuration_unreadable", slog.Int64("revision", doc.Revision.Number),
+			slog.Int64("era", doc.Revision.Era), slog.String("error", err.Error()))
+		return false
 	}
-	if c.configuration != nil && config.Version < c.configuration.Version {
+	if c.configuration != nil && compareDocuments(config.Version, doc.Revision, c.configuration.Version,
+		c.document.Revision) < 0 {
+		c.skipped = doc.Revision
 		c.Log.Warn("configuration_older", slog.Int64("version", config.Version),
-			slog.Int64("in_force", c.configuration.Version))
-		return
+			slog.Int64("in_force", c.configuration.Version), slog.Int64("revision", doc.Revision.Number),
+			slog.Int64("era", doc.Revision.Era))
+		return false
 	}
 	c.document = doc
 	c.compressed = nil
-	c.verifiedAt = verifiedAt
 	c.configuration = config
 	c.Metrics.Gauge("config_version").Update(float64(config.Version))
-	c.Log.Event("configuration_in_force", slog.Int64("version", config.Version), slog.Int64("revision", doc.Revision),
-		slog.String("source", source), eventlog.Milliseconds("proof_age_ms", steady.Now().Sub(verifiedAt)))
-	c.notifyChanged()
+	return true
+}
+
+// compareDocuments returns a negative number, 0 or a positive number if the configuration document with the first
+// version and revision is older than, the same as or newer than that with the second.
+func compareDocuments(version1 int64, revision1 revision.Revision, version2 int64, revision2 revision.Revision) int {
+	return cmp.Or(cmp.Compare(version1, version2), revision1.Compare(revision2))
 }
 
 func (c *Cache) notifyChanged() {
@@ -226,17 +279,18 @@
 }
 
 func (c *Cache) readReplicas(ctx context.Context) error {
-	startedAt := steady.Now()
-	replicas, revision, err := c.Store.Replicas(ctx)
+	startedAt := c.now()
+	replicas, readRevision, err := c.Store.Replicas(ctx)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.replicaRevision {
+	c.observeRead(c.now(), readRevision.Era)
+	if readRevision.Compare(c.replicaRevision) < 0 {
 		return nil
 	}
-	c.replicaRevision = revision
+	c.replicaRevision = readRevision
 	c.replicasReadAt = startedAt
 	c.applyChanges(c.replicaList.Update(startedAt, replicas))
 	return nil
@@ -252,73 +306,7 @@
 	for _, change := range changes {
 		c.Log.Event("replica_"+string(change.Kind), slog.String("replica", change.Replica.ID),
 			slog.String("service", change.Replica.Service), slog.String("address", change.Replica.Address.String()),
-			slog.Int64("revision", c.replicaRevision))
+			slog.Int64("revision", c.replicaRevision.Number))
 	}
 	c.notifyChanged()
 }
-
-// Export returns the state to send to a peer that has the configuration of the given revision and the set of replicas
-// with the given digest. It omits what the peer has. Times in the state are relative to base.
-func (c *Cache) Export(base time.Time, configRevision int64, replicaDigest uint64) State {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := State{
-		ConfigRevision:  c.document.Revision,
-		ReplicaRevision: c.replicaRevision,
-		ReplicaDigest:   c.replicaDigest,
-		HasReplicas:     c.replicaDigest != 0 && c.replicaDigest != replicaDigest,
-		ConfigVerified:  c.verifiedAt.Sub(base),
-		ReplicaRead:     c.replicasReadAt.Sub(base),
-	}
-	if c.document.Revision > configRevision {
-		if c.compressed == nil {
-			c.compressed = compress(c.document.Data)
-		}
-		s.ConfigData = c.compressed
-	}
-	if s.HasReplicas {
-		s.Replicas = c.replicas
-	}
-	return s
-}
-
-// Versions returns the revision of the active configuration and the digest of the set of active replicas.
-func (c *Cache) Versions() (configRevision int64, replicaDigest uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.document.Revision, c.replicaDigest
-}
-
-// Import takes over what is newer in the state that a peer sent. Times in the state are relative to base. For replicas
-// of the same revision, the later read is the newer.
-func (c *Cache) Import(base time.Time, s State) {
-	configRevision, _ := c.Versions()
-	switch {
-	case s.ConfigRevision == 0:
-	case s.ConfigData != nil:
-		data, err := decompress(s.ConfigData)
-		if err != nil {
-			c.Log.Warn("configuration_unreadable", slog.Int64("revision", s.ConfigRevision), slog.String("error", err.Error()))
-			break
-		}
-		c.applyDocument(Document{Data: data, Revision: s.ConfigRevision}, base.Add(s.ConfigVerified), "peer")
-	case s.ConfigRevision == configRevision:
-		c.applyDocument(Document{Revision: s.ConfigRevision}, base.Add(s.ConfigVerified), "peer")
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	readAt := base.Add(s.ReplicaRead)
-	newer := s.ReplicaRevision > c.replicaRevision ||
-		s.ReplicaRevision == c.replicaRevision && readAt.After(c.replicasReadAt)
-	switch {
-	case s.ReplicaRevision == 0 || !newer:
-	case s.HasReplicas:
-		c.replicaRevision = s.ReplicaRevision
-		c.replicasReadAt = readAt
-		c.applyChanges(c.replicaList.Replace(readAt, s.Replicas))
-	case s.ReplicaDigest == c.replicaDigest:
-		c.replicaRevision = s.ReplicaRevision
-		c.replicasReadAt = readAt
-		c.replicaList.ConfirmRead(readAt)
-	}
-}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -15,6 +15,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/revision"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
@@ -34,8 +35,8 @@
 	return c
 }
 
-func document(version, revision int64) Document {
-	return Document{Data: []byte(strconv.FormatInt(version, 10)), Revision: revision}
+func document(version, number int64) Document {
+	return Document{Data: []byte(strconv.FormatInt(version, 10)), Revision: revision.New(0, number)}
 }
 
 func (c *Cache) activeVersion() int64 {
@@ -56,7 +57,7 @@
 	c.applyDocument(document(5, 50), now, "store")
 	c.applyDocument(document(4, 40), now.Add(time.Second), "peer")
 	c.applyDocument(document(4, 60), now.Add(time.Second), "store")
-	c.applyDocument(Document{Data: []byte("bad"), Revision: 70}, now.Add(time.Second), "store")
+	c.applyDocument(Document{Data: []byte("bad"), Revision: revision.New(0, 70)}, now.Add(time.Second), "store")
 	if c.activeVersion() != 5 || !c.activeVerifiedAt().Equal(now) {
 		t.Errorf("version %d active, want 5; verified time moved by %v", c.activeVersion(), c.activeVerifiedAt().Sub(now))
 	}
@@ -90,7 +91,7 @@
 	from.replicaList.Update(now, nil)
 	stampSent := now.Add(-30 * time.Millisecond)
 	stampReceived := now.Add(-20 * time.Millisecond) // after 10 ms in transit
-	to.Import(stampSent, from.Export(stampReceived, 0, 0))
+	to.Import(stampSent, from.Export(stampReceived, Versions{}))
 	if to.activeVersion() != 5 {
 		t.Fatalf("version %d active, want 5", to.activeVersion())
 	}
@@ -104,12 +105,11 @@
 	now := steady.Now()
 	c.applyDocument(document(5, 50), now, "store")
 	c.applyChanges(c.replicaList.Update(now, []replica.Replica{{ID: "a"}}))
-	revision, digest := c.Versions()
-	s := c.Export(now, revision, digest)
+	s := c.Export(now, c.Versions())
 	if s.ConfigData != nil || s.HasReplicas || s.Replicas != nil {
 		t.Errorf("exported what the peer has: %+v", s)
 	}
-	if s = c.Export(now, 0, 0); s.ConfigData == nil || len(s.Replicas) != 1 {
+	if s = c.Export(now, Versions{}); s.ConfigData == nil || len(s.Replicas) != 1 {
 		t.Errorf("omitted what the peer lacks: %+v", s)
 	}
 }
@@ -136,8 +136,8 @@
 	return document(1, 1), s.err
 }
 
-func (s *fakeStore) Replicas(context.Context) ([]replica.Replica, int64, error) {
-	return nil, 1, s.err
+func (s *fakeStore) Replicas(context.Context) ([]replica.Replica, revision.Revision, error) {
+	return nil, revision.New(0, 1), s.err
 }
 
 func TestFailedReadKeepsVerifiedTime(t *testing.T) {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -29,6 +29,7 @@
 func (g *Gateway) discover(ctx context.Context) error {
 	// planningSince is zero while this host does not plan.
 	var planningSince, lastAnnounced time.Time
+	announcedEra := g.cache.Era()
 	for ctx.Err() == nil {
 		wait.For(ctx, discoveryInterval)
 		now := steady.Now()
@@ -38,6 +39,11 @@
 		case planningSince.IsZero():
 			planningSince = now
 		}
+		if era := g.cache.Era(); era != announcedEra {
+			// The restored store may have lost the announcement.
+			announcedEra = era
+			lastAnnounced = time.Time{}
+		}
 		if !planningSince.IsZero() && now.Sub(planningSince) >= announceDelay && now.Sub(lastAnnounced) >= announceInterval {
 			lastAnnounced = now
 			g.announce(ctx)
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/revision"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 )
 
@@ -39,11 +40,30 @@
 	// the sender, that is when it received the stamp that Echo repeats; for the receiver, it is the stamp itself. The
 	// latter is earlier, so the state never appears newer than it is.
 	State *feed.State `cbor:"5,keyasint,omitempty"`
-	// ConfigRevision and ReplicaDigest identify the sender's configuration and the set of its replicas. The receiver
-	// omits from the state that it sends what the sender of this heartbeat has already.
+	// These fields identify the sender's configuration and the set of its replicas. The receiver omits from the state
+	// that it sends what the sender of this heartbeat has already.
 	ConfigRevision int64  `cbor:"6,keyasint,omitempty"`
 	ReplicaDigest  uint64 `cbor:"7,keyasint,omitempty"`
-	NoReply        bool   `cbor:"8,keyasint,omitempty"` // must not be replied to: a reply, or an unrequested report
+	ConfigVersion  int64  `cbor:"9,keyasint,omitempty"`
+	ConfigEra      int64  `cbor:"10,keyasint,omitempty"` // of ConfigRevision
+	NoReply        bool   `cbor:"8,keyasint,omitempty"`  // must not be replied to: a reply, or an unrequested report
+}
+
+// SetVersions sets the fields that identify the sender's configuration and replicas.
+func (h *Heartbeat) SetVersions(v feed.Versions) {
+	h.ConfigVersion = v.ConfigVersion
+	h.ConfigRevision = v.ConfigRevision.Number
+	h.ConfigEra = v.ConfigRevision.Era
+	h.ReplicaDigest = v.ReplicaDigest
+}
+
+// Versions returns what identifies the sender's configuration and replicas.
+func (h *Heartbeat) Versions() feed.Versions {
+	return feed.Versions{
+		ConfigVersion:  h.ConfigVersion,
+		ConfigRevision: revision.New(h.ConfigEra, h.ConfigRevision),
+		ReplicaDigest:  h.ReplicaDigest,
+	}
 }
 
 // Progress notifies the planner of the progress of a placed request.
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -53,15 +53,14 @@
 
 // peerLink is a connection to another host, with what the heartbeats on it have reported.
 type peerLink struct {
-	link           *link.Link     // nil while dialing
-	address        netip.AddrPort // of the other host; invalid on accepted connections until the first heartbeat
-	lastStamp      int64          // stamp of the newest heartbeat from the other host; 0 before the first
-	lastStampAt    time.Time      // when lastStamp was received
-	configRevision int64          // revision of the other host's configuration
-	replicaDigest  uint64         // digest of the other host's set of replicas
-	dialing        bool
-	lastScheduled  time.Time // when tick last chose the other host as a contact, or the connection opened
-	membersSentAt  time.Time // when the list of members was last sent
+	link          *link.Link     // nil while dialing
+	address       netip.AddrPort // of the other host; invalid on accepted connections until the first heartbeat
+	lastStamp     int64          // stamp of the newest heartbeat from the other host; 0 before the first
+	lastStampAt   time.Time      // when lastStamp was received
+	versions      feed.Versions  // what the other host has
+	dialing       bool
+	lastScheduled time.Time // when tick last chose the other host as a contact, or the connection opened
+	membersSentAt time.Time // when the list of members was last sent
 }
 
 // placedRequest is a placed request in progress. It is kept so that the request can be reported to a new planner.
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -259,21 +259,15 @@
 // peer must not reply to it, and it may carry the list of members. If the peer has sent a heartbeat before, the
 // heartbeat also carries this host's state, without the configuration and replicas that the peer has.
 func (c *Client) sendHeartbeat(now time.Time, p *peerLink, noReply bool) {
-	configRevision, replicaDigest := c.Cache.Versions()
-	heartbeat := &link.Heartbeat{
-		Stamp:          now.UnixNano(),
-		Host:           c.Roster.Self(),
-		ConfigRevision: configRevision,
-		ReplicaDigest:  replicaDigest,
-		NoReply:        noReply,
-	}
+	heartbeat := &link.Heartbeat{Stamp: now.UnixNano(), Host: c.Roster.Self(), NoReply: noReply}
+	heartbeat.SetVersions(c.Cache.Versions())
 	if noReply && now.Sub(p.membersSentAt) >= membersInterval*time.Duration(1+c.Roster.Size()/membersPerInterval) {
 		p.membersSentAt = now
 		heartbeat.Members = c.Roster.Members(now)
 	}
 	if p.lastStamp != 0 {
 		heartbeat.Echo = p.lastStamp
-		state := c.Cache.Export(p.lastStampAt, p.configRevision, p.replicaDigest)
+		state := c.Cache.Export(p.lastStampAt, p.versions)
 		heartbeat.State = &state
 	}
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
@@ -347,8 +341,7 @@
 	p.address = heartbeat.Host.Address
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
-	p.configRevision = heartbeat.ConfigRevision
-	p.replicaDigest = heartbeat.ReplicaDigest
+	p.versions = heartbeat.Versions()
 	if c.Roster.RecordHeartbeat(now, heartbeat.Host) {
 		c.Log.Event("host_regained", slog.String("peer", heartbeat.Host.Address.String()))
 	}
--- /dev/null
+++ b/internal/replica/list.go
@@ -0,0 +1,191 @@
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// outageGap is the time between two successful reads beyond which the store is taken to have been unavailable, so
+	// that entries may have expired in the meantime.
+	outageGap = 1500 * time.Millisecond
+	// renewalTime is how long after the store is available again a backend server may take to renew its entry.
+	renewalTime = 2 * time.Second
+	// staleTime is how long after a restore of the store the entry of a backend server that has stopped may remain.
+	staleTime = 5 * time.Second
+	// memoryTime is how long a replica that has gone is remembered.
+	memoryTime = time.Minute
+)
+
+// List is the set of active replicas.
+type List struct {
+	replicas  map[string]Replica
+	lastRead  time.Time            // when this or another host last read the store
+	outageEnd time.Time            // first read after the last outage of the store; zero if none since the last Replace
+	missing   map[string]time.Time // for each replica kept without an entry: the first read after the outage
+	gone      map[string]goneReplica
+	// The store may list replicas in an older state until staleUntil, because it was restored from an older copy.
+	staleUntil time.Time
+	restored   bool // the store was restored and this host hasn't read it since
+}
+
+// goneReplica is an incarnation of a replica that has left the list.
+type goneReplica struct {
+	born  int64
+	since time.Time
+}
+
+// Change describes what an update did to one replica.
+type Change struct {
+	Replica Replica
+	Kind    ChangeKind
+}
+
+// ChangeKind says what happened to a replica.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	ChangeNew      ChangeKind = "new"
+	ChangeDraining ChangeKind = "draining" // started to drain
+	ChangeUpdated  ChangeKind = "moved"    // any other field changed
+	ChangeGone     ChangeKind = "gone"
+)
+
+// NewList returns an empty list.
+func NewList() *List {
+	return &List{
+		replicas: make(map[string]Replica), missing: make(map[string]time.Time), gone: make(map[string]goneReplica),
+	}
+}
+
+// BeginRestore records that the store was found at now to be restored from an older copy. Replicas whose entries it has
+// lost get time to renew them. For staleTime, no replica goes back to an earlier state: one that is draining or gone
+// stays so unless it has started again.
+func (l *List) BeginRestore(now time.Time) {
+	l.restored = true
+	l.staleUntil = now.Add(staleTime)
+}
+
+// Update replaces the list by the set of entries that this host read from the store at now and returns what changed.
+// Replicas whose entries expired during an outage of the store are kept until the time for the renewal is over.
+func (l *List) Update(now time.Time, read []Replica) []Change {
+	if l.restored || !l.lastRead.IsZero() && now.Sub(l.lastRead) > outageGap {
+		l.outageEnd = now
+	}
+	l.restored = false
+	l.lastRead = now
+	return l.apply(now, read)
+}
+
+// apply replaces the list by the set read and returns what changed; see Update.
+func (l *List) apply(now time.Time, read []Replica) []Change {
+	var changes []Change
+	l.forgetGone(now)
+	seen := make(map[string]bool, len(read))
+	for _, r := range read {
+		if g, ok := l.gone[r.ID]; ok && g.born == r.Born && now.Before(l.staleUntil) {
+			continue
+		}
+		seen[r.ID] = true
+		delete(l.missing, r.ID)
+		delete(l.gone, r.ID)
+		if change, ok := l.put(now, r); ok {
+			changes = append(changes, change)
+		}
+	}
+	for id, r := range l.replicas {
+		if seen[id] || l.mayBeRenewed(now, id) {
+			continue
+		}
+		delete(l.replicas, id)
+		delete(l.missing, id)
+		l.gone[id] = goneReplica{born: r.Born, since: now}
+		changes = append(changes, Change{Replica: r, Kind: ChangeGone})
+	}
+	return changes
+}
+
+// ConfirmRead records that another host read the same set from the store at the given time, so that the time in which
+// this host didn't read isn't taken for an outage.
+func (l *List) ConfirmRead(read time.Time) {
+	if read.After(l.lastRead) {
+		l.lastRead = read
+	}
+}
+
+// Replace replaces the list by the active replicas of another host, which read them at the given time, and returns what
+// changed.
+func (l *List) Replace(read time.Time, all []Replica) []Change {
+	l.ConfirmRead(read)
+	l.outageEnd = time.Time{}
+	clear(l.missing)
+	return l.apply(read, all)
+}
+
+// forgetGone forgets the replicas that left the list longer than memoryTime ago.
+func (l *List) forgetGone(now time.Time) {
+	for id, g := range l.gone {
+		if now.Sub(g.since) > memoryTime {
+			delete(l.gone, id)
+		}
+	}
+}
+
+// put stores r, which was read at now, and returns the change, or false if nothing changed.
+func (l *List) put(now time.Time, r Replica) (Change, bool) {
+	old, known := l.replicas[r.ID]
+	if old.Draining && old.Born == r.Born && now.Before(l.staleUntil) {
+		r.Draining = true
+	}
+	l.replicas[r.ID] = r
+	switch {
+	case !known:
+		return Change{Replica: r, Kind: ChangeNew}, true
+	case r.Draining && !old.Draining:
+		return Change{Replica: r, Kind: ChangeDraining}, true
+	case r != old:
+		return Change{Replica: r, Kind: ChangeUpdated}, true
+	default:
+		return Change{}, false
+	}
+}
+
+// mayBeRenewed reports whether the entry of replica id, which is missing at now, may have expired during an outage and
+// may still be renewed. It records that the entry is missing.
+func (l *List) mayBeRenewed(now time.Time, id string) bool {
+	if l.outageEnd.IsZero() || now.Sub(l.outageEnd) > renewalTime {
+		return false
+	}
+	if _, ok := l.missing[id]; !ok {
+		if now != l.outageEnd {
+			return false // the entry was there after the outage and was removed since
+		}
+		l.missing[id] = now
+	}
+	return true
+}
+
+// All returns the active replicas, ordered by id.
+func (l *List) All() []Replica {
+	all := make([]Replica, 0, len(l.replicas))
+	for _, r := range l.replicas {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Digest returns a hash of the active replicas, which is the same for lists with the same replicas.
+func (l *List) Digest() uint64 {
+	d := xxhash.New()
+	for _, r := range l.All() {
+		// A write to the hash never fails.
+		_, _ = fmt.Fprintf(d, "%+v\n", r)
+	}
+	return d.Sum64()
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -85,3 +85,43 @@
 		t.Error("digests of different sets are the same")
 	}
 }
+
+// The store comes back from a copy made before replica a drained, b was removed and c registered.
+func TestRestoredStoreTakesNoReplicaBack(t *testing.T) {
+	before := []Replica{{ID: "a", Born: 1}, {ID: "b", Born: 2}}
+	l := NewList()
+	l.Update(start, before)
+	now := start.Add(time.Second)
+	l.Update(now, []Replica{{ID: "a", Born: 1, Draining: true}, {ID: "c", Born: 3}})
+	now = now.Add(time.Second)
+	l.BeginRestore(now)
+	if changes := l.Update(now, before); len(changes) != 0 {
+		t.Errorf("changes at the first read after the restore: %v", kinds(changes))
+	}
+	if changes := l.Update(now.Add(renewalTime/2), before); len(changes) != 0 {
+		t.Errorf("changes within renewalTime: %v", kinds(changes))
+	}
+	now = now.Add(renewalTime + time.Millisecond)
+	if got := kinds(l.Update(now, before)); len(got) != 1 || got["c"] != ChangeGone {
+		t.Errorf("changes after renewalTime: %v, want only c gone", got)
+	}
+	restarted := []Replica{{ID: "a", Born: 8}, {ID: "b", Born: 9}}
+	if got := kinds(l.Update(now.Add(time.Second), restarted)); got["a"] != ChangeUpdated || got["b"] != ChangeNew {
+		t.Errorf("changes after a and b started again: %v, want a moved and b new", got)
+	}
+}
+
+func TestEntryThatOutlivesRestoreIsTaken(t *testing.T) {
+	l := NewList()
+	l.Update(start, []Replica{{ID: "a", Born: 1}})
+	l.Update(start.Add(time.Second), nil)
+	l.BeginRestore(start.Add(2 * time.Second))
+	for now := start.Add(2 * time.Second); now.Before(start.Add(2*time.Second + staleTime)); now = now.Add(time.Second) {
+		if changes := l.Update(now, []Replica{{ID: "a", Born: 1}}); len(changes) != 0 {
+			t.Fatalf("changes %v after the restore: %v", now.Sub(start), kinds(changes))
+		}
+	}
+	if got := kinds(l.Update(start.Add(2*time.Second+staleTime), []Replica{{ID: "a", Born: 1}})); got["a"] != ChangeNew {
+		t.Errorf("changes after staleTime: %v, want a new", got)
+	}
+}
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -72,6 +72,7 @@
 	lastLeaseID int64
 	fault       Fault
 	delay       time.Duration // added before each request is handled
+	era         int64         // number of restores
 	requests    int           // received since the start, including those that met a fault
 }
 
@@ -168,6 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases(time.Now())
+	s.writeEra(w)
 	path := r.URL.Path
 	switch {
 	case r.Method == http.MethodGet && path == "/kv-key":
