replica, relay, planner: replicas that announce that they leave or ask for a pause

A response with Server-Leaving marks the replica as leaving until it starts again: this host sends it nothing more from that moment, and the planner passes the mark on to all others with the list of replicas. The mark outlasts reads of the store, which may still list the replica as ready. A digest of a list without marks is that of earlier versions.

503 with Retry-After: the host sends the replica nothing for that time. The planner places nothing there for up to 1 s, so that its places don't count as free; after that another host finds out whether the pause holds for it too. If no replica is left, the refusal states when the first may be used again.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -296,6 +296,33 @@
 	return nil
 }
 
+// MarkLeaving marks the replica with the given id, if it started at born, as leaving, and reports whether that is new.
+func (c *Cache) MarkLeaving(id string, born int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change, ok := c.replicaList.MarkLeaving(c.now(), id, born)
+	if ok {
+		c.applyChanges([]replica.Change{change})
+	}
+	return ok
+}
+
+// LeavingReplicas returns the replicas that are marked as leaving.
+func (c *Cache) LeavingReplicas() []replica.Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicaList.Leaving()
+}
+
+// MayReceive reports whether new requests may be sent to this incarnation of r. It returns true for a replica that this
+// host doesn't know, since the planner on another host may know it.
+func (c *Cache) MayReceive(r replica.Replica) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.replicaList.Get(r.ID)
+	return !ok || known.Born != r.Born || known.TakesRequests()
+}
+
 // applyChanges makes the list of replicas active after an update of the list, and logs the changes.
 func (c *Cache) applyChanges(changes []replica.Change) {
 	if len(changes) == 0 {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -233,6 +233,67 @@
 	}
 }
 
+// A replica announces in a response that it leaves, while the store still lists it as ready. The host that got the
+// response sends it nothing from then on, and the others once they have been notified.
+func TestReplicaThatAnnouncesItsLeavingGetsNoRequests(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, &faultInjector{})
+	defer c.logOnFailure()
+	leaving := c.replicas[4]
+	leaving.SetLeaving(true)
+	since := time.Now()
+	c.eventually("the replica gets a request", func() bool {
+		c.get(0, "/lookups/1", nil)
+		return len(c.log.Received(leaving.ID, since)) > 0
+	})
+	since = time.Now()
+	for range 20 {
+		c.get(0, "/lookups/1", nil)
+	}
+	if n := len(c.log.Received(leaving.ID, since)); n != 0 {
+		t.Errorf("%d requests reached the replica from the host that it had told", n)
+	}
+	const propagationTime = 500 * time.Millisecond
+	time.Sleep(propagationTime)
+	since = time.Now()
+	for i := range 40 {
+		c.get(i%3, "/lookups/1", nil)
+	}
+	if n := len(c.log.Received(leaving.ID, since)); n != 0 {
+		t.Errorf("%d requests reached the replica from other hosts", n)
+	}
+}
+
+// All replicas of a service refuse requests and ask the host for a pause. At most two requests reach each of them before
+// its end; the others are refused at once and told when to come back.
+func TestReplicasThatAskForPauseGetIt(t *testing.T) {
+	t.Parallel()
+	f := &faultInjector{}
+	c := newCluster(t, 1, f)
+	defer c.logOnFailure()
+	f.set(func(string, *http.Request) replica.Fault { return replica.FaultAskPause })
+	since := time.Now()
+	for time.Since(since) < replica.AskedPause-200*time.Millisecond {
+		resp := c.get(0, "/lookups/1", nil)
+		after, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+		if resp.status != http.StatusServiceUnavailable || err != nil || after <= 0 || after > 2 {
+			t.Errorf("status %d with Retry-After %q, want 503 with 0 to 2 s", resp.status, resp.header.Get("Retry-After"))
+		}
+		if resp.took > 200*time.Millisecond {
+			t.Errorf("the refusal took %v", resp.took)
+		}
+	}
+	for _, r := range c.replicas[4:] {
+		if n := len(c.log.Received(r.ID, since)); n == 0 || n > 2 {
+			t.Errorf("%d requests reached %s, want 1 or 2", n, r.ID)
+		}
+	}
+	f.set(nil)
+	c.eventually("requests are served after the pause", func() bool {
+		return c.get(0, "/lookups/1", nil).status == http.StatusOK
+	})
+}
+
 // Store entries of servers that don't describe a replica are ignored; requests go to the other replicas.
 func TestInvalidReplicaEntriesAreIgnored(t *testing.T) {
 	t.Parallel()
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -22,6 +22,13 @@
 	// planner's reply.
 	ExtraWaitQuery *ExtraWait `cbor:"8,keyasint,omitempty"`
 	ExtraWaitReply *ExtraWait `cbor:"9,keyasint,omitempty"`
+	Leaving        *Leaving   `cbor:"10,keyasint,omitempty"` // notifies the planner that a replica leaves
+}
+
+// Leaving notifies the planner that a replica has announced in a response that it leaves.
+type Leaving struct {
+	Replica string `cbor:"1,keyasint"` // ID
+	Born    int64  `cbor:"2,keyasint,omitempty"`
 }
 
 // ExtraWait is a query or reply about a silent request: a placed request whose backend server sends nothing.
@@ -70,6 +77,7 @@
 type Progress struct {
 	ID      string          `cbor:"1,keyasint"`           // of the request
 	Outcome planner.Outcome `cbor:"2,keyasint,omitempty"` // only in Message.Ended
+	Pause   time.Duration   `cbor:"3,keyasint,omitempty"` // only in Message.Ended: the pause that the server asked for
 }
 
 // PlacementSync reports placed requests of a host that are in progress to the planner, so that it takes them into
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -231,7 +231,7 @@
 	defer c.mu.Unlock()
 	delete(c.pending, req.ID)
 	if !ok {
-		c.reportEnded(req.ID, planner.OutcomeCanceled)
+		c.reportEnded(link.Progress{ID: req.ID, Outcome: planner.OutcomeCanceled})
 		return planner.Result{}, ctx.Err()
 	}
 	if result.Plan != nil {
@@ -361,23 +361,47 @@
 	return 0
 }
 
-// Ended notifies the planner how the request with the given id ended and stops tracking the request.
-func (c *Client) Ended(id string, outcome planner.Outcome) {
+// Ended notifies the planner how the request with the given id ended and stops tracking the request. The pause is the
+// one that the backend server has asked for, 0 for none.
+func (c *Client) Ended(id string, outcome planner.Outcome, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.placed, id)
-	c.reportEnded(id, outcome)
+	c.reportEnded(link.Progress{ID: id, Outcome: outcome, Pause: pause})
 }
 
+// Leaving marks r as leaving on this host and, through the planner, on all others.
+func (c *Client) Leaving(r replica.Replica) {
+	if !c.Cache.MarkLeaving(r.ID, r.Born) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.linkToPlanner(); p != nil {
+		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
+	}
+}
+
+// MayReceive reports whether new requests may be sent to this incarnation of r.
+func (c *Client) MayReceive(r replica.Replica) bool { return c.Cache.MayReceive(r) }
+
 // reportEnded notifies the local planner, which ignores ids that it does not know, and the planner on another host, if
 // that one plans for this host.
-func (c *Client) reportEnded(id string, outcome planner.Outcome) {
+func (c *Client) reportEnded(ended link.Progress) {
 	now := steady.Now()
-	c.localPlanner.Ended(now, c.self().String(), id, outcome)
+	c.endLocal(now, c.self().String(), ended)
 	c.sendResults(now)
 	if p := c.linkToPlanner(); p != nil {
-		p.link.Send(&link.Message{Ended: &link.Progress{ID: id, Outcome: outcome}})
+		p.link.Send(&link.Message{Ended: &ended})
+	}
+}
+
+// endLocal notifies the local planner how a request of host ended.
+func (c *Client) endLocal(now time.Time, host string, ended link.Progress) {
+	if ended.Pause > 0 {
+		c.localPlanner.Pause(now, host, ended.ID, ended.Pause)
 	}
+	c.localPlanner.Ended(now, host, ended.ID, ended.Outcome)
 }
 
 // sendResults sends the results on which the local planner can decide now to the hosts that requested them.
@@ -403,7 +427,7 @@
 	replies := c.pending[result.ID]
 	if replies == nil {
 		if result.Plan != nil && c.placed[result.ID] == nil {
-			c.reportEnded(result.ID, planner.OutcomeCanceled)
+			c.reportEnded(link.Progress{ID: result.ID, Outcome: planner.OutcomeCanceled})
 		}
 		return
 	}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -231,9 +231,12 @@
 	}
 }
 
-// syncPlanner sends all placed requests in progress to a new planner.
+// syncPlanner sends all placed requests in progress and the replicas that leave to a new planner.
 func (c *Client) syncPlanner(now time.Time, p *peerLink) {
 	p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Complete: true, Placements: c.currentPlacements(now)}})
+	for _, r := range c.Cache.LeavingReplicas() {
+		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
+	}
 }
 
 // currentPlacements returns the placed requests in progress with their remaining times.
@@ -306,7 +309,9 @@
 	case m.Started != nil:
 		c.localPlanner.Started(now, host, m.Started.ID)
 	case m.Ended != nil:
-		c.localPlanner.Ended(now, host, m.Ended.ID, m.Ended.Outcome)
+		c.endLocal(now, host, *m.Ended)
+	case m.Leaving != nil:
+		c.Cache.MarkLeaving(m.Leaving.Replica, m.Leaving.Born)
 	case m.PlacementSync != nil:
 		if m.PlacementSync.Complete {
 			c.localPlanner.RemoveHost(now, host)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -398,3 +398,19 @@
 	}
 	t.Error("the request behind it got no plan")
 }
+
+// A replica that asks one host for a pause counts as having no free place for any host, and is tried again later.
+func TestPausedReplicaGetsNoRequests(t *testing.T) {
+	p := newDomainPlanner(2)
+	first := mustPlan(t, p, at(0), shortRequest(0))
+	p.Pause(at(10), "h", "s0", time.Minute)
+	p.Ended(at(10), "h", "s0", OutcomeRefused)
+	for i := 1; i <= 5; i++ {
+		if plan := mustPlan(t, p, at(10+i), shortRequest(i)); plan.Replica.ID == first.Replica.ID {
+			t.Errorf("request %d goes to the replica that asked for a pause", i)
+		}
+	}
+	if s := p.services["llm"][first.Replica.ID]; s.usable(at(900)) || !s.usable(at(10).Add(maxCommonPause)) {
+		t.Errorf("the replica isn't tried again after %v", maxCommonPause)
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// Pause is called before Ended if the backend server has asked the host for a pause of d.
+func (p *Planner) Pause(now time.Time, host, id string, d time.Duration) {
+	if j := p.jobs[jobKey{host, id}]; j != nil {
+		j.server.pausedUntil = now.Add(min(d, maxCommonPause))
+	}
+}
+
 // countHelperFailures counts a failure against the helper replicas of a prompt that failed, since any of them may be
 // the cause.
 func countHelperFailures(now time.Time, helpers []*server) {
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -39,7 +39,7 @@
 	req := w.request
 	req.SubtractElapsed(r.now.Sub(w.arrived))
 	servers := r.planner.usableServers(r.now, &req)
-	if refusal := r.planner.immediateRefusal(&req, servers); refusal != nil {
+	if refusal := r.planner.immediateRefusal(r.now, &req, servers); refusal != nil {
 		return r.planner.refuse(&req, refusal)
 	}
 	q := r.queue(req.Service)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -18,6 +18,9 @@
 	// further failure, up to maxExclusion.
 	minExclusion = 500 * time.Millisecond
 	maxExclusion = 4 * time.Second
+	// A server that asks one host for a pause gets no requests of other hosts for at most this time. After it, the next
+	// host finds out whether the server asks it for a pause too.
+	maxCommonPause = time.Second
 	// Time after a first event or complete response for which a server is assumed to be alive.
 	aliveWindow = 500 * time.Millisecond
 	// If a request's predicted wait, for queued prefill or the next pass, exceeds this, the server's silence is not
@@ -39,6 +42,7 @@
 	exclusionTime   time.Duration // length of its last exclusion; 0 after a first event or complete response
 	excludedAt      time.Time     // time at which it was last excluded
 	refusedUntil    time.Time     // after OutcomeRefused: is no primary replica before this time
+	pausedUntil     time.Time     // asked for a pause: gets no requests before this time
 	lastAlive       time.Time     // time of the last first event or complete response from it
 }
 
@@ -51,9 +55,9 @@
 	return max(1, s.replica.Slots)
 }
 
-// usable reports whether the server is neither draining nor excluded.
+// usable reports whether the server takes requests and is neither excluded nor paused.
 func (s *server) usable(now time.Time) bool {
-	return !s.replica.Draining && !now.Before(s.excludedUntil)
+	return s.replica.TakesRequests() && !now.Before(s.excludedUntil) && !now.Before(s.pausedUntil)
 }
 
 // freeMemory returns the free memory of the server's engine in tokens.
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -9,7 +9,7 @@
 const (
 	// Usual duration of a request at a service without an engine.
 	plainRequestTime = 60 * time.Millisecond
-	// Time after which a caller may retry if the service has no replica.
+	// Time after which a caller may retry if the service has no replica, or none that can be used sooner.
 	noReplicaRetryAfter = time.Second
 )
 
@@ -71,20 +71,36 @@
 }
 
 // immediateRefusal returns the refusal of a request that is not kept waiting, or nil.
-func (p *Planner) immediateRefusal(req *Request, servers []*server) *Refusal {
+func (p *Planner) immediateRefusal(now time.Time, req *Request, servers []*server) *Refusal {
 	switch {
 	case req.Deadline <= 0:
 		return &Refusal{Cause: CauseOutOfTime, RetryAfter: minRetryAfter}
 	case req.Fingerprint != 0 && p.crashes[req.Fingerprint].count >= maxCrashes:
 		return &Refusal{Cause: CauseCrashes, RetryAfter: crashRetention}
 	case len(servers) == 0:
-		return &Refusal{Cause: CauseNoReplica, RetryAfter: noReplicaRetryAfter}
+		return &Refusal{Cause: CauseNoReplica, RetryAfter: p.usableAfter(now, req.Service)}
 	case tooLarge(req, servers):
 		return &Refusal{Cause: CauseTooLarge, RetryAfter: crashRetention}
 	}
 	return nil
 }
 
+// usableAfter returns the time until the first excluded or paused replica of a service may be used again, at least
+// minRetryAfter and at most noReplicaRetryAfter.
+func (p *Planner) usableAfter(now time.Time, service string) time.Duration {
+	after := noReplicaRetryAfter
+	for _, s := range p.services[service] {
+		until := s.excludedUntil
+		if s.pausedUntil.After(until) {
+			until = s.pausedUntil
+		}
+		if wait := until.Sub(now); wait > 0 && s.replica.TakesRequests() {
+			after = min(after, wait)
+		}
+	}
+	return max(after, minRetryAfter)
+}
+
 // tooLarge reports whether the request needs more memory than the largest allowed set of servers has.
 func tooLarge(req *Request, servers []*server) bool {
 	if servers[0].model == nil {
--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -44,7 +44,7 @@
 		PauseTarget:      c.PauseTarget,
 		Deadline:         c.Deadline().Sub(now),
 		Priority:         c.Priority,
-		ExcludedReplicas: t.excludedReplicas,
+		ExcludedReplicas: append(t.relay.pauses.IDs(now), t.excludedReplicas...),
 		Fingerprint:      t.fingerprint,
 		UntilDisconnect:  untilDisconnect,
 		PauseTimeout:     pauseTimeout,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,18 +16,23 @@
 	"github.com/turmericshunt/turmericshunt/internal/budget"
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/pause"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
 // PlannerClient is what the relay needs of the client of the planner, which is placement.Client: Place requests a
-// placement for a call, Started and Ended report the placement's first event and its outcome. ExtraWait returns how
-// much longer to wait for a silent server of a placement, 0 for no longer.
+// placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
+// server has asked for. ExtraWait returns how much longer to wait for a silent server of a placement, 0 for no longer.
+// Leaving reports a replica that has announced that it leaves; MayReceive returns false for a replica that leaves.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
 	Started(id string)
-	Ended(id string, outcome planner.Outcome)
+	Ended(id string, outcome planner.Outcome, pause time.Duration)
 	ExtraWait(ctx context.Context, id string) time.Duration
+	Leaving(r replica.Replica)
+	MayReceive(r replica.Replica) bool
 }
 
 // MemoryReserver reserves memory at the engine with the given address. Reserve also renews a reservation that the
@@ -52,6 +57,7 @@
 	Log           *eventlog.Log
 	Metrics       tally.Scope
 
+	pauses          pause.Table   // that backend servers have asked this host for
 	lastPlacementID atomic.Uint64 // number from which the ID of the last placement request was made
 	inFlight        atomic.Int64  // calls without a complete response
 }
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -15,6 +15,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
@@ -42,6 +43,7 @@
 	firstEventDelay  time.Duration // from receipt of the call to the first event or the complete response; 0 before
 	lastForwarded    time.Time     // when the last events were forwarded; zero before the first
 	longestPause     time.Duration // longest pause between forwarded events
+	pause            time.Duration // that the server of the current attempt has asked this host for
 }
 
 // response is a server's complete response that isn't a stream.
@@ -62,8 +64,14 @@
 			t.finishRefused(result.Refusal)
 			return
 		}
+		if !t.mayReceive(result.Plan.Replica) {
+			t.relay.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, 0)
+			t.excludedReplicas = append(t.excludedReplicas, result.Plan.Replica.ID)
+			continue
+		}
+		t.pause = 0
 		outcome, err := t.attempt(result)
-		t.relay.PlannerClient.Ended(result.ID, outcome)
+		t.relay.PlannerClient.Ended(result.ID, outcome, t.pause)
 		t.progress.record(outcome)
 		t.relay.Metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("attempts").Inc(1)
 		if outcome == planner.OutcomeCompleted {
@@ -87,6 +95,24 @@
 	}
 }
 
+// mayReceive reports whether the call may be sent to r: r doesn't leave and hasn't asked this host for a pause. The
+// planner may not know that yet.
+func (t *transfer) mayReceive(r replica.Replica) bool {
+	return t.relay.PlannerClient.MayReceive(r) && !t.relay.pauses.Paused(steady.Now(), r)
+}
+
+// noteRequests takes over what the head of a response from r says about further requests to r.
+func (t *transfer) noteRequests(r replica.Replica, head *backend.ResponseHead) {
+	if head.Leaving {
+		t.relay.PlannerClient.Leaving(r)
+	}
+	if head.Pause > 0 {
+		t.pause = head.Pause
+		now := steady.Now()
+		t.relay.pauses.Add(now, r, now.Add(head.Pause))
+	}
+}
+
 func (t *transfer) logAttempt(result planner.Result, outcome planner.Outcome, err error) {
 	fields := []slog.Attr{
 		slog.String("request_id", t.call.ID),
@@ -124,6 +150,7 @@
 		return outcomeOf(err), err
 	}
 	defer x.Abort()
+	t.noteRequests(plan.Replica, x.Head)
 	switch {
 	case x.Head.NotRun:
 		_, err := x.ReadAll(t.ctx, maxResponseBytes)
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -24,19 +23,20 @@
 // List is the set of active replicas.
 type List struct {
 	replicas  map[string]Replica
-	lastRead  time.Time            // when this or another host last read the store
-	outageEnd time.Time            // first read after the last outage of the store; zero if none since the last Replace
-	missing   map[string]time.Time // for each replica kept without an entry: the first read after the outage
-	gone      map[string]goneReplica
+	lastRead  time.Time              // when this or another host last read the store
+	outageEnd time.Time              // first read after the last outage of the store; zero if none since the last Replace
+	missing   map[string]time.Time   // for each replica kept without an entry: the first read after the outage
+	gone      map[string]incarnation // replicas that have left the list
+	leaving   map[string]incarnation // replicas that have announced that they leave
 	// The store may list replicas in an older state until staleUntil, because it was restored from an older copy.
 	staleUntil time.Time
 	restored   bool // the store was restored and this host hasn't read it since
 }
 
-// goneReplica is an incarnation of a replica that has left the list.
-type goneReplica struct {
+// incarnation is one start of a replica.
+type incarnation struct {
 	born  int64
-	since time.Time
+	since time.Time // when it left the list or was marked as leaving
 }
 
 // Change describes what an update did to one replica.
@@ -51,7 +51,7 @@
 // The kinds of changes.
 const (
 	ChangeNew      ChangeKind = "new"
-	ChangeDraining ChangeKind = "draining" // started to drain
+	ChangeDraining ChangeKind = "draining" // started to drain or announced that it leaves
 	ChangeUpdated  ChangeKind = "moved"    // any other field changed
 	ChangeGone     ChangeKind = "gone"
 )
@@ -59,10 +59,27 @@
 // NewList returns an empty list.
 func NewList() *List {
 	return &List{
-		replicas: make(map[string]Replica), missing: make(map[string]time.Time), gone: make(map[string]goneReplica),
+		replicas: make(map[string]Replica), missing: make(map[string]time.Time),
+		gone: make(map[string]incarnation), leaving: make(map[string]incarnation),
 	}
 }
 
+// MarkLeaving marks the replica with the given id, if it started at born, as leaving, and returns the change. It returns
+// false if it is marked already or not in the list in this incarnation. The mark lasts until the replica starts again.
+func (l *List) MarkLeaving(now time.Time, id string, born int64) (Change, bool) {
+	r, ok := l.replicas[id]
+	if !ok || r.Born != born || r.Leaving {
+		return Change{}, false
+	}
+	r.Leaving = true
+	return l.put(now, r)
+}
+
+// Leaving returns the replicas of the list that are marked as leaving, ordered by id.
+func (l *List) Leaving() []Replica {
+	return slices.DeleteFunc(l.All(), func(r Replica) bool { return !r.Leaving })
+}
+
 // BeginRestore records that the store was found at now to be restored from an older copy. Replicas whose entries it has
 // lost get time to renew them. For staleTime, no replica goes back to an earlier state: one that is draining or gone
 // stays so unless it has started again.
@@ -85,7 +102,7 @@
 // apply replaces the list by the set read and returns what changed; see Update.
 func (l *List) apply(now time.Time, read []Replica) []Change {
 	var changes []Change
-	l.forgetGone(now)
+	l.forget(now)
 	seen := make(map[string]bool, len(read))
 	for _, r := range read {
 		if g, ok := l.gone[r.ID]; ok && g.born == r.Born && now.Before(l.staleUntil) {
@@ -104,7 +121,7 @@
 		}
 		delete(l.replicas, id)
 		delete(l.missing, id)
-		l.gone[id] = goneReplica{born: r.Born, since: now}
+		l.gone[id] = incarnation{born: r.Born, since: now}
 		changes = append(changes, Change{Replica: r, Kind: ChangeGone})
 	}
 	return changes
@@ -127,11 +144,14 @@
 	return l.apply(read, all)
 }
 
-// forgetGone forgets the replicas that left the list longer than memoryTime ago.
-func (l *List) forgetGone(now time.Time) {
-	for id, g := range l.gone {
-		if now.Sub(g.since) > memoryTime {
-			delete(l.gone, id)
+// forget forgets what is remembered of replicas that aren't in the list and have left it, or announced that they leave,
+// longer than memoryTime ago.
+func (l *List) forget(now time.Time) {
+	for _, remembered := range []map[string]incarnation{l.gone, l.leaving} {
+		for id, i := range remembered {
+			if _, listed := l.replicas[id]; !listed && now.Sub(i.since) > memoryTime {
+				delete(remembered, id)
+			}
 		}
 	}
 }
@@ -142,11 +162,19 @@
 	if old.Draining && old.Born == r.Born && now.Before(l.staleUntil) {
 		r.Draining = true
 	}
+	switch mark, marked := l.leaving[r.ID]; {
+	case marked && mark.born == r.Born:
+		r.Leaving = true
+	case r.Leaving:
+		l.leaving[r.ID] = incarnation{born: r.Born, since: now}
+	case marked:
+		delete(l.leaving, r.ID)
+	}
 	l.replicas[r.ID] = r
 	switch {
 	case !known:
 		return Change{Replica: r, Kind: ChangeNew}, true
-	case r.Draining && !old.Draining:
+	case r.Draining && !old.Draining, r.Leaving && !old.Leaving:
 		return Change{Replica: r, Kind: ChangeDraining}, true
 	case r != old:
 		return Change{Replica: r, Kind: ChangeUpdated}, true
@@ -170,6 +198,12 @@
 	return true
 }
 
+// Get returns the replica with the given id, or false if there is none.
+func (l *List) Get(id string) (Replica, bool) {
+	r, ok := l.replicas[id]
+	return r, ok
+}
+
 // All returns the active replicas, ordered by id.
 func (l *List) All() []Replica {
 	all := make([]Replica, 0, len(l.replicas))
@@ -185,7 +219,7 @@
 	d := xxhash.New()
 	for _, r := range l.All() {
 		// A write to the hash never fails.
-		_, _ = fmt.Fprintf(d, "%+v\n", r)
+		_ = r.print(d)
 	}
 	return d.Sum64()
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,9 +1,13 @@
 package replica
 
-import "net/netip"
+import (
+	"fmt"
+	"io"
+	"net/netip"
+)
 
 // Replica is one backend server, as described by its entry in the store. Hosts exchange replicas under the names of
-// these fields and compare digests of their printed form, so names and order must stay.
+// these fields.
 type Replica struct {
 	ID            string
 	Service       string
@@ -12,4 +16,21 @@
 	Slots         int   // requests that it runs at once at most; 0 if unknown
 	Draining      bool  // takes no new requests
 	Born          int64 // start time in Unix milliseconds; differs between incarnations with the same id
+	// Leaving says that the backend server itself has announced in a response that it takes no new requests, whatever its
+	// entry says.
+	Leaving bool `cbor:",omitempty"`
+}
+
+// TakesRequests reports whether new requests may be sent to the replica.
+func (r Replica) TakesRequests() bool { return !r.Draining && !r.Leaving }
+
+// print writes the replica in the form of which hosts compare digests. Earlier versions of the program don't know
+// Leaving, so it is written only if it is set.
+func (r Replica) print(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "{ID:%s Service:%s Address:%v FailureDomain:%s Slots:%d Draining:%t Born:%d}\n", r.ID, r.Service,
+		r.Address, r.FailureDomain, r.Slots, r.Draining, r.Born)
+	if err == nil && r.Leaving {
+		_, err = io.WriteString(w, "leaving\n")
+	}
+	return err
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,8 +1,12 @@
 package replica
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 var start = time.Unix(1000, 0)
@@ -125,3 +129,58 @@
 		t.Errorf("changes after staleTime: %v, want a new", got)
 	}
 }
+
+func TestLeavingReplicaStaysSoUntilItStartsAgain(t *testing.T) {
+	l := NewList()
+	ready := []Replica{{ID: "a", Born: 1}, {ID: "b", Born: 2}}
+	l.Update(start, ready)
+	if _, ok := l.MarkLeaving(start, "a", 7); ok {
+		t.Error("another incarnation was marked as leaving")
+	}
+	change, ok := l.MarkLeaving(start, "a", 1)
+	if !ok || change.Kind != ChangeDraining {
+		t.Errorf("change %+v, %v; want a draining", change, ok)
+	}
+	peer := NewList()
+	peer.Replace(start, l.All())
+	for name, list := range map[string]*List{"own": l, "peer's": peer} {
+		list.Update(start.Add(time.Second), ready)
+		list.Update(start.Add(2*time.Second), nil)
+		list.Update(start.Add(3*time.Second), ready)
+		if a, _ := list.Get("a"); a.TakesRequests() {
+			t.Errorf("%s list: a takes requests although it leaves", name)
+		}
+		if b, _ := list.Get("b"); !b.TakesRequests() || len(list.Leaving()) != 1 {
+			t.Errorf("%s list: %d replicas leave, want only a", name, len(list.Leaving()))
+		}
+		list.Update(start.Add(4*time.Second), []Replica{{ID: "a", Born: 9}})
+		if a, _ := list.Get("a"); !a.TakesRequests() {
+			t.Errorf("%s list: the new incarnation of a takes no requests", name)
+		}
+	}
+}
+
+// Hosts of earlier versions compute the digest from the printed form of these fields.
+func TestDigestIsThatOfEarlierVersions(t *testing.T) {
+	type earlier struct {
+		ID            string
+		Service       string
+		Address       netip.AddrPort
+		FailureDomain string
+		Slots         int
+		Draining      bool
+		Born          int64
+	}
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	r := Replica{ID: "i-1", Service: "s", Address: address, FailureDomain: "a", Slots: 6, Draining: true, Born: 17}
+	l := NewList()
+	l.Update(start, []Replica{r})
+	text := fmt.Sprintf("%+v\n", earlier{"i-1", "s", address, "a", 6, true, 17})
+	if got, want := l.Digest(), xxhash.Sum64String(text); got != want {
+		t.Errorf("digest %x, want %x, that of %q", got, want, text)
+	}
+	l.MarkLeaving(start, "i-1", 17)
+	if l.Digest() == xxhash.Sum64String(text) {
+		t.Error("the digest doesn't change when a replica announces that it leaves")
+	}
+}
