feed, placement: hosts send each other changes in place of the whole

Cause: each change of a replica sent the whole list to every host, and each version of the configuration the whole document; every host got the whole list of hosts.

Now a list of replicas remembers its latest changes by digest, and a document is sent as a zstd patch of the one before it (DEFLATE's window of 32 kB is too short for documents of 300 kB). What was sent counts as received until a later heartbeat says otherwise. Only the first 32 hosts of the planning order are sent, with the number of all; the planner and the standbys hear from all directly. Replicas are sent only by the host that read them later. Hosts of earlier versions get the whole as before.

--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
 )
@@ -25,14 +27,33 @@
 	ReplicaEra     int64         `cbor:"11,keyasint,omitempty"` // of ReplicaRevision
 	Era            int64         `cbor:"12,keyasint,omitempty"` // newest era of the store that the sender knows
 	UntilRewritten time.Duration `cbor:"13,keyasint,omitempty"` // until the store has all again that was written before Era
+	// ConfigPatch is sent in place of ConfigData, and ReplicaDelta in place of Replicas, to a receiver that has what they
+	// change.
+	ConfigPatch  []byte         `cbor:"14,keyasint,omitempty"`
+	ConfigBase   uint64         `cbor:"15,keyasint,omitempty"` // digest of the document that ConfigPatch changes
+	ReplicaDelta *replica.Delta `cbor:"16,keyasint,omitempty"`
+}
+
+// HasContent reports whether the state contains the configuration or replicas, or a change of them.
+func (s *State) HasContent() bool {
+	return s.ConfigData != nil || s.ConfigPatch != nil || s.HasReplicas || s.ReplicaDelta != nil
 }
 
 // Versions identifies the configuration and the set of replicas that a host has. The zero value is that of a host that
 // has neither. Hosts of earlier versions report no ConfigVersion.
 type Versions struct {
-	ConfigVersion  int64
-	ConfigRevision revision.Revision
-	ReplicaDigest  uint64
+	ConfigVersion   int64
+	ConfigRevision  revision.Revision
+	ReplicaDigest   uint64
+	ReplicaRevision revision.Revision // of the store when the replicas were read
+	ReplicasReadAt  time.Time         // zero if it isn't known
+	AcceptsChanges  bool              // the host accepts changes of what it has in place of the whole
+}
+
+// SameContent reports whether v and other are the same configuration and replicas.
+func (v Versions) SameContent(other Versions) bool {
+	return v.ConfigVersion == other.ConfigVersion && v.ConfigRevision == other.ConfigRevision &&
+		v.ReplicaDigest == other.ReplicaDigest
 }
 
 // Versions returns what this host has.
@@ -43,7 +64,10 @@
 }
 
 func (c *Cache) versions() Versions {
-	v := Versions{ConfigRevision: c.document.Revision, ReplicaDigest: c.replicaDigest}
+	v := Versions{
+		ConfigRevision: c.document.Revision, ReplicaDigest: c.replicaDigest, ReplicaRevision: c.replicaRevision,
+		ReplicasReadAt: c.replicasReadAt, AcceptsChanges: true,
+	}
 	if c.configuration != nil {
 		v.ConfigVersion = c.configuration.Version
 	}
@@ -63,24 +87,48 @@
 		ReplicaRevision: c.replicaRevision.Number,
 		ReplicaEra:      c.replicaRevision.Era,
 		ReplicaDigest:   c.replicaDigest,
-		HasReplicas:     c.replicaDigest != 0 && c.replicaDigest != peer.ReplicaDigest,
 		ConfigVerified:  c.verifiedAt.Sub(base),
 		ReplicaRead:     c.replicasReadAt.Sub(base),
 		Era:             c.era,
 		UntilRewritten:  max(c.rewrittenAt.Sub(c.now()), 0),
 	}
 	if own.hasNewerDocument(peer) {
-		if c.compressed == nil {
-			c.compressed = compress(c.document.Data)
-		}
-		s.ConfigData = c.compressed
+		c.exportDocument(&s, peer)
 	}
-	if s.HasReplicas {
-		s.Replicas = c.replicas
+	if own.hasNewerReplicas(peer) {
+		c.exportReplicas(&s, peer)
 	}
 	return s
 }
 
+// exportDocument adds the active document to the state, as a change if the peer has the one before it.
+func (c *Cache) exportDocument(s *State, peer Versions) {
+	if peer.AcceptsChanges && !c.previous.Revision.IsZero() && peer.ConfigRevision == c.previous.Revision {
+		if c.patch == nil {
+			c.patch = makePatch(c.previous.Data, c.document.Data)
+		}
+		s.ConfigPatch = c.patch
+		s.ConfigBase = xxhash.Sum64(c.previous.Data)
+		return
+	}
+	if c.compressed == nil {
+		c.compressed = compress(c.document.Data)
+	}
+	s.ConfigData = c.compressed
+}
+
+// exportReplicas adds the replicas to the state, as a change if it is known what the peer has.
+func (c *Cache) exportReplicas(s *State, peer Versions) {
+	if peer.AcceptsChanges {
+		if delta, ok := c.replicaList.Delta(peer.ReplicaDigest); ok {
+			s.ReplicaDelta = delta
+			return
+		}
+	}
+	s.HasReplicas = true
+	s.Replicas = c.replicas
+}
+
 // hasNewerDocument reports whether v has a newer configuration document than peer.
 func (v Versions) hasNewerDocument(peer Versions) bool {
 	if peer.ConfigVersion == 0 {
@@ -89,6 +137,15 @@
 	return compareDocuments(v.ConfigVersion, v.ConfigRevision, peer.ConfigVersion, peer.ConfigRevision) > 0
 }
 
+// hasNewerReplicas reports whether v has another set of replicas than peer that was read later.
+func (v Versions) hasNewerReplicas(peer Versions) bool {
+	if v.ReplicaDigest == 0 || v.ReplicaDigest == peer.ReplicaDigest {
+		return false
+	}
+	order := v.ReplicaRevision.Compare(peer.ReplicaRevision)
+	return order > 0 || order == 0 && v.ReplicasReadAt.After(peer.ReplicasReadAt)
+}
+
 // Import takes over what is newer in the state that a peer sent. Times in the state are relative to base.
 func (c *Cache) Import(base time.Time, s State) {
 	c.mu.Lock()
@@ -105,8 +162,8 @@
 	doc := Document{Revision: revision.New(s.ConfigEra, s.ConfigRevision)}
 	switch {
 	case s.ConfigRevision == 0:
-	case s.ConfigData != nil:
-		data, err := decompress(s.ConfigData)
+	case s.ConfigData != nil, s.ConfigPatch != nil && s.ConfigBase == xxhash.Sum64(c.document.Data):
+		data, err := c.decodeDocument(s)
 		if err != nil {
 			c.Log.Warn("configuration_unreadable", slog.Int64("revision", s.ConfigRevision),
 				slog.Int64("era", s.ConfigEra), slog.String("error", err.Error()))
@@ -119,6 +176,14 @@
 	}
 }
 
+// decodeDocument returns the document in the state, whole or as a change of the active one.
+func (c *Cache) decodeDocument(s State) ([]byte, error) {
+	if s.ConfigData != nil {
+		return decompress(s.ConfigData)
+	}
+	return applyPatch(c.document.Data, s.ConfigPatch)
+}
+
 // importReplicas takes over the replicas in the state if they are newer. For replicas of the same revision, the later
 // read is the newer.
 func (c *Cache) importReplicas(base time.Time, s State) {
@@ -132,6 +197,12 @@
 		c.replicaRevision = readRevision
 		c.replicasReadAt = readAt
 		c.applyChanges(c.replicaList.Replace(readAt, s.Replicas))
+	case s.ReplicaDelta != nil:
+		if changes, ok := c.replicaList.Apply(readAt, s.ReplicaDelta); ok {
+			c.replicaRevision = readRevision
+			c.replicasReadAt = readAt
+			c.applyChanges(changes)
+		}
 	case s.ReplicaDigest == c.replicaDigest:
 		c.replicaRevision = readRevision
 		c.replicasReadAt = readAt
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -61,7 +61,9 @@
 	mu              sync.Mutex
 	configuration   *catalog.Configuration // decoded from document; nil until there is one
 	document        Document
+	previous        Document          // the active document before this one
 	compressed      []byte            // document.Data compressed; nil until a peer needs it
+	patch           []byte            // document.Data compressed as a change of previous.Data; nil until a peer needs it
 	verifiedAt      time.Time         // when document was last verified to be the newest
 	skipped         revision.Revision // of the last document that was not activated
 	era             int64             // newest era of the store that this host knows
@@ -259,8 +261,9 @@
 			slog.Int64("era", doc.Revision.Era))
 		return false
 	}
+	c.previous = c.document
 	c.document = doc
-	c.compressed = nil
+	c.compressed, c.patch = nil, nil
 	c.configuration = config
 	c.Metrics.Gauge("config_version").Update(float64(config.Version))
 	return true
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -104,6 +104,7 @@
 	c := newCache(t)
 	now := steady.Now()
 	c.applyDocument(document(5, 50), now, "store")
+	c.replicasReadAt = now
 	c.applyChanges(c.replicaList.Update(now, []replica.Replica{{ID: "a"}}))
 	s := c.Export(now, c.Versions())
 	if s.ConfigData != nil || s.HasReplicas || s.Replicas != nil {
@@ -165,3 +166,64 @@
 		t.Error("a truncated document was accepted")
 	}
 }
+
+// Two hosts exchange their states over many changes: all that is sent after the first time are changes, and both have
+// the same at the end.
+func TestOnlyChangesAreSent(t *testing.T) {
+	from, to := newCache(t), newCache(t)
+	now := steady.Now()
+	var replicas []replica.Replica
+	for i := range 200 {
+		replicas = append(replicas, replica.Replica{ID: strconv.Itoa(1000 + i), Born: 1})
+	}
+	for step := range 60 {
+		now = now.Add(time.Second)
+		switch {
+		case step%3 == 0:
+			replicas[step].Draining = true
+		case step%3 == 1:
+			replicas = append(replicas[:step], replicas[step+1:]...)
+		default:
+			replicas = append(replicas, replica.Replica{ID: strconv.Itoa(5000 + step), Born: 2})
+		}
+		from.replicaRevision = revision.New(0, int64(step+1))
+		from.replicasReadAt = now
+		from.applyChanges(from.replicaList.Update(now, replicas))
+		from.applyDocument(Document{Data: []byte(strconv.Itoa(step+1) + strings.Repeat(" ", 5000)),
+			Revision: revision.New(0, int64(step+1))}, now, "store")
+		s := from.Export(now, to.Versions())
+		if step > 0 && (s.ConfigData != nil || s.Replicas != nil || len(s.ReplicaDelta.Changed)+len(s.ReplicaDelta.Removed) != 1) {
+			t.Fatalf("step %d: the whole is sent", step)
+		}
+		to.Import(now, s)
+		if !to.Versions().SameContent(from.Versions()) {
+			t.Fatalf("step %d: versions %+v, want %+v", step, to.Versions(), from.Versions())
+		}
+	}
+}
+
+// A change of another list or document than the receiver's is not applied, and the receiver goes on reporting its own.
+func TestChangeOfAnotherBaseIsNotApplied(t *testing.T) {
+	from, to := newCache(t), newCache(t)
+	now := steady.Now()
+	from.replicaRevision = revision.New(0, 1)
+	from.replicasReadAt = now
+	from.applyChanges(from.replicaList.Update(now, []replica.Replica{{ID: "a"}}))
+	from.applyDocument(document(5, 50), now, "store")
+	before := from.Versions()
+	from.replicasReadAt = now.Add(time.Second)
+	from.applyChanges(from.replicaList.Update(now.Add(time.Second), []replica.Replica{{ID: "a"}, {ID: "b"}}))
+	from.applyDocument(document(6, 60), now, "store")
+	s := from.Export(now, before)
+	if s.ConfigPatch == nil || s.ReplicaDelta == nil {
+		t.Fatalf("state %+v, want changes", s)
+	}
+	to.Import(now, s)
+	if to.activeVersion() != 0 || len(to.Replicas()) != 0 {
+		t.Errorf("version %d and %d replicas from changes of what the host doesn't have", to.activeVersion(), len(to.Replicas()))
+	}
+	to.Import(now, from.Export(now, to.Versions()))
+	if !to.Versions().SameContent(from.Versions()) {
+		t.Errorf("versions %+v, want %+v", to.Versions(), from.Versions())
+	}
+}
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"math/bits"
 
+	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
 )
 
@@ -29,3 +31,33 @@
 	}
 	return data, err
 }
+
+// makePatch returns data compressed as a change of base. Unlike DEFLATE, whose window is 32 KB, it finds what a large
+// document shares with base wherever it stands.
+func makePatch(base, data []byte) []byte {
+	// No error is possible: the options are valid.
+	w, _ := zstd.NewWriter(nil, zstd.WithEncoderDictRaw(patchDictionary, base), zstd.WithEncoderConcurrency(1),
+		zstd.WithWindowSize(windowSize(len(base)+len(data))), zstd.WithLowerEncoderMem(true),
+		zstd.WithEncoderLevel(zstd.SpeedFastest))
+	return w.EncodeAll(data, nil)
+}
+
+// applyPatch reverses makePatch. It returns an error if the patch is damaged, if it is a change of another document, or
+// if the document exceeds maxDocumentBytes.
+func applyPatch(base, patch []byte) ([]byte, error) {
+	r, err := zstd.NewReader(nil, zstd.WithDecoderDictRaw(patchDictionary, base), zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxDocumentBytes))
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	return r.DecodeAll(patch, nil)
+}
+
+// patchDictionary is the ID by which a patch names its base.
+const patchDictionary = 1
+
+// windowSize returns the smallest window that holds size bytes: a power of 2.
+func windowSize(size int) int {
+	return max(zstd.MinWindowSize, min(1<<bits.Len(uint(size)), maxDocumentBytes))
+}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -42,7 +42,9 @@
 	Stamp   int64           `cbor:"1,keyasint"`           // boot-time clock of the sender, in nanoseconds
 	Echo    int64           `cbor:"2,keyasint,omitempty"` // last Stamp received from the receiver; 0 if there is none
 	Host    roster.Member   `cbor:"3,keyasint"`           // the sender
-	Members []roster.Member `cbor:"4,keyasint,omitempty"` // hosts that the sender knows; only in some replies
+	Members []roster.Member `cbor:"4,keyasint,omitempty"` // the first hosts in the planning order; only in some replies
+	// HostCount is the number of hosts that the sender knows; hosts of earlier versions omit it.
+	HostCount int `cbor:"12,keyasint,omitempty"`
 	// State is the sender's configuration and replicas; nil if Echo is 0. Its times are relative to a base time. For
 	// the sender, that is when it received the stamp that Echo repeats; for the receiver, it is the stamp itself. The
 	// latter is earlier, so the state never appears newer than it is.
@@ -53,6 +55,7 @@
 	ReplicaDigest  uint64 `cbor:"7,keyasint,omitempty"`
 	ConfigVersion  int64  `cbor:"9,keyasint,omitempty"`
 	ConfigEra      int64  `cbor:"10,keyasint,omitempty"` // of ConfigRevision
+	AcceptsChanges bool   `cbor:"11,keyasint,omitempty"` // the sender accepts changes in place of the whole
 	NoReply        bool   `cbor:"8,keyasint,omitempty"`  // must not be replied to: a reply, or an unrequested report
 }
 
@@ -62,15 +65,22 @@
 	h.ConfigRevision = v.ConfigRevision.Number
 	h.ConfigEra = v.ConfigRevision.Era
 	h.ReplicaDigest = v.ReplicaDigest
+	h.AcceptsChanges = v.AcceptsChanges
 }
 
 // Versions returns what identifies the sender's configuration and replicas.
 func (h *Heartbeat) Versions() feed.Versions {
-	return feed.Versions{
+	v := feed.Versions{
 		ConfigVersion:  h.ConfigVersion,
 		ConfigRevision: revision.New(h.ConfigEra, h.ConfigRevision),
 		ReplicaDigest:  h.ReplicaDigest,
+		AcceptsChanges: h.AcceptsChanges,
 	}
+	if h.State != nil {
+		v.ReplicaRevision = revision.New(h.State.ReplicaEra, h.State.ReplicaRevision)
+		v.ReplicasReadAt = time.Unix(0, h.Echo).Add(h.State.ReplicaRead)
+	}
+	return v
 }
 
 // Progress notifies the planner of the progress of a placed request.
--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -57,7 +57,11 @@
 	address       netip.AddrPort // of the other host; invalid on accepted connections until the first heartbeat
 	lastStamp     int64          // stamp of the newest heartbeat from the other host; 0 before the first
 	lastStampAt   time.Time      // when lastStamp was received
-	versions      feed.Versions  // what the other host has
+	versions      feed.Versions  // what the other host has, or will have once it has received what was sent
+	sent          feed.Versions  // what this host had when it last sent configuration or replicas
+	sentAt        time.Time      // when that was
+	sentStamp     int64          // stamp of the heartbeat with which that was sent
+	hostCount     int            // number of hosts that the other host knows
 	dialing       bool
 	lastScheduled time.Time // when tick last chose the other host as a contact, or the connection opened
 	membersSentAt time.Time // when the list of members was last sent
@@ -100,10 +104,13 @@
 	return p
 }
 
-// HostCount returns the number of entry hosts that this host knows, itself included.
+// HostCount returns the number of entry hosts, this one included, that this host or its planner knows.
 func (c *Client) HostCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if p := c.linkToPlanner(); p != nil {
+		return max(c.Roster.Size(), p.hostCount)
+	}
 	return c.Roster.Size()
 }
 
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
@@ -17,10 +18,12 @@
 
 const (
 	heartbeatInterval = 250 * time.Millisecond
-	// The list of members is sent over one connection every (1 + members/membersPerInterval) * membersInterval, so that
-	// long lists are sent less often.
-	membersInterval    = time.Second
-	membersPerInterval = 30
+	// The interval at which members are sent over one connection, and how many of them. Hosts need only those that may
+	// soon be planner; the planner and the standbys hear from all hosts directly.
+	membersInterval = 3 * time.Second
+	maxMembers      = 32
+	// The interval at which configuration and replicas are sent again to a host that doesn't accept them.
+	resendInterval = time.Second
 	// The pause after a connection could not be accepted, for example because file descriptors ran out.
 	acceptPause = 50 * time.Millisecond
 	// How often the local planner is polled while placement requests wait there.
@@ -264,18 +267,34 @@
 func (c *Client) sendHeartbeat(now time.Time, p *peerLink, noReply bool) {
 	heartbeat := &link.Heartbeat{Stamp: now.UnixNano(), Host: c.Roster.Self(), NoReply: noReply}
 	heartbeat.SetVersions(c.Cache.Versions())
-	if noReply && now.Sub(p.membersSentAt) >= membersInterval*time.Duration(1+c.Roster.Size()/membersPerInterval) {
+	heartbeat.HostCount = c.Roster.Size()
+	if noReply && now.Sub(p.membersSentAt) >= membersInterval {
 		p.membersSentAt = now
-		heartbeat.Members = c.Roster.Members(now)
+		heartbeat.Members = c.Roster.Foremost(now, maxMembers)
 	}
 	if p.lastStamp != 0 {
 		heartbeat.Echo = p.lastStamp
-		state := c.Cache.Export(p.lastStampAt, p.versions)
-		heartbeat.State = &state
+		heartbeat.State = c.exportState(now, p, heartbeat.Stamp)
 	}
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
 }
 
+// exportState returns the state to send to a peer with the given stamp. What is sent counts as received until a
+// heartbeat says otherwise that the peer has sent later.
+func (c *Client) exportState(now time.Time, p *peerLink, stamp int64) *feed.State {
+	own := c.Cache.Versions()
+	known := p.versions
+	if own.SameContent(p.sent) && now.Sub(p.sentAt) < resendInterval {
+		known = own // the peer doesn't accept what it was sent
+	}
+	state := c.Cache.Export(p.lastStampAt, known)
+	if state.HasContent() {
+		p.sent, p.sentAt, p.sentStamp = own, now, stamp
+		p.versions = own
+	}
+	return &state
+}
+
 // handle handles one message from a peer.
 func (c *Client) handle(p *peerLink, m *link.Message) {
 	if m.Heartbeat != nil {
@@ -346,7 +365,10 @@
 	p.address = heartbeat.Host.Address
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
-	p.versions = heartbeat.Versions()
+	p.hostCount = heartbeat.HostCount
+	if heartbeat.Echo >= p.sentStamp {
+		p.versions = heartbeat.Versions()
+	}
 	if c.Roster.RecordHeartbeat(now, heartbeat.Host) {
 		c.Log.Event("host_regained", slog.String("peer", heartbeat.Host.Address.String()))
 	}
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -30,7 +30,9 @@
 	leaving   map[string]incarnation // replicas that have announced that they leave
 	// The store may list replicas in an older state until staleUntil, because it was restored from an older copy.
 	staleUntil time.Time
-	restored   bool // the store was restored and this host hasn't read it since
+	restored   bool   // the store was restored and this host hasn't read it since
+	digest     uint64 // of replicas
+	steps      []step // latest changes, oldest first
 }
 
 // incarnation is one start of a replica.
@@ -58,10 +60,12 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{
+	l := &List{
 		replicas: make(map[string]Replica), missing: make(map[string]time.Time),
 		gone: make(map[string]incarnation), leaving: make(map[string]incarnation),
 	}
+	l.digest = l.computeDigest()
+	return l
 }
 
 // MarkLeaving marks the replica with the given id, if it started at born, as leaving, and returns the change. It returns
@@ -72,7 +76,9 @@
 		return Change{}, false
 	}
 	r.Leaving = true
-	return l.put(now, r)
+	change, ok := l.put(now, r)
+	l.record([]Change{change})
+	return change, ok
 }
 
 // Leaving returns the replicas of the list that are marked as leaving, ordered by id.
@@ -124,6 +130,7 @@
 		l.gone[id] = incarnation{born: r.Born, since: now}
 		changes = append(changes, Change{Replica: r, Kind: ChangeGone})
 	}
+	l.record(changes)
 	return changes
 }
 
@@ -215,7 +222,9 @@
 }
 
 // Digest returns a hash of the active replicas, which is the same for lists with the same replicas.
-func (l *List) Digest() uint64 {
+func (l *List) Digest() uint64 { return l.digest }
+
+func (l *List) computeDigest() uint64 {
 	d := xxhash.New()
 	for _, r := range l.All() {
 		// A write to the hash never fails.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -163,20 +163,48 @@
 	return lost
 }
 
-// Members returns this host and the hosts that were heard from within forgetTimeout, to be sent to other hosts.
+// Members returns this host and the hosts that were heard from within forgetTimeout.
 func (r *Roster) Members(now time.Time) []Member {
 	members := []Member{r.self}
 	for _, e := range r.entries {
-		if e.lastHeard.IsZero() || now.Sub(e.lastHeard) > forgetTimeout {
-			continue
+		if m, ok := e.current(now); ok {
+			members = append(members, m)
 		}
-		m := e.member
-		m.Age = now.Sub(e.lastHeard)
-		members = append(members, m)
 	}
 	return members
 }
 
+// Foremost returns the first hosts in the planning order, at most limit, that aren't lost and were heard from within
+// forgetTimeout, to be sent to other hosts.
+func (r *Roster) Foremost(now time.Time, limit int) []Member {
+	var foremost []Member
+	for _, m := range r.planningOrder() {
+		if len(foremost) == limit {
+			break
+		}
+		if m.Address == r.self.Address {
+			foremost = append(foremost, r.self)
+			continue
+		}
+		e := r.entries[m.Address]
+		if current, ok := e.current(now); ok && !e.lost {
+			foremost = append(foremost, current)
+		}
+	}
+	return foremost
+}
+
+// current returns the entry's member with its age, or false if it was not heard from within forgetTimeout.
+func (e *entry) current(now time.Time) (Member, bool) {
+	age := now.Sub(e.lastHeard)
+	if e.lastHeard.IsZero() || age > forgetTimeout {
+		return Member{}, false
+	}
+	m := e.member
+	m.Age = age
+	return m, true
+}
+
 // Size returns the number of hosts that this one knows, itself included. Seeds that were never heard from do not count.
 func (r *Roster) Size() int {
 	n := 1
