roster, planner, placement: what the planner does for each host no longer grows with all hosts

The planner's processor was full: each heartbeat sorted all hosts by keys that it computed anew (74 us at 143 hosts), and each result was compared with the address of every connection. The planner then missed heartbeats, hosts left it for others and came back, each time with all of their placements.

--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
@@ -48,13 +49,15 @@
 	// Requests of other hosts that handlePlacementRequest is submitting and that have no result yet, by "HOST/ID";
 	// empty between messages.
 	inSubmit map[string]bool
-	inbound  map[*peerLink]bool // connections that this host accepted
+	inbound  map[*peerLink]bool   // connections that this host accepted
+	hostLink map[string]*peerLink // the newest of them from each host, by peerLink.host
 }
 
 // peerLink is a connection to another host, with what the heartbeats on it have reported.
 type peerLink struct {
 	link          *link.Link     // nil while dialing
 	address       netip.AddrPort // of the other host; invalid on accepted connections until the first heartbeat
+	host          string         // address as a string, by which the planner names the other host
 	lastStamp     int64          // stamp of the newest heartbeat from the other host; 0 before the first
 	lastStampAt   time.Time      // when lastStamp was received
 	versions      feed.Versions  // what the other host has, or will have once it has received what was sent
@@ -82,13 +85,14 @@
 
 // Init makes the client ready for use; it must be called before any other method.
 func (c *Client) Init() {
-	c.localPlanner = planner.New()
+	c.localPlanner = planner.New(xxhash.Sum64String(c.self().String()))
 	c.outbound = make(map[netip.AddrPort]*peerLink)
 	c.pending = make(map[string]chan reply)
 	c.placed = make(map[string]*placedRequest)
 	c.inSubmit = make(map[string]bool)
 	c.extraWaits = make(map[string]chan time.Duration)
 	c.inbound = make(map[*peerLink]bool)
+	c.hostLink = make(map[string]*peerLink)
 	c.plannerAddress = c.self()
 }
 
@@ -419,11 +423,8 @@
 			c.deliver(result)
 			continue
 		}
-		for p := range c.inbound {
-			if p.address.String() == result.Host {
-				p.link.Send(&link.Message{Result: &result})
-				break
-			}
+		if p := c.hostLink[result.Host]; p != nil {
+			p.link.Send(&link.Message{Result: &result})
 		}
 	}
 }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// serve handles the messages of a connection until it ends. When a host's last accepted connection ends, the local
+// serve handles the messages of a connection until it ends. When a host's newest accepted connection ends, the local
 // planner drops the requests of that host; when a connection that this host opened ends and tick has not removed it,
 // the other host counts as lost.
 func (c *Client) serve(p *peerLink) {
@@ -119,8 +119,9 @@
 	now := steady.Now()
 	if c.inbound[p] {
 		delete(c.inbound, p)
-		if p.address.IsValid() && !c.hasInbound(p.address) {
-			c.localPlanner.RemoveHost(now, p.address.String())
+		if c.hostLink[p.host] == p {
+			delete(c.hostLink, p.host)
+			c.localPlanner.RemoveHost(now, p.host)
 			c.sendResults(now)
 		}
 		return
@@ -139,16 +140,6 @@
 	c.choosePlanner(now)
 }
 
-// hasInbound reports whether a connection accepted from the host at address is open.
-func (c *Client) hasInbound(address netip.AddrPort) bool {
-	for p := range c.inbound {
-		if p.address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // tick marks the hosts lost that did not reply in time, chooses the planner, sends heartbeats to the hosts that are due
 // for one and closes idle connections.
 func (c *Client) tick(ctx context.Context) {
@@ -304,7 +295,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := steady.Now()
-	host := p.address.String()
+	host := p.host
 	switch {
 	case m.Request != nil:
 		c.handlePlacementRequest(now, p, *m.Request)
@@ -343,7 +334,7 @@
 // handlePlacementRequest passes a placement request from a peer to the local planner. If the planner can't decide at
 // once, the peer is notified that the request is queued, so that it does not time out.
 func (c *Client) handlePlacementRequest(now time.Time, p *peerLink, req planner.Request) {
-	req.Host = p.address.String()
+	req.Host = p.host
 	key := req.Host + "/" + req.ID
 	c.inSubmit[key] = true
 	c.localPlanner.Submit(now, req)
@@ -362,7 +353,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p.address = heartbeat.Host.Address
+	if p.address != heartbeat.Host.Address || p.host == "" {
+		p.address = heartbeat.Host.Address
+		p.host = p.address.String()
+	}
+	if c.inbound[p] {
+		c.hostLink[p.host] = p
+	}
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
 	p.hostCount = heartbeat.HostCount
--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -200,10 +200,10 @@
 			shortSlotLoss*c.server.shortSlotShare()
 	}
 	slices.SortFunc(candidates, func(x, y candidate) int {
-		if order := cmp.Compare(x.cost, y.cost); order != 0 {
-			return order
+		if c := cmp.Compare(x.cost, y.cost); c != 0 {
+			return c
 		}
-		return cmp.Compare(x.server.replica.ID, y.server.replica.ID)
+		return compareServers(x.server, y.server)
 	})
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -39,7 +42,8 @@
 type Planner struct {
 	engines       map[string]*catalog.EngineParams
 	services      map[string]map[string]*server // by service and replica ID
-	sortedServers map[string][]*server          // the servers of each service, sorted by ID
+	order         uint64                        // see New
+	sortedServers map[string][]*server          // the servers of each service, in the planner's order
 	jobs          map[jobKey]*job
 	waiting       []waitingRequest
 	crashes       map[uint64]crashRecord     // by fingerprint
@@ -58,9 +62,11 @@
 	tried   bool // the planner has tried to place it at least once
 }
 
-// New returns a planner without services.
-func New() *Planner {
+// New returns a planner without services. The order decides which of several equally good servers is chosen. Planners
+// that know nothing of one another's placements must have different orders, or all of them choose the same servers.
+func New(order uint64) *Planner {
 	return &Planner{
+		order:         order,
 		engines:       make(map[string]*catalog.EngineParams),
 		services:      make(map[string]map[string]*server),
 		sortedServers: make(map[string][]*server),
@@ -118,12 +124,25 @@
 				delete(servers, id)
 			}
 		}
-		p.sortedServers[service] = slices.SortedFunc(maps.Values(servers), func(x, y *server) int {
-			return cmp.Compare(x.replica.ID, y.replica.ID)
-		})
+		for _, s := range servers {
+			s.rank = p.rankOf(s.replica.ID)
+		}
+		p.sortedServers[service] = slices.SortedFunc(maps.Values(servers), compareServers)
 	}
 }
 
+// rankOf returns the rank of a server in the planner's order.
+func (p *Planner) rankOf(id string) uint64 {
+	var order [8]byte
+	binary.BigEndian.PutUint64(order[:], p.order)
+	return xxhash.Sum64(append(order[:], id...))
+}
+
+// compareServers compares two servers by the planner's order.
+func compareServers(x, y *server) int {
+	return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.replica.ID, y.replica.ID))
+}
+
 // Submit adds a request that needs a backend server; a later call of Decide returns its result.
 func (p *Planner) Submit(now time.Time, req Request) {
 	long := p.isLong(&req)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -41,9 +41,10 @@
 	Stopping bool           `cbor:"4,keyasint,omitempty"`
 }
 
-// entry is what this host knows of another host.
+// entry is what this host knows of another host, or of itself.
 type entry struct {
 	member          Member
+	orderKey        float64   // key of member in the planning order
 	lastHeard       time.Time // when any host last heard from it; zero if never
 	lastDirect      time.Time // when this host last heard from it directly; zero if never
 	unansweredSince time.Time // first contact since its last reply; zero if there is none
@@ -56,7 +57,8 @@
 type Roster struct {
 	self    Member
 	started time.Time
-	entries map[netip.AddrPort]*entry
+	entries map[netip.AddrPort]*entry // the other hosts
+	order   []*entry                  // result of planningOrder; nil if it must be computed anew
 }
 
 // New returns the roster of the host self, which started at now, with the given seeds.
@@ -81,7 +83,10 @@
 }
 
 // SetStopping records that this host stops soon, so that no host chooses it as planner.
-func (r *Roster) SetStopping() { r.self.Stopping = true }
+func (r *Roster) SetStopping() {
+	r.self.Stopping = true
+	r.order = nil
+}
 
 // Self returns this host's description of itself.
 func (r *Roster) Self() Member { return r.self }
@@ -93,31 +98,40 @@
 		if m.Address == r.self.Address || m.Age > forgetTimeout {
 			continue
 		}
-		e := r.entries[m.Address]
-		if e == nil {
-			e = &entry{member: m}
-			r.entries[m.Address] = e
-		}
+		e := r.entry(m.Address)
 		if heard := now.Add(-m.Age); heard.After(e.lastHeard) {
-			e.lastHeard = heard
-			e.member = m
+			r.update(e, m, heard)
 		}
 	}
 }
 
+// entry returns the entry of the host at address, which it creates if there is none.
+func (r *Roster) entry(address netip.AddrPort) *entry {
+	e := r.entries[address]
+	if e == nil {
+		e = &entry{member: Member{Address: address}}
+		r.entries[address] = e
+	}
+	return e
+}
+
+// update records in e that the host was last heard from at heard and described itself as m.
+func (r *Roster) update(e *entry, m Member, heard time.Time) {
+	if e.lastHeard.IsZero() || e.member.Weight != m.Weight || e.member.Stopping != m.Stopping {
+		r.order = nil
+	}
+	e.lastHeard = heard
+	e.member = m
+}
+
 // RecordHeartbeat records that this host heard from a host directly, and reports whether that host was lost before.
 func (r *Roster) RecordHeartbeat(now time.Time, m Member) bool {
 	if m.Address == r.self.Address {
 		return false
 	}
-	e := r.entries[m.Address]
-	if e == nil {
-		e = &entry{}
-		r.entries[m.Address] = e
-	}
+	e := r.entry(m.Address)
 	wasLost := e.lost
-	e.member = m
-	e.lastHeard = now
+	r.update(e, m, now)
 	e.lastDirect = now
 	e.unansweredSince = time.Time{}
 	e.lost = false
@@ -158,6 +172,7 @@
 		}
 		if !e.seed && now.Sub(e.lastHeard) > forgetTimeout {
 			delete(r.entries, address)
+			r.order = nil
 		}
 	}
 	return lost
@@ -178,15 +193,14 @@
 // forgetTimeout, to be sent to other hosts.
 func (r *Roster) Foremost(now time.Time, limit int) []Member {
 	var foremost []Member
-	for _, m := range r.planningOrder() {
+	for _, e := range r.planningOrder() {
 		if len(foremost) == limit {
 			break
 		}
-		if m.Address == r.self.Address {
+		if e.member.Address == r.self.Address {
 			foremost = append(foremost, r.self)
 			continue
 		}
-		e := r.entries[m.Address]
 		if current, ok := e.current(now); ok && !e.lost {
 			foremost = append(foremost, current)
 		}
@@ -219,9 +233,9 @@
 // Planner returns the host that plans for this one: the first in the planning order, which all hosts compute alike, of
 // this host and those that it has recently heard from directly.
 func (r *Roster) Planner(now time.Time) Member {
-	for _, m := range r.planningOrder() {
-		if m.Address == r.self.Address || r.entries[m.Address].alive(now) {
-			return m
+	for _, e := range r.planningOrder() {
+		if e.member.Address == r.self.Address || e.alive(now) {
+			return e.member
 		}
 	}
 	return r.self
@@ -233,11 +247,11 @@
 // Rank returns the number of hosts that precede this one in the planning order and aren't lost.
 func (r *Roster) Rank() int {
 	n := 0
-	for _, m := range r.planningOrder() {
-		if m.Address == r.self.Address {
+	for _, e := range r.planningOrder() {
+		if e.member.Address == r.self.Address {
 			return n
 		}
-		if !r.entries[m.Address].lost {
+		if !e.lost {
 			n++
 		}
 	}
@@ -245,34 +259,28 @@
 }
 
 // planningOrder returns, in the planning order, the hosts that may be planner: this host and all that were ever heard
-// from, without those that stop soon.
-func (r *Roster) planningOrder() []Member {
-	var candidates []keyedMember
+// from, without those that stop soon. The result is kept until one of them changes, since each heartbeat needs it.
+func (r *Roster) planningOrder() []*entry {
+	if r.order != nil {
+		return r.order
+	}
+	order := make([]*entry, 0, len(r.entries)+1)
 	if !r.self.Stopping {
-		candidates = append(candidates, keyedMember{r.self, orderKey(r.self)})
+		order = append(order, &entry{member: r.self})
 	}
 	for _, e := range r.entries {
 		if !e.lastHeard.IsZero() && !e.member.Stopping {
-			candidates = append(candidates, keyedMember{e.member, orderKey(e.member)})
+			order = append(order, e)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b keyedMember) int {
-		if c := cmp.Compare(a.orderKey, b.orderKey); c != 0 {
-			return c
-		}
-		return a.member.Address.Compare(b.member.Address)
-	})
-	members := make([]Member, 0, len(candidates))
-	for i := range candidates {
-		members = append(members, candidates[i].member)
+	for _, e := range order {
+		e.orderKey = orderKey(e.member)
 	}
-	return members
-}
-
-// keyedMember is a member with its key. The key is stored because computing it for each comparison takes too long.
-type keyedMember struct {
-	member   Member
-	orderKey float64
+	slices.SortFunc(order, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.orderKey, b.orderKey), a.member.Address.Compare(b.member.Address))
+	})
+	r.order = order
+	return order
 }
 
 // orderKey returns the key by which the planning order is sorted: the member with the smallest key precedes all others.
@@ -299,21 +307,21 @@
 	planner := r.Planner(now)
 	preceding, standbys := 0, 0
 	afterPlanner := false
-	for _, m := range r.planningOrder() {
-		e := r.entries[m.Address]
+	for _, e := range r.planningOrder() {
+		address := e.member.Address
 		switch {
-		case m.Address == r.self.Address:
+		case address == r.self.Address:
 			afterPlanner = afterPlanner || planner.Address == r.self.Address
-		case m.Address == planner.Address:
-			contacts = append(contacts, m.Address)
+		case address == planner.Address:
+			contacts = append(contacts, address)
 			afterPlanner = true
 		case !afterPlanner && preceding < maxPreceding && (!e.lost || now.Sub(e.lastContact) >= lostHostInterval):
-			contacts = append(contacts, m.Address)
+			contacts = append(contacts, address)
 			preceding++
 		case afterPlanner && standbys < maxStandbys && !e.lost:
 			standbys++
 			if now.Sub(e.lastContact) >= standbyInterval {
-				contacts = append(contacts, m.Address)
+				contacts = append(contacts, address)
 			}
 		}
 	}
