roster, placement, planner: strong hosts plan, few hosts read the store, and a round of decisions stays short

What the logs still show, each mended here: - the second host of the planning order had 0.192 cores: 280 weak hosts precede 15 strong ones too often with an exponent of 3. It is 6 (66 of 250 leading places were weak, now at most a tenth); - while the store is down or rejects some hosts, all hosts read it. Sites of up to 64 replicas choose as before.

--- a/internal/placement/desk.go
+++ b/internal/placement/desk.go
@@ -170,20 +170,14 @@
 }
 
 // MaxStateAge returns how old this host's cached configuration and replicas may become before it reads the store
-// itself. It is 0 while this host is its own planner, so that a planner always reads. For other hosts it grows with
-// their rank in the planning order, so that the hosts next in this order read first if nothing newer reaches them.
+// itself; see maxStateAge. It is 0 while this host is its own planner, so that a planner always reads.
 func (c *Client) MaxStateAge() time.Duration {
-	const (
-		baseAge    = 1000 * time.Millisecond
-		agePerRank = 40 * time.Millisecond
-		maxAge     = 1600 * time.Millisecond
-	)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.plannerAddress == c.self() {
 		return 0
 	}
-	return min(baseAge+time.Duration(c.Roster.Rank())*agePerRank, maxAge)
+	return maxStateAge(c.Roster.Rank())
 }
 
 // ApplyState passes the active configuration and replicas to the local planner. It also sends a heartbeat with them at
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,22 +72,53 @@
 	}
 }
 
-// BenchmarkLargeWave measures the decisions on one second of high load on 135 engines: 300 short prompts, and more long
-// ones than can be prefilled in time.
+// BenchmarkLargeWave measures the decisions on ten seconds of a wave of long prompts on 135 engines, some of which wait
+// for engines. It plays the engines by the times that the plans predict.
 func BenchmarkLargeWave(b *testing.B) {
+	const (
+		duration     = 10 * time.Second
+		shortsPerSec = 65
+		longsPerSec  = 45
+	)
 	for b.Loop() {
+		random := rand.New(rand.NewPCG(1, 2))
 		p := newTestPlanner(135)
-		now := start
-		for i := range 300 {
-			now = now.Add(time.Second / 300)
-			p.Submit(now, shortRequest(i))
-			if i%20 == 0 {
-				p.Submit(now, longRequest(i))
+		var running []runningRequest
+		arrived := 0
+		for now := start; now.Before(start.Add(duration)); now = now.Add(time.Second / (shortsPerSec + longsPerSec)) {
+			arrived++
+			req := shortRequest(arrived)
+			if arrived%(shortsPerSec+longsPerSec) < longsPerSec {
+				req = longRequest(arrived)
+				req.PromptTokens = min(int(90000*math.Exp(0.9*random.NormFloat64())), 700000)
 			}
+			p.Submit(now, req)
 			for _, result := range p.Decide(now) {
-				p.Started(now, result.Host, result.ID)
+				if result.Plan != nil {
+					first := now.Add(result.Plan.FirstEventTime)
+					running = append(running, runningRequest{id: result.ID, first: first, end: first.Add(time.Second)})
+				}
 			}
-			p.Decide(now)
+			running = slices.DeleteFunc(running, func(r runningRequest) bool { return r.report(p, now) })
 		}
 	}
 }
+
+// runningRequest is a placed request of a benchmark.
+type runningRequest struct {
+	id         string
+	first, end time.Time // when its first event comes and when it ends
+}
+
+// report notifies the planner of what has happened to the request by now, and reports whether it has ended.
+func (r *runningRequest) report(p *Planner, now time.Time) bool {
+	if now.Before(r.first) {
+		return false
+	}
+	p.Started(now, "h", r.id)
+	if now.Before(r.end) {
+		return false
+	}
+	p.Ended(now, "h", r.id, OutcomeCompleted)
+	return true
+}
--- a/internal/planner/heavy.go
+++ b/internal/planner/heavy.go
@@ -22,6 +22,8 @@
 	deferInterval = 200 * time.Millisecond
 	// Gain, as a share of the value of a request, that counts for placing it now even if it misses its target anyway.
 	basePlacementGain = 0.06
+	// The maximum number of servers whose passes are predicted in order to place one long prompt.
+	maxLongCandidates = 64
 	// If a service has at least minServersForReserve servers, one in reserveDivisor of them, but at least one, prefills
 	// no long prompt, so that short prompts find a slot.
 	minServersForReserve = 4
@@ -39,9 +41,9 @@
 // replica. It reports false if the prompt should wait: no choice is possible, the best one imposes a larger loss on
 // other requests than the prompt gains, or the prompt misses its target now but can meet it later.
 func (p *Planner) placeLong(now time.Time, req *Request, servers []*server) (choice, []int, bool) {
-	views := make([]view, 0, len(servers))
-	busy := 0
-	for _, s := range servers {
+	candidates, busy := longCandidates(servers)
+	views := make([]view, 0, len(candidates))
+	for _, s := range candidates {
 		v := viewOf(now, s)
 		if v.queuedParts > maxQueuedPrefill || s.prefillsOwnLongPrompt() {
 			busy++
@@ -73,6 +75,27 @@
 	return best, reservations, true
 }
 
+// longCandidates returns the servers that come into question for a long prompt, and how many of the others prefill long
+// prompts. If there are more than maxLongCandidates servers, it leaves out those that seem to have the most to do.
+func longCandidates(servers []*server) (candidates []*server, busy int) {
+	if len(servers) <= maxLongCandidates {
+		return servers, 0
+	}
+	for _, s := range servers {
+		s.longWork = s.measureLongWork()
+	}
+	candidates = slices.Clone(servers)
+	slices.SortFunc(candidates, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.longWork, y.longWork), compareServers(x, y))
+	})
+	for _, s := range candidates[maxLongCandidates:] {
+		if s.longWork >= longPrefillWork {
+			busy++
+		}
+	}
+	return candidates[:maxLongCandidates], busy
+}
+
 // onTimeIfDeferred reports whether a long prompt that would miss its first-event target if placed now can meet it by
 // waiting for more engines to complete their queued prefill.
 func onTimeIfDeferred(req *Request, views []view, servers int) bool {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,6 +27,8 @@
 	crashRetention = 60 * time.Second
 	// Interval at which waiting requests are tried again if no slot has become free.
 	tryInterval = 20 * time.Millisecond
+	// The maximum number of long prompts that are tried again in each tryInterval.
+	longTriesPerInterval = 8
 	// Shortest time after which a refused caller is asked to retry.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -60,6 +62,7 @@
 	arrived time.Time
 	long    bool // its prompt is long
 	tried   bool // the planner has tried to place it at least once
+	lastTry time.Time
 }
 
 // New returns a planner without services. The order decides which of several equally good servers is chosen. Planners
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -36,6 +36,7 @@
 // it places the request only if its first event is expected to meet its target.
 func (r *round) decide(w *waitingRequest, onTime bool) bool {
 	w.tried = true
+	w.lastTry = r.now
 	req := w.request
 	req.SubtractElapsed(r.now.Sub(w.arrived))
 	servers := r.planner.usableServers(r.now, &req)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -36,6 +36,7 @@
 	jobs            []*job        // requests that it decodes or will decode
 	shortJobs       int           // number of jobs whose prompts are not long
 	helperJobs      int           // number of jobs of other servers for which it prefills a part
+	longWork        int           // result of measureLongWork when it was last called
 	usedTokens      int           // memory that jobs and the parts of others take here, in tokens
 	lastFailureRate float64       // failure rate at lastOutcome
 	lastOutcome     time.Time     // time of the last recorded outcome
@@ -129,6 +130,18 @@
 // for the domain to be considered cut off.
 const domainCutWindow = time.Second
 
+// longPrefillWork is the work that each long prompt counts which a server helps to prefill or prefills for itself.
+const longPrefillWork = 100
+
+// measureLongWork returns a measure of what the server has to do, by which servers are compared for a long prompt.
+func (s *server) measureLongWork() int {
+	work := len(s.jobs) + longPrefillWork*s.helperJobs
+	if s.prefillsOwnLongPrompt() {
+		work += longPrefillWork
+	}
+	return work
+}
+
 // prefillsOwnLongPrompt reports whether the server prefills a long prompt of a request that it will decode, or has one
 // queued.
 func (s *server) prefillsOwnLongPrompt() bool {
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -33,10 +33,14 @@
 	}
 	freed := p.slotFreed
 	p.slotFreed = false
+	longInterval := longTryInterval(waiting)
 	var notOnTime []waitingRequest
 	for i := range waiting {
 		w := &waiting[i]
-		tryAgain := r.tryDue || freed && !w.long
+		tryAgain := r.tryDue || freed
+		if w.long {
+			tryAgain = r.tryDue && now.Sub(w.lastTry) >= longInterval
+		}
 		switch {
 		case w.tried && !tryAgain:
 			p.waiting = append(p.waiting, *w)
@@ -52,6 +56,18 @@
 	return p.results
 }
 
+// longTryInterval returns the interval at which each long prompt is tried again. It grows with their number, so that the
+// time that a call of Decide takes does not.
+func longTryInterval(waiting []waitingRequest) time.Duration {
+	long := 0
+	for i := range waiting {
+		if waiting[i].long {
+			long++
+		}
+	}
+	return tryInterval * time.Duration(long/longTriesPerInterval)
+}
+
 // compareWaiting orders requests by priority, then puts those first whose target hasn't passed, then orders by the time
 // of the first-event target.
 func compareWaiting(now time.Time, x, y *waitingRequest) int {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -297,7 +297,7 @@
 }
 
 // weightExponent is the exponent applied to the weight. It makes hosts with few CPU cores unlikely planners.
-const weightExponent = 3
+const weightExponent = 6
 
 // Contacts returns the hosts to contact now: the planner; up to maxPreceding hosts that precede it in the planning
 // order; the standbys, which are the next hosts after the planner that aren't lost; and the seeds. Standbys, seeds and
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -121,6 +121,32 @@
 	}
 }
 
+// Hundreds of hosts with few CPU cores don't precede a few with many.
+func TestWeakHostsRarelyPrecedeStrongOnes(t *testing.T) {
+	weakBefore := 0
+	for fleet := range 50 {
+		address := func(i int) netip.AddrPort {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(fleet), byte(i >> 8), byte(i)}), 8229)
+		}
+		r := New(start, Member{Address: address(0), Weight: 0.192}, nil)
+		for i := 1; i < 295; i++ {
+			m := Member{Address: address(i), Weight: 0.192}
+			if i <= 15 {
+				m.Weight = 0.8
+			}
+			r.RecordHeartbeat(start, m)
+		}
+		for _, m := range r.Foremost(start, 5) {
+			if m.Weight < 0.5 {
+				weakBefore++
+			}
+		}
+	}
+	if weakBefore > 25 {
+		t.Errorf("%d of the first 5 hosts in 50 planning orders are weak, want at most a tenth", weakBefore)
+	}
+}
+
 func TestHostsNotHeardDirectlyAreNotPlanner(t *testing.T) {
 	r := New(start, member(1), nil)
 	r.Merge(start, members(18))
