planner: long prompts that can't be in time are refused when they come

Pattern: more long prompts than the engines prefill before their callers leave, or a wave of short prompts that leaves them few engines. Now the wait is the prefill queued at engines and ahead in the queue, on the engines that short prompts leave; if its end is too late, the prompt is refused at once, with that time as Retry-After.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -178,10 +178,10 @@
 	}
 	for step := range 60 {
 		now = now.Add(time.Second)
-		switch {
-		case step%3 == 0:
+		switch step % 3 {
+		case 0:
 			replicas[step].Draining = true
-		case step%3 == 1:
+		case 1:
 			replicas = append(replicas[:step], replicas[step+1:]...)
 		default:
 			replicas = append(replicas, replica.Replica{ID: strconv.Itoa(5000 + step), Born: 2})
@@ -189,8 +189,10 @@
 		from.replicaRevision = revision.New(0, int64(step+1))
 		from.replicasReadAt = now
 		from.applyChanges(from.replicaList.Update(now, replicas))
-		from.applyDocument(Document{Data: []byte(strconv.Itoa(step+1) + strings.Repeat(" ", 5000)),
-			Revision: revision.New(0, int64(step+1))}, now, "store")
+		from.applyDocument(Document{
+			Data:     []byte(strconv.Itoa(step+1) + strings.Repeat(" ", 5000)),
+			Revision: revision.New(0, int64(step+1)),
+		}, now, "store")
 		s := from.Export(now, to.Versions())
 		if step > 0 && (s.ConfigData != nil || s.Replicas != nil || len(s.ReplicaDelta.Changed)+len(s.ReplicaDelta.Removed) != 1) {
 			t.Fatalf("step %d: the whole is sent", step)
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -27,13 +27,12 @@
 	c := newCache(t)
 	now := time.Unix(1000, 0)
 	c.now = func() time.Time { return now }
-	verified := now
 	c.readAt(now, eraDocument(7, 1, 70))
 	if !c.activeVerifiedAt().IsZero() {
 		t.Error("the first read of an era that may have just begun verifies the configuration")
 	}
 	now = now.Add(rewriteTime)
-	verified = now
+	verified := now
 	c.readAt(now, eraDocument(7, 1, 70))
 	now = now.Add(time.Second)
 	c.readAt(now, eraDocument(7, 2, 60))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -63,6 +63,8 @@
 	long    bool // its prompt is long
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
+	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
+	longAhead time.Duration
 }
 
 // New returns a planner without services. The order decides which of several equally good servers is chosen. Planners
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
@@ -432,3 +433,30 @@
 		}
 	}
 }
+
+// Pattern: a burst of long prompts, more than the engines prefill before their callers leave. Those that can't be in time
+// are refused when they come, with the time at which engines will be clear; they don't wait until their callers leave.
+func TestBurstOfLongPromptsIsRefusedAtOnceBeyondCapacity(t *testing.T) {
+	const engines, burst = 16, 150
+	p := newDomainPlanner(engines)
+	placed, refused := 0, 0
+	for i := range burst {
+		p.Submit(at(i), longRequest(i))
+		for _, result := range p.Decide(at(i)) {
+			if result.Plan != nil {
+				placed++
+				continue
+			}
+			refused++
+			if result.Refusal.Cause != CauseNoSlot || result.Refusal.RetryAfter < time.Second {
+				t.Errorf("prompt %s: refusal %+v, want that it may come back once engines are clear", result.ID, *result.Refusal)
+			}
+		}
+	}
+	req := longRequest(0)
+	prefill := pass.PrefillTime(testEngine, req.PromptTokens, 1)
+	capacity := int(float64(engines) * req.UntilDisconnect.Seconds() / prefill.Seconds())
+	if waiting := p.Waiting(); placed+waiting > capacity || placed+waiting < capacity/2 {
+		t.Errorf("%d prompts placed, %d waiting, %d refused; the engines prefill %d in time", placed, waiting, refused, capacity)
+	}
+}
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -12,6 +12,8 @@
 	minRunTime = 100 * time.Millisecond
 	// A request counts as on time if the probability that it misses its first-event target is at most this.
 	maxMissRisk = 0.3
+	// In a wave of short prompts, one in minLongShare engines still prefills long ones.
+	minLongShare = 4
 	// Short prompts that are expected within this time get a slot before requests that miss their targets.
 	scarcityWindow = time.Second
 )
@@ -30,6 +32,13 @@
 	shortNotPlaced bool            // a short prompt that excludes no replica found no server in this round
 	longWaiting    bool            // a long prompt that can still meet its target found no engines
 	endTimes       []time.Duration // times from now until its jobs are expected to end, ascending; nil until computed
+	longQueue      *longQueue      // nil until computed
+}
+
+// longQueue is the prefill that is queued at engines, and the engines that do it.
+type longQueue struct {
+	work    time.Duration // prefill time on one engine
+	engines int           // engines that prefill long prompts while short ones come at the present rate
 }
 
 // decide tries to place one waiting request or refuses it, and reports whether it has a result now. If onTime is set,
@@ -45,7 +54,7 @@
 	}
 	q := r.queue(req.Service)
 	if q.shortNotPlaced && !w.long {
-		return !onTime && r.waitOrRefuse(&req, q)
+		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
 	c, reservations, found := r.planner.place(r.now, &req, servers)
 	ok := found && c.firstEvent < req.firstEventTimeout()
@@ -57,7 +66,7 @@
 	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
 	case !ok, !onTime && r.shouldYield(w, q):
-		return r.waitOrRefuse(&req, q)
+		return r.waitOrRefuse(w, &req, q)
 	}
 	plan := r.planner.recordPlacement(r.now, &req, c, reservations)
 	r.planner.results = append(r.planner.results, Result{ID: req.ID, Host: req.Host, Plan: plan})
@@ -96,24 +105,49 @@
 	return float64(freeSlots+freedSoon) < expected
 }
 
-// waitOrRefuse keeps a request waiting, or refuses it if no slot will be free in time. It reports whether it refused
-// the request.
-func (r *round) waitOrRefuse(req *Request, q *serviceQueue) bool {
+// waitOrRefuse keeps the request w waiting, of which req is the present form, or refuses it if no slot will be free in
+// time or if it is a long prompt for which no engines will be clear in time. It reports whether it refused the request.
+func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
+	runTime := minRunTime
+	if w.long {
+		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
+		wait, runTime = max(wait, longWait), max(runTime, longRunTime)
+	}
 	q.ahead++
-	if firstEvent := wait + r.planner.minFirstEventTime(req); firstEvent > req.firstEventTimeout() {
+	if wait+runTime > req.firstEventTimeout() {
 		return r.planner.refuse(req, &Refusal{Cause: CauseNoSlot, RetryAfter: max(wait, minRetryAfter)})
 	}
 	return false
 }
 
-// minFirstEventTime returns the time until a request's first event if all engines were idle.
-func (p *Planner) minFirstEventTime(req *Request) time.Duration {
-	if !p.isLong(req) {
-		return minRunTime
+// longTimes estimates how long a long prompt must wait until the engines that short prompts leave to long ones have
+// prefilled what is ahead of it, and how long its own prefill takes then. The argument ahead is the prefill time on one
+// engine of the long prompts that wait ahead of it.
+func (r *round) longTimes(req *Request, q *serviceQueue, ahead time.Duration) (wait, runTime time.Duration) {
+	if q.longQueue == nil {
+		q.longQueue = r.newLongQueue(req.Service)
+	}
+	wait = (q.longQueue.work + ahead) / time.Duration(q.longQueue.engines)
+	engines := min(maxEnginesPerPrompt, q.longQueue.engines)
+	return wait, pass.PrefillTime(r.planner.engines[req.Service], req.PromptTokens, engines)
+}
+
+// newLongQueue returns the prefill that is queued at the engines of a service.
+func (r *round) newLongQueue(service string) *longQueue {
+	usable := 0
+	l := &longQueue{}
+	for _, s := range r.planner.sortedServers[service] {
+		if !s.usable(r.now) {
+			continue
+		}
+		usable++
+		forecast := s.model.Forecast(r.now)
+		l.work += forecast.QueuedParts + forecast.QueuedOwn
 	}
-	engines := min(maxEnginesPerPrompt, maxLongPromptEngines(len(p.sortedServers[req.Service])))
-	return max(minRunTime, pass.PrefillTime(p.engines[req.Service], req.PromptTokens, engines))
+	spare := r.planner.shortLoadOf(r.now, service, usable, 0).spare
+	l.engines = max(min(spare, maxLongPromptEngines(usable)), usable/minLongShare, 1)
+	return l
 }
 
 // slotFreeAfter estimates the time until a slot is free after those that requests ahead in the queue take.
--- a/internal/planner/settle.go
+++ b/internal/planner/settle.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
 
 const (
@@ -34,6 +36,7 @@
 	freed := p.slotFreed
 	p.slotFreed = false
 	longInterval := longTryInterval(waiting)
+	p.setLongAhead(waiting)
 	var notOnTime []waitingRequest
 	for i := range waiting {
 		w := &waiting[i]
@@ -56,6 +59,18 @@
 	return p.results
 }
 
+// setLongAhead sets the work of the long prompts that are ahead of each waiting request, which must be in order.
+func (p *Planner) setLongAhead(waiting []waitingRequest) {
+	ahead := make(map[string]time.Duration) // by service
+	for i := range waiting {
+		w := &waiting[i]
+		w.longAhead = ahead[w.request.Service]
+		if w.long {
+			ahead[w.request.Service] += pass.PrefillTime(p.engines[w.request.Service], w.request.PromptTokens, 1)
+		}
+	}
+}
+
 // longTryInterval returns the interval at which each long prompt is tried again. It grows with their number, so that the
 // time that a call of Decide takes does not.
 func longTryInterval(waiting []waitingRequest) time.Duration {
