--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -9,21 +9,13 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
-	"github.com/turmericshunt/turmericshunt/internal/roster"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
 const (
 	heartbeatInterval = 250 * time.Millisecond
-	// The interval at which members are sent over one connection, and how many of them. Hosts need only those that may
-	// soon be planner; the planner and the standbys hear from all hosts directly.
-	membersInterval = 3 * time.Second
-	maxMembers      = 32
-	// The interval at which configuration and replicas are sent again to a host that doesn't accept them.
-	resendInterval = time.Second
 	// The pause after a connection could not be accepted, for example because file descriptors ran out.
 	acceptPause = 50 * time.Millisecond
 	// How often the local planner is polled while placement requests wait there.
@@ -252,40 +244,6 @@
 	}
 }
 
-// sendHeartbeat sends a heartbeat to a peer. If noReply is set, the heartbeat is a reply or an unrequested report: the
-// peer must not reply to it, and it may carry the list of members. If the peer has sent a heartbeat before, the
-// heartbeat also carries this host's state, without the configuration and replicas that the peer has.
-func (c *Client) sendHeartbeat(now time.Time, p *peerLink, noReply bool) {
-	heartbeat := &link.Heartbeat{Stamp: now.UnixNano(), Host: c.Roster.Self(), NoReply: noReply}
-	heartbeat.SetVersions(c.Cache.Versions())
-	heartbeat.HostCount = c.Roster.Size()
-	if noReply && now.Sub(p.membersSentAt) >= membersInterval {
-		p.membersSentAt = now
-		heartbeat.Members = c.Roster.Foremost(now, maxMembers)
-	}
-	if p.lastStamp != 0 {
-		heartbeat.Echo = p.lastStamp
-		heartbeat.State = c.exportState(now, p, heartbeat.Stamp)
-	}
-	p.link.Send(&link.Message{Heartbeat: heartbeat})
-}
-
-// exportState returns the state to send to a peer with the given stamp. What is sent counts as received until a
-// heartbeat says otherwise that the peer has sent later.
-func (c *Client) exportState(now time.Time, p *peerLink, stamp int64) *feed.State {
-	own := c.Cache.Versions()
-	known := p.versions
-	if own.SameContent(p.sent) && now.Sub(p.sentAt) < resendInterval {
-		known = own // the peer doesn't accept what it was sent
-	}
-	state := c.Cache.Export(p.lastStampAt, known)
-	if state.HasContent() {
-		p.sent, p.sentAt, p.sentStamp = own, now, stamp
-		p.versions = own
-	}
-	return &state
-}
-
 // handle handles one message from a peer.
 func (c *Client) handle(p *peerLink, m *link.Message) {
 	if m.Heartbeat != nil {
@@ -344,45 +302,3 @@
 		p.link.Send(&link.Message{Queued: req.ID})
 	}
 }
-
-// handleHeartbeat takes over the state and members in a heartbeat, and replies unless its NoReply is set.
-func (c *Client) handleHeartbeat(p *peerLink, heartbeat *link.Heartbeat) {
-	now := steady.Now()
-	if heartbeat.Echo != 0 && heartbeat.State != nil {
-		c.Cache.Import(time.Unix(0, heartbeat.Echo), *heartbeat.State)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p.address != heartbeat.Host.Address || p.host == "" {
-		p.address = heartbeat.Host.Address
-		p.host = p.address.String()
-	}
-	if c.inbound[p] {
-		c.hostLink[p.host] = p
-	}
-	p.lastStamp = heartbeat.Stamp
-	p.lastStampAt = now
-	p.hostCount = heartbeat.HostCount
-	if heartbeat.Echo >= p.sentStamp {
-		p.versions = heartbeat.Versions()
-	}
-	if c.Roster.RecordHeartbeat(now, heartbeat.Host) {
-		c.Log.Event("host_regained", slog.String("peer", heartbeat.Host.Address.String()))
-	}
-	c.Roster.Merge(now, withoutAddress(heartbeat.Members, heartbeat.Host.Address))
-	if !heartbeat.NoReply {
-		c.sendHeartbeat(now, p, true)
-	}
-	c.choosePlanner(now)
-}
-
-// withoutAddress removes the member with the given address from members, in place.
-func withoutAddress(members []roster.Member, address netip.AddrPort) []roster.Member {
-	kept := members[:0]
-	for _, m := range members {
-		if m.Address != address {
-			kept = append(kept, m)
-		}
-	}
-	return kept
-}
