--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -110,6 +110,8 @@
 		t.pause = head.Pause
 		now := steady.Now()
 		t.relay.pauses.Add(now, r, now.Add(head.Pause))
+		t.relay.Log.Event("replica_asks_for_pause", slog.String("replica", r.ID), slog.String("request_id", t.call.ID),
+			eventlog.Milliseconds("retry_after_ms", head.Pause))
 	}
 }
 
