replica: an entry that was written after a restore of the store counts at once

The replicas of a service drained and were ready again within 5 s of a restore, and a host that had just started took the first era that it saw for a restore and held on to what peers had told it. The revision at which an entry was written tells whether it is of the copy; a host without replicas has nothing to hold on to.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -190,7 +190,9 @@
 		c.Log.Warn("store_restored", slog.Int64("era", era), slog.Int64("before", c.era))
 		c.era = era
 		c.rewrittenAt = rewrittenAt
-		c.replicaList.BeginRestore(now)
+		if c.replicaDigest != 0 {
+			c.replicaList.BeginRestore(now)
+		}
 	case era == c.era && rewrittenAt.Before(c.rewrittenAt):
 		c.rewrittenAt = rewrittenAt
 	}
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -28,11 +28,13 @@
 	missing   map[string]time.Time   // for each replica kept without an entry: the first read after the outage
 	gone      map[string]incarnation // replicas that have left the list
 	leaving   map[string]incarnation // replicas that have announced that they leave
-	// The store may list replicas in an older state until staleUntil, because it was restored from an older copy.
-	staleUntil time.Time
-	restored   bool   // the store was restored and this host hasn't read it since
-	digest     uint64 // of replicas
-	steps      []step // latest changes, oldest first
+	// Until staleUntil, entries that were last written at staleRevision or before may be of an older copy from which the
+	// store was restored.
+	staleUntil    time.Time
+	staleRevision int64
+	restored      bool   // the store was restored and this host hasn't read it since
+	digest        uint64 // of replicas
+	steps         []step // latest changes, oldest first
 }
 
 // incarnation is one start of a replica.
@@ -76,7 +78,7 @@
 		return Change{}, false
 	}
 	r.Leaving = true
-	change, ok := l.put(now, r)
+	change, ok := l.put(now, r, false)
 	l.record([]Change{change})
 	return change, ok
 }
@@ -88,7 +90,7 @@
 
 // BeginRestore records that the store was found at now to be restored from an older copy. Replicas whose entries it has
 // lost get time to renew them. For staleTime, no replica goes back to an earlier state: one that is draining or gone
-// stays so unless it has started again.
+// stays so unless it has started again or its entry was written since.
 func (l *List) BeginRestore(now time.Time) {
 	l.restored = true
 	l.staleUntil = now.Add(staleTime)
@@ -100,6 +102,9 @@
 	if l.restored || !l.lastRead.IsZero() && now.Sub(l.lastRead) > outageGap {
 		l.outageEnd = now
 	}
+	if l.restored {
+		l.staleRevision = lastWritten(read)
+	}
 	l.restored = false
 	l.lastRead = now
 	return l.apply(now, read)
@@ -111,13 +116,15 @@
 	l.forget(now)
 	seen := make(map[string]bool, len(read))
 	for _, r := range read {
-		if g, ok := l.gone[r.ID]; ok && g.born == r.Born && now.Before(l.staleUntil) {
+		stale := now.Before(l.staleUntil) && r.Written <= l.staleRevision
+		r.Written = 0
+		if g, ok := l.gone[r.ID]; ok && g.born == r.Born && stale {
 			continue
 		}
 		seen[r.ID] = true
 		delete(l.missing, r.ID)
 		delete(l.gone, r.ID)
-		if change, ok := l.put(now, r); ok {
+		if change, ok := l.put(now, r, stale); ok {
 			changes = append(changes, change)
 		}
 	}
@@ -163,10 +170,19 @@
 	}
 }
 
-// put stores r, which was read at now, and returns the change, or false if nothing changed.
-func (l *List) put(now time.Time, r Replica) (Change, bool) {
+// lastWritten returns the highest revision at which one of the entries was written.
+func lastWritten(read []Replica) int64 {
+	var last int64
+	for _, r := range read {
+		last = max(last, r.Written)
+	}
+	return last
+}
+
+// put stores r, which was read at now and may be stale, and returns the change, or false if nothing changed.
+func (l *List) put(now time.Time, r Replica, stale bool) (Change, bool) {
 	old, known := l.replicas[r.ID]
-	if old.Draining && old.Born == r.Born && now.Before(l.staleUntil) {
+	if stale && old.Draining && old.Born == r.Born {
 		r.Draining = true
 	}
 	switch mark, marked := l.leaving[r.ID]; {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,8 @@
 	// Leaving says that the backend server itself has announced in a response that it takes no new requests, whatever its
 	// entry says.
 	Leaving bool `cbor:",omitempty"`
+	// Written is the store's revision at which the entry was last changed; 0 if this host didn't read the entry itself.
+	Written int64 `cbor:"-"`
 }
 
 // TakesRequests reports whether new requests may be sent to the replica.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// An entry that a replica has written after the restore says what the replica does now.
+func TestEntryWrittenAfterRestoreIsTaken(t *testing.T) {
+	l := NewList()
+	l.Update(start, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 6}})
+	l.Update(start.Add(time.Second), []Replica{{ID: "a", Draining: true, Written: 7}})
+	now := start.Add(2 * time.Second)
+	l.BeginRestore(now)
+	l.Update(now, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 6}})
+	now = now.Add(time.Second)
+	got := kinds(l.Update(now, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 7}}))
+	if a, _ := l.Get("a"); !a.Draining || got["b"] != ChangeNew || len(got) != 1 {
+		t.Errorf("changes %v, a %+v; want only b new, and a draining as its entry is of the copy", got, a)
+	}
+}
+
 func TestEntryThatOutlivesRestoreIsTaken(t *testing.T) {
 	l := NewList()
 	l.Update(start, []Replica{{ID: "a", Born: 1}})
