--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -50,6 +50,7 @@
 	waiting       []waitingRequest
 	crashes       map[uint64]crashRecord     // by fingerprint
 	shortRates    map[string]*shortRateMeter // of short prompts, by service
+	longRates     map[string]*longRateMeter  // of long prompts, by service
 	results       []Result                   // results of the current call of Decide
 	lastSweep     time.Time                  // time at which expired entries were last removed
 	lastTry       time.Time                  // time at which waiting requests were last tried again
@@ -78,6 +79,7 @@
 		jobs:          make(map[jobKey]*job),
 		crashes:       make(map[uint64]crashRecord),
 		shortRates:    make(map[string]*shortRateMeter),
+		longRates:     make(map[string]*longRateMeter),
 	}
 }
 
@@ -152,11 +154,24 @@
 func (p *Planner) Submit(now time.Time, req Request) {
 	long := p.isLong(&req)
 	p.waiting = append(p.waiting, waitingRequest{request: req, arrived: now, long: long})
-	if !long && req.PromptTokens > 0 {
+	switch {
+	case long:
+		p.longRateOf(req.Service).record(now, pass.PrefillTime(p.engines[req.Service], req.PromptTokens, 1))
+	case req.PromptTokens > 0:
 		p.shortRateOf(req.Service).record(now, req.PromptTokens)
 	}
 }
 
+// longRateOf returns the meter of a service's long prompts.
+func (p *Planner) longRateOf(service string) *longRateMeter {
+	m := p.longRates[service]
+	if m == nil {
+		m = &longRateMeter{}
+		p.longRates[service] = m
+	}
+	return m
+}
+
 // shortRateOf returns the meter of a service's short prompts.
 func (p *Planner) shortRateOf(service string) *shortRateMeter {
 	m := p.shortRates[service]
