--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -28,8 +28,6 @@
 	// no long prompt, so that short prompts find a slot.
 	minServersForReserve = 4
 	reserveDivisor       = 16
-	// Time constant with which the measured arrival rate of short prompts decays.
-	rateTimeConstant = 1500 * time.Millisecond
 	// Number of short prompts per second that one engine serves without missing their targets.
 	shortRatePerEngine = 5.0
 )
@@ -265,42 +263,3 @@
 	}
 	return reservations, missing <= 0
 }
-
-// shortRateMeter measures the arrival rate and the size of short prompts of a service.
-type shortRateMeter struct {
-	rate          float64 // prompts per second at lastArrival
-	lastArrival   time.Time
-	typicalTokens int // moving average of the prompt length
-}
-
-// perSecond returns the arrival rate in prompts per second.
-func (m *shortRateMeter) perSecond(now time.Time) float64 {
-	return m.rate * decay(now.Sub(m.lastArrival))
-}
-
-// record counts the arrival of a short prompt.
-func (m *shortRateMeter) record(now time.Time, tokens int) {
-	m.rate = m.perSecond(now) + 1/rateTimeConstant.Seconds()
-	m.lastArrival = now
-	if m.typicalTokens == 0 {
-		m.typicalTokens = tokens
-	}
-	m.typicalTokens += (tokens - m.typicalTokens) / 16
-}
-
-// longRateMeter measures how much prefill the arriving long prompts of a service need.
-type longRateMeter struct {
-	engines     float64 // prefill time on one engine that arrived per unit of time, at lastArrival
-	lastArrival time.Time
-}
-
-// busyEngines returns the number of engines that the arriving long prompts keep busy.
-func (m *longRateMeter) busyEngines(now time.Time) float64 {
-	return m.engines * decay(now.Sub(m.lastArrival))
-}
-
-// record counts the arrival of a long prompt with the given prefill time on one engine.
-func (m *longRateMeter) record(now time.Time, prefill time.Duration) {
-	m.engines = m.busyEngines(now) + prefill.Seconds()/rateTimeConstant.Seconds()
-	m.lastArrival = now
-}
--- /dev/null
+++ b/internal/planner/long_test.go
@@ -0,0 +1,76 @@
+package planner
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/pass"
+)
+
+// Pattern: a burst of long prompts, more than the engines prefill before their callers leave. Those that can't be in time
+// are refused when they come, with the time at which engines will be clear; they don't wait until their callers leave.
+func TestBurstOfLongPromptsIsRefusedAtOnceBeyondCapacity(t *testing.T) {
+	const engines, burst = 16, 150
+	p := newDomainPlanner(engines)
+	placed, refused := 0, 0
+	for i := range burst {
+		p.Submit(at(i), longRequest(i))
+		for _, result := range p.Decide(at(i)) {
+			if result.Plan != nil {
+				placed++
+				continue
+			}
+			refused++
+			if result.Refusal.Cause != CauseNoSlot || result.Refusal.RetryAfter < time.Second {
+				t.Errorf("prompt %s: refusal %+v, want that it may come back once engines are clear", result.ID, *result.Refusal)
+			}
+		}
+	}
+	req := longRequest(0)
+	prefill := pass.PrefillTime(testEngine, req.PromptTokens, 1)
+	capacity := int(float64(engines) * req.UntilDisconnect.Seconds() / prefill.Seconds())
+	if waiting := p.Waiting(); placed+waiting > capacity || placed+waiting < capacity/2 {
+		t.Errorf("%d prompts placed, %d waiting, %d refused; the engines prefill %d in time", placed, waiting, refused, capacity)
+	}
+}
+
+// Pattern: for many seconds twice as many long prompts come as the engines prefill. Those that can meet their target go
+// first, so one that has missed its own would wait until its caller leaves; it is refused soon after the target instead.
+func TestLongPromptsPassedByOthersAreRefusedSoon(t *testing.T) {
+	const (
+		engines  = 16
+		perSec   = 10 // the engines prefill about 5
+		duration = 10 * time.Second
+		slack    = time.Second
+	)
+	p := newDomainPlanner(engines)
+	arrivals := make(map[string]time.Time)
+	var running []runningRequest
+	var longest time.Duration
+	placed, refused := 0, 0
+	for now := start; now.Before(start.Add(2 * duration)); now = now.Add(tryInterval) {
+		if i := int(now.Sub(start) / tryInterval); now.Before(start.Add(duration)) && i%(int(time.Second/tryInterval)/perSec) == 0 {
+			req := longRequest(i)
+			arrivals[req.ID] = now
+			p.Submit(now, req)
+		}
+		for _, result := range p.Decide(now) {
+			if result.Plan == nil {
+				longest = max(longest, now.Sub(arrivals[result.ID]))
+				refused++
+				continue
+			}
+			placed++
+			first := now.Add(result.Plan.FirstEventTime)
+			running = append(running, runningRequest{id: result.ID, first: first, end: first.Add(time.Second)})
+		}
+		running = slices.DeleteFunc(running, func(r runningRequest) bool { return r.report(p, now) })
+	}
+	if limit := longRequest(0).FirstTarget + slack; longest > limit {
+		t.Errorf("a prompt waited for %v until it was refused, want at most %v", longest, limit)
+	}
+	if placed < 4*int(duration.Seconds()) || refused == 0 || p.Waiting() > 0 {
+		t.Errorf("%d placed, %d refused, %d waiting", placed, refused, p.Waiting())
+	}
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -8,9 +8,6 @@
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
 
-// decay returns the factor by which a measured rate falls in a time d without arrivals.
-func decay(d time.Duration) float64 { return math.Exp(-float64(d) / float64(rateTimeConstant)) }
-
 // usableServers returns the servers of the request's service that it may use, in the planner's order.
 func (p *Planner) usableServers(now time.Time, req *Request) []*server {
 	all := p.sortedServers[req.Service]
