placement: the number of hosts outlasts a change of the planner

Since hosts send each other only the first 32 of the planning order, a host knows the number of all from its planner. Without a planner, or with one that had just taken over, its part of the retry budget would have been nine times too large at 295 hosts. Found by reading; TestHostCountOutlastsChangeOfPlanner.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -48,9 +48,10 @@
 	extraWaits     map[string]chan time.Duration // queries about silent requests that wait for a reply, by request id
 	// Requests of other hosts that handlePlacementRequest is submitting and that have no result yet, by "HOST/ID";
 	// empty between messages.
-	inSubmit map[string]bool
-	inbound  map[*peerLink]bool   // connections that this host accepted
-	hostLink map[string]*peerLink // the newest of them from each host, by peerLink.host
+	inSubmit  map[string]bool
+	hostCount hostCount            // as this host or its planner has counted
+	inbound   map[*peerLink]bool   // connections that this host accepted
+	hostLink  map[string]*peerLink // the newest of them from each host, by peerLink.host
 }
 
 // peerLink is a connection to another host, with what the heartbeats on it have reported.
@@ -64,7 +65,6 @@
 	sent          feed.Versions  // what this host had when it last sent configuration or replicas
 	sentAt        time.Time      // when that was
 	sentStamp     int64          // stamp of the heartbeat with which that was sent
-	hostCount     int            // number of hosts that the other host knows
 	dialing       bool
 	lastScheduled time.Time // when tick last chose the other host as a contact, or the connection opened
 	membersSentAt time.Time // when the list of members was last sent
@@ -108,14 +108,11 @@
 	return p
 }
 
-// HostCount returns the number of entry hosts, this one included, that this host or its planner knows.
+// HostCount returns the number of entry hosts, this one included, that this host knows or its planner has reported.
 func (c *Client) HostCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.linkToPlanner(); p != nil {
-		return max(c.Roster.Size(), p.hostCount)
-	}
-	return c.Roster.Size()
+	return max(c.Roster.Size(), c.hostCount.count)
 }
 
 // Members returns the addresses of the entry hosts that this host knows: its own first, then the others in order of
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -71,7 +71,9 @@
 	}
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
-	p.hostCount = heartbeat.HostCount
+	if p.address == c.plannerAddress {
+		c.hostCount.record(now, heartbeat.HostCount)
+	}
 	if heartbeat.Echo >= p.sentStamp {
 		p.versions = heartbeat.Versions()
 	}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -146,6 +146,9 @@
 		}
 	}
 	c.choosePlanner(now)
+	if c.plannerAddress == c.self() {
+		c.hostCount.record(now, c.Roster.Size())
+	}
 	c.Metrics.Gauge("hosts").Update(float64(c.Roster.Size()))
 	c.Metrics.Gauge("asks_waiting").Update(float64(c.localPlanner.Waiting()))
 	for _, address := range c.Roster.Contacts(now) {
