planner: waiting long prompts are tried again however often slots are freed

Cause: waiting long prompts are tried every 20 ms since the last try, and each freed slot counted as a try.

TestWaitingLongPromptIsTriedWhileSlotsAreFreed: not placed within 3 s of clear engines before.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -30,7 +30,7 @@
 		planner: p, now: now, tryDue: now.Sub(p.lastTry) >= tryInterval,
 		queues: make(map[string]*serviceQueue),
 	}
-	if r.tryDue || p.slotFreed {
+	if r.tryDue {
 		p.lastTry = now
 	}
 	freed := p.slotFreed
--- a/internal/planner/long_test.go
+++ b/internal/planner/long_test.go
@@ -74,3 +74,36 @@
 		t.Errorf("%d placed, %d refused, %d waiting", placed, refused, p.Waiting())
 	}
 }
+
+// Pattern: on a large fleet requests end every few milliseconds. A long prompt that waits is tried again all the same, and
+// placed soon after engines are clear.
+func TestWaitingLongPromptIsTriedWhileSlotsAreFreed(t *testing.T) {
+	const (
+		engines = 4
+		clearMS = 3000 // when the engines are clear
+	)
+	p := newDomainPlanner(engines)
+	first := longRequest(0)
+	first.FirstTarget = 100 * time.Millisecond // so that it takes all engines that it may
+	mustPlan(t, p, at(0), first)
+	p.Submit(at(1), longRequest(1))
+	var results []Result
+	for ms := 2; ms < 6000; ms++ {
+		if ms%5 == 0 { // a short prompt that ends at once
+			p.Submit(at(ms), shortRequest(ms))
+			results = append(results, p.Decide(at(ms))...)
+			p.Ended(at(ms), "h", shortRequest(ms).ID, OutcomeCompleted)
+		}
+		if ms == clearMS {
+			p.Ended(at(ms), "h", first.ID, OutcomeCompleted)
+		}
+		results = append(results, p.Decide(at(ms))...)
+		if slices.ContainsFunc(results, func(r Result) bool { return r.ID == longRequest(1).ID && r.Plan != nil }) {
+			if wait := time.Duration(ms-clearMS) * time.Millisecond; wait < 0 || wait > 5*tryInterval {
+				t.Errorf("placed %v after the engines were clear, want at most %v", wait, 5*tryInterval)
+			}
+			return
+		}
+	}
+	t.Errorf("the long prompt was not placed in 3 s after the engines were clear; %d results", len(results))
+}
