feed, relay: a plan is dropped only for a replica that has announced itself that it leaves

After a restore of the store hosts knew a replica as draining longer than the planner did, dropped its plans for that replica and had none other. The planner's list decides on draining replicas as before; a host's own evidence is the mark that a response has set.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -319,13 +319,12 @@
 	return c.replicaList.Leaving()
 }
 
-// MayReceive reports whether new requests may be sent to this incarnation of r. It returns true for a replica that this
-// host doesn't know, since the planner on another host may know it.
-func (c *Cache) MayReceive(r replica.Replica) bool {
+// IsLeaving reports whether this incarnation of r is marked as leaving.
+func (c *Cache) IsLeaving(r replica.Replica) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.replicaList.Get(r.ID)
-	return !ok || known.Born != r.Born || known.TakesRequests()
+	return ok && known.Born == r.Born && known.Leaving
 }
 
 // applyChanges makes the list of replicas active after an update of the list, and logs the changes.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -384,8 +384,8 @@
 	}
 }
 
-// MayReceive reports whether new requests may be sent to this incarnation of r.
-func (c *Client) MayReceive(r replica.Replica) bool { return c.Cache.MayReceive(r) }
+// IsLeaving reports whether this incarnation of r has announced that it leaves.
+func (c *Client) IsLeaving(r replica.Replica) bool { return c.Cache.IsLeaving(r) }
 
 // reportEnded notifies the local planner, which ignores ids that it does not know, and the planner on another host, if
 // that one plans for this host.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,14 +25,14 @@
 // PlannerClient is what the relay needs of the client of the planner, which is placement.Client: Place requests a
 // placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
 // server has asked for. ExtraWait returns how much longer to wait for a silent server of a placement, 0 for no longer.
-// Leaving reports a replica that has announced that it leaves; MayReceive returns false for a replica that leaves.
+// Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
 	Started(id string)
 	Ended(id string, outcome planner.Outcome, pause time.Duration)
 	ExtraWait(ctx context.Context, id string) time.Duration
 	Leaving(r replica.Replica)
-	MayReceive(r replica.Replica) bool
+	IsLeaving(r replica.Replica) bool
 }
 
 // MemoryReserver reserves memory at the engine with the given address. Reserve also renews a reservation that the
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -98,7 +98,7 @@
 // mayReceive reports whether the call may be sent to r: r doesn't leave and hasn't asked this host for a pause. The
 // planner may not know that yet.
 func (t *transfer) mayReceive(r replica.Replica) bool {
-	return t.relay.PlannerClient.MayReceive(r) && !t.relay.pauses.Paused(steady.Now(), r)
+	return !t.relay.PlannerClient.IsLeaving(r) && !t.relay.pauses.Paused(steady.Now(), r)
 }
 
 // noteRequests takes over what the head of a response from r says about further requests to r.
