planner, placement, feed: the longest prompts take their turn; lists of hosts and replicas travel faster

Since long prompts that have missed their target are refused soon, the longest, which rarely find enough engines at once, were hardly served. Pattern: a wave of long prompts of very different lengths. One that is longer than the moving average (weighted by the work) now goes first once it has missed its target. Members were sent every 3 s only, so that hosts that start together found the planner late; they are now sent as soon as they change. A list of 2,997 replicas was 300 kB for each host; it is sent compressed to hosts that accept changes.

--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -32,11 +32,12 @@
 	ConfigPatch  []byte         `cbor:"14,keyasint,omitempty"`
 	ConfigBase   uint64         `cbor:"15,keyasint,omitempty"` // digest of the document that ConfigPatch changes
 	ReplicaDelta *replica.Delta `cbor:"16,keyasint,omitempty"`
+	ReplicaData  []byte         `cbor:"17,keyasint,omitempty"` // Replicas, encoded and compressed
 }
 
 // HasContent reports whether the state contains the configuration or replicas, or a change of them.
 func (s *State) HasContent() bool {
-	return s.ConfigData != nil || s.ConfigPatch != nil || s.HasReplicas || s.ReplicaDelta != nil
+	return s.ConfigData != nil || s.ConfigPatch != nil || s.HasReplicas || s.ReplicaDelta != nil || s.ReplicaData != nil
 }
 
 // Versions identifies the configuration and the set of replicas that a host has. The zero value is that of a host that
@@ -124,6 +125,11 @@
 			s.ReplicaDelta = delta
 			return
 		}
+		if c.packedReplicas == nil {
+			c.packedReplicas = packReplicas(c.replicas)
+		}
+		s.ReplicaData = c.packedReplicas
+		return
 	}
 	s.HasReplicas = true
 	s.Replicas = c.replicas
@@ -194,9 +200,14 @@
 	switch {
 	case s.ReplicaRevision == 0 || !newer:
 	case s.HasReplicas:
-		c.replicaRevision = readRevision
-		c.replicasReadAt = readAt
-		c.applyChanges(c.replicaList.Replace(readAt, s.Replicas))
+		c.replaceReplicas(readRevision, readAt, s.Replicas)
+	case s.ReplicaData != nil:
+		replicas, err := unpackReplicas(s.ReplicaData)
+		if err != nil {
+			c.Log.Warn("replicas_unreadable", slog.String("error", err.Error()))
+			return
+		}
+		c.replaceReplicas(readRevision, readAt, replicas)
 	case s.ReplicaDelta != nil:
 		if changes, ok := c.replicaList.Apply(readAt, s.ReplicaDelta); ok {
 			c.replicaRevision = readRevision
@@ -209,3 +220,10 @@
 		c.replicaList.ConfirmRead(readAt)
 	}
 }
+
+// replaceReplicas replaces the replicas by those of another host, which read them at the given revision and time.
+func (c *Cache) replaceReplicas(readRevision revision.Revision, readAt time.Time, replicas []replica.Replica) {
+	c.replicaRevision = readRevision
+	c.replicasReadAt = readAt
+	c.applyChanges(c.replicaList.Replace(readAt, replicas))
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -70,6 +70,7 @@
 	rewrittenAt     time.Time         // when the store has all again that was written before era; see rewriteTime
 	replicaList     *replica.List
 	replicas        []replica.Replica // the active ones; replaced as a whole, never modified
+	packedReplicas  []byte            // replicas encoded and compressed; nil until a peer needs it
 	replicaRevision revision.Revision // of the store when the replicas were read
 	replicasReadAt  time.Time         // when this host or a peer started to read the replicas
 	replicaDigest   uint64            // of replicas; 0 until replicas are known
@@ -333,6 +334,7 @@
 		return
 	}
 	c.replicas = c.replicaList.All()
+	c.packedReplicas = nil
 	c.replicaDigest = c.replicaList.Digest()
 	for _, change := range changes {
 		c.Log.Event("replica_"+string(change.Kind), slog.String("replica", change.Replica.ID),
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -110,7 +110,7 @@
 	if s.ConfigData != nil || s.HasReplicas || s.Replicas != nil {
 		t.Errorf("exported what the peer has: %+v", s)
 	}
-	if s = c.Export(now, Versions{}); s.ConfigData == nil || len(s.Replicas) != 1 {
+	if s = c.Export(now, Versions{}); s.ConfigData == nil || len(s.Replicas) != 1 || s.ReplicaData != nil {
 		t.Errorf("omitted what the peer lacks: %+v", s)
 	}
 }
@@ -194,7 +194,7 @@
 			Revision: revision.New(0, int64(step+1)),
 		}, now, "store")
 		s := from.Export(now, to.Versions())
-		if step > 0 && (s.ConfigData != nil || s.Replicas != nil || len(s.ReplicaDelta.Changed)+len(s.ReplicaDelta.Removed) != 1) {
+		if step > 0 && (s.ConfigData != nil || s.Replicas != nil || s.ReplicaData != nil || len(s.ReplicaDelta.Changed)+len(s.ReplicaDelta.Removed) != 1) {
 			t.Fatalf("step %d: the whole is sent", step)
 		}
 		to.Import(now, s)
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -6,14 +6,35 @@
 	"io"
 	"math/bits"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
-// maxDocumentBytes is the maximum size of a decompressed configuration document.
+// maxDocumentBytes is the maximum size of a decompressed configuration document or list of replicas.
 const maxDocumentBytes = 16 << 20
 
-// compress compresses a document with DEFLATE to be sent to peers.
+// packReplicas encodes and compresses a list of replicas, whose IDs alone differ much.
+func packReplicas(replicas []replica.Replica) []byte {
+	// No error is possible: all fields can be encoded.
+	data, _ := cbor.Marshal(replicas)
+	return compress(data)
+}
+
+// unpackReplicas reverses packReplicas. It returns an error if the data are damaged or too long.
+func unpackReplicas(packed []byte) ([]replica.Replica, error) {
+	data, err := decompress(packed)
+	if err != nil {
+		return nil, err
+	}
+	var replicas []replica.Replica
+	err = cbor.Unmarshal(data, &replicas)
+	return replicas, err
+}
+
+// compress compresses data with DEFLATE to be sent to peers.
 func compress(data []byte) []byte {
 	var b bytes.Buffer
 	// No error is possible: the level is valid, and writes to a bytes.Buffer don't fail.
@@ -27,7 +48,7 @@
 func decompress(compressed []byte) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDocumentBytes+1))
 	if err == nil && len(data) > maxDocumentBytes {
-		err = errors.Errorf("configuration document exceeds %d bytes after decompression", maxDocumentBytes)
+		err = errors.Errorf("more than %d bytes after decompression", maxDocumentBytes)
 	}
 	return data, err
 }
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
+	"slices"
 	"strings"
 	"testing"
+
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
 // routes returns a document with the given number of routes.
@@ -33,6 +37,27 @@
 	}
 }
 
+func TestPackedReplicas(t *testing.T) {
+	var list []replica.Replica
+	for i := range 1000 {
+		list = append(list, replica.Replica{
+			ID: fmt.Sprintf("i-%010x", uint64(i)*0x9e3779b97f4a7c15>>24), Service: "quote-llm", Slots: 10, Born: 1700000000000 + int64(i),
+			FailureDomain: "recife-a", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 8080),
+			Leaving: i%7 == 0,
+		})
+	}
+	packed := packReplicas(list)
+	if len(packed) > 40*len(list) {
+		t.Errorf("%d bytes for %d replicas, want at most 40 for each", len(packed), len(list))
+	}
+	if got, err := unpackReplicas(packed); err != nil || !slices.Equal(got, list) {
+		t.Errorf("got %d replicas, error %v", len(got), err)
+	}
+	if _, err := unpackReplicas(packed[:len(packed)/2]); err == nil {
+		t.Error("a truncated list was accepted")
+	}
+}
+
 func BenchmarkPatch(b *testing.B) {
 	base, changed := routes(1600, 7), routes(1600, 8)
 	b.ReportAllocs()
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -67,6 +67,7 @@
 	sentStamp     int64          // stamp of the heartbeat with which that was sent
 	dialing       bool
 	lastScheduled time.Time // when tick last chose the other host as a contact, or the connection opened
+	membersDigest uint64    // of the members that were last sent
 	membersSentAt time.Time // when the list of members was last sent
 }
 
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
@@ -12,8 +14,8 @@
 )
 
 const (
-	// The interval at which members are sent over one connection, and how many of them. Hosts need only those that may
-	// soon be planner; the planner and the standbys hear from all hosts directly.
+	// The interval at which members are sent over one connection if they haven't changed, and how many of them. Hosts need
+	// only those that may soon be planner; the planner and the standbys hear from all hosts directly.
 	membersInterval = 3 * time.Second
 	maxMembers      = 32
 	// The interval at which configuration and replicas are sent again to a host that doesn't accept them.
@@ -27,9 +29,8 @@
 	heartbeat := &link.Heartbeat{Stamp: now.UnixNano(), Host: c.Roster.Self(), NoReply: noReply}
 	heartbeat.SetVersions(c.Cache.Versions())
 	heartbeat.HostCount = c.Roster.Size()
-	if noReply && now.Sub(p.membersSentAt) >= membersInterval {
-		p.membersSentAt = now
-		heartbeat.Members = c.Roster.Foremost(now, maxMembers)
+	if noReply {
+		heartbeat.Members = c.membersFor(now, p)
 	}
 	if p.lastStamp != 0 {
 		heartbeat.Echo = p.lastStamp
@@ -38,6 +39,29 @@
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
 }
 
+// membersFor returns the first hosts in the planning order if a peer is due to get them: when they are others than it got
+// last, and otherwise every membersInterval.
+func (c *Client) membersFor(now time.Time, p *peerLink) []roster.Member {
+	members := c.Roster.Foremost(now, maxMembers)
+	digest := membersDigest(members)
+	if digest == p.membersDigest && now.Sub(p.membersSentAt) < membersInterval {
+		return nil
+	}
+	p.membersDigest = digest
+	p.membersSentAt = now
+	return members
+}
+
+// membersDigest returns a hash of the members' addresses.
+func membersDigest(members []roster.Member) uint64 {
+	d := xxhash.New()
+	for _, m := range members {
+		// Writes to the digest can't fail.
+		_, _ = d.WriteString(m.Address.String())
+	}
+	return d.Sum64()
+}
+
 // exportState returns the state to send to a peer with the given stamp. What is sent counts as received until a
 // heartbeat says otherwise that the peer has sent later.
 func (c *Client) exportState(now time.Time, p *peerLink, stamp int64) *feed.State {
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -83,24 +83,30 @@
 	return tryInterval * time.Duration(long/longTriesPerInterval)
 }
 
-// compareWaiting orders requests by priority, then puts those first whose target hasn't passed, then orders by the time
-// of the first-event target.
+// compareWaiting orders requests by priority, then puts those first that have precedence, then orders by the time of the
+// first-event target.
 func compareWaiting(now time.Time, x, y *waitingRequest) int {
 	if c := cmp.Compare(x.request.Priority, y.request.Priority); c != 0 {
 		return c
 	}
 	xTarget, yTarget := x.arrived.Add(x.request.FirstTarget), y.arrived.Add(y.request.FirstTarget)
-	xOverdue, yOverdue := xTarget.Before(now), yTarget.Before(now)
+	xFirst, yFirst := x.hasPrecedence(now), y.hasPrecedence(now)
 	switch {
-	case xOverdue == yOverdue:
+	case xFirst == yFirst:
 		return xTarget.Compare(yTarget)
-	case xOverdue:
-		return 1
-	default:
+	case xFirst:
 		return -1
+	default:
+		return 1
 	}
 }
 
+// hasPrecedence reports whether the request goes before those that have missed their targets. So does one of the longest
+// prompts that has missed its target itself: it rarely finds enough engines in time, and others would always pass it by.
+func (w *waitingRequest) hasPrecedence(now time.Time) bool {
+	return w.longest || !w.arrived.Add(w.request.FirstTarget).Before(now)
+}
+
 // immediateRefusal returns the refusal of a request that is not kept waiting, or nil.
 func (p *Planner) immediateRefusal(now time.Time, req *Request, servers []*server) *Refusal {
 	switch {
--- a/internal/planner/long_test.go
+++ b/internal/planner/long_test.go
@@ -1,6 +1,10 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -107,3 +111,48 @@
 	}
 	t.Errorf("the long prompt was not placed in 3 s after the engines were clear; %d results", len(results))
 }
+
+// Pattern: a wave of long prompts of very different lengths, somewhat more than the engines prefill. The longest tenth is
+// served at least half as often as all.
+func TestLongestPromptsAreServedInWave(t *testing.T) {
+	const (
+		engines  = 64
+		perSec   = 16
+		duration = 20 * time.Second
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	p := newDomainPlanner(engines)
+	tokens := make(map[string]int)
+	served := make(map[string]bool)
+	var running []runningRequest
+	for now := start; now.Before(start.Add(duration + 15*time.Second)); now = now.Add(tryInterval) {
+		i := int(now.Sub(start) / tryInterval)
+		if now.Before(start.Add(duration)) && i%(int(time.Second/tryInterval)/perSec) == 0 {
+			req := longRequest(i)
+			req.PromptTokens = min(int(190000*math.Exp(0.55*random.NormFloat64())), 700000)
+			tokens[req.ID] = req.PromptTokens
+			p.Submit(now, req)
+		}
+		for _, result := range p.Decide(now) {
+			if result.Plan == nil {
+				continue
+			}
+			served[result.ID] = true
+			first := now.Add(result.Plan.FirstEventTime)
+			running = append(running, runningRequest{id: result.ID, first: first, end: first.Add(1500 * time.Millisecond)})
+		}
+		running = slices.DeleteFunc(running, func(r runningRequest) bool { return r.report(p, now) })
+	}
+	ids := slices.SortedFunc(maps.Keys(tokens), func(a, b string) int { return cmp.Compare(tokens[b], tokens[a]) })
+	longest := 0
+	for _, id := range ids[:len(ids)/10] {
+		if served[id] {
+			longest++
+		}
+	}
+	all := float64(len(served)) / float64(len(ids))
+	if share := float64(longest) / float64(len(ids)/10); share < all/2 || all < 0.5 {
+		t.Errorf("%.2f of the longest tenth are served, %.2f of all", share, all)
+	}
+	t.Logf("%.2f of all are served", all)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -62,6 +62,7 @@
 	request Request
 	arrived time.Time
 	long    bool // its prompt is long
+	longest bool // its prompt is among the longest of late
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
 	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
@@ -152,14 +153,17 @@
 
 // Submit adds a request that needs a backend server; a later call of Decide returns its result.
 func (p *Planner) Submit(now time.Time, req Request) {
-	long := p.isLong(&req)
-	p.waiting = append(p.waiting, waitingRequest{request: req, arrived: now, long: long})
+	w := waitingRequest{request: req, arrived: now, long: p.isLong(&req)}
 	switch {
-	case long:
-		p.longRateOf(req.Service).record(now, pass.PrefillTime(p.engines[req.Service], req.PromptTokens, 1))
+	case w.long:
+		prefill := pass.PrefillTime(p.engines[req.Service], req.PromptTokens, 1)
+		rate := p.longRateOf(req.Service)
+		rate.record(now, prefill)
+		w.longest = prefill > rate.typical
 	case req.PromptTokens > 0:
 		p.shortRateOf(req.Service).record(now, req.PromptTokens)
 	}
+	p.waiting = append(p.waiting, w)
 }
 
 // longRateOf returns the meter of a service's long prompts.
