--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -83,30 +83,29 @@
 	return tryInterval * time.Duration(long/longTriesPerInterval)
 }
 
-// compareWaiting orders requests by priority, then puts those first that have precedence, then orders by the time of the
-// first-event target.
+// compareWaiting orders requests by priority, then by their group, then by the time of the first-event target.
 func compareWaiting(now time.Time, x, y *waitingRequest) int {
 	if c := cmp.Compare(x.request.Priority, y.request.Priority); c != 0 {
 		return c
 	}
 	xTarget, yTarget := x.arrived.Add(x.request.FirstTarget), y.arrived.Add(y.request.FirstTarget)
-	xFirst, yFirst := x.hasPrecedence(now), y.hasPrecedence(now)
+	return cmp.Or(cmp.Compare(x.group(now), y.group(now)), xTarget.Compare(yTarget))
+}
+
+// group returns the group of the request in the order: 0 if its target hasn't passed, 1 if it is one of the longest prompts,
+// 2 otherwise. The longest prompts rarely find enough engines before their targets, and the others that have missed their
+// own would always pass them by.
+func (w *waitingRequest) group(now time.Time) int {
 	switch {
-	case xFirst == yFirst:
-		return xTarget.Compare(yTarget)
-	case xFirst:
-		return -1
-	default:
+	case !w.arrived.Add(w.request.FirstTarget).Before(now):
+		return 0
+	case w.longest:
 		return 1
+	default:
+		return 2
 	}
 }
 
-// hasPrecedence reports whether the request goes before those that have missed their targets. So does one of the longest
-// prompts that has missed its target itself: it rarely finds enough engines in time, and others would always pass it by.
-func (w *waitingRequest) hasPrecedence(now time.Time) bool {
-	return w.longest || !w.arrived.Add(w.request.FirstTarget).Before(now)
-}
-
 // immediateRefusal returns the refusal of a request that is not kept waiting, or nil.
 func (p *Planner) immediateRefusal(now time.Time, req *Request, servers []*server) *Refusal {
 	switch {
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -63,7 +63,7 @@
 		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
 		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0
 		return false
-	case onTime && !w.isOverdueLongest(&req) && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
+	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
 	case !ok, !onTime && r.shouldYield(w, q):
 		return r.waitOrRefuse(w, &req, q)
@@ -73,12 +73,6 @@
 	return true
 }
 
-// isOverdueLongest reports whether the request, of which req is the present form, has one of the longest prompts and has
-// missed its target.
-func (w *waitingRequest) isOverdueLongest(req *Request) bool {
-	return w.longest && req.FirstTarget <= 0
-}
-
 // shouldYield reports whether a request that will miss its target should leave its slot to one that can meet its own.
 func (r *round) shouldYield(w *waitingRequest, q *serviceQueue) bool {
 	if w.long {
