--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -40,8 +40,15 @@
 }
 
 // membersFor returns the first hosts in the planning order if a peer is due to get them: when they are others than it got
-// last, and otherwise every membersInterval.
+// last, and otherwise every membersInterval. A host of an earlier version doesn't read HostCount, so it gets all hosts.
 func (c *Client) membersFor(now time.Time, p *peerLink) []roster.Member {
+	if !p.versions.AcceptsChanges {
+		if now.Sub(p.membersSentAt) < membersInterval {
+			return nil
+		}
+		p.membersSentAt = now
+		return c.Roster.Members(now)
+	}
 	members := c.Roster.Foremost(now, maxMembers)
 	digest := membersDigest(members)
 	if digest == p.membersDigest && now.Sub(p.membersSentAt) < membersInterval {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -62,7 +62,7 @@
 	request Request
 	arrived time.Time
 	long    bool // its prompt is long
-	longest bool // its prompt is among the longest of late
+	longest bool // its prompt is longer than the typical long one; see longRateMeter
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
 	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -12,8 +12,8 @@
 	minRunTime = 100 * time.Millisecond
 	// A request counts as on time if the probability that it misses its first-event target is at most this.
 	maxMissRisk = 0.3
-	// In a wave of short prompts, one in minLongShare engines still prefills long ones.
-	minLongShare = 4
+	// In a wave of short prompts, one in minLongDivisor engines still counts as prefilling long ones.
+	minLongDivisor = 4
 	// Short prompts that are expected within this time get a slot before requests that miss their targets.
 	scarcityWindow = time.Second
 )
@@ -163,7 +163,7 @@
 		l.work += forecast.QueuedParts + forecast.QueuedOwn
 	}
 	spare := r.planner.shortLoadOf(r.now, service, usable, 0).spare
-	l.engines = max(min(spare, maxLongPromptEngines(usable)), usable/minLongShare, 1)
+	l.engines = max(min(spare, maxLongPromptEngines(usable)), usable/minLongDivisor, 1)
 	return l
 }
 
