--- a/internal/planner/long_test.go
+++ b/internal/planner/long_test.go
@@ -156,3 +156,22 @@
 	}
 	t.Logf("%.2f of all are served", all)
 }
+
+// A refusal breaks off a response that has begun: a resumed request is not refused because others may pass it by.
+func TestResumedLongPromptIsNotRefusedSoon(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		p := newDomainPlanner(4)
+		for i := range 20 {
+			p.Submit(at(i), longRequest(i))
+		}
+		p.Decide(at(20))
+		req := longRequest(100)
+		req.FirstTarget = 0
+		req.Resumed = resumed
+		p.Submit(at(21), req)
+		refused := slices.ContainsFunc(p.Decide(at(21)), func(r Result) bool { return r.ID == req.ID && r.Refusal != nil })
+		if refused == resumed {
+			t.Errorf("resumed %v: refused %v", resumed, refused)
+		}
+	}
+}
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -24,6 +24,7 @@
 	Fingerprint      uint64        `cbor:"12,keyasint,omitempty"` // equal for requests that do the same work; 0 for none
 	UntilDisconnect  time.Duration `cbor:"14,keyasint,omitempty"` // estimated time until the caller disconnects; 0 for none
 	PauseTimeout     time.Duration `cbor:"15,keyasint,omitempty"` // pause after which the caller disconnects
+	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -106,12 +106,13 @@
 }
 
 // waitOrRefuse keeps the request w waiting, of which req is the present form, or refuses it if no slot will be free in
-// time or if it is a long prompt for which no engines will be clear in time. It reports whether it refused the request.
+// time or if it is a long prompt for which no engines will be clear in time. A refusal breaks off a response that has begun,
+// so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
 func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
 	runTime := minRunTime
 	passedBy := false
-	if w.long {
+	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
 		wait, runTime = max(wait, longWait), max(runTime, longRunTime)
 		passedBy = !w.longest && r.passedByLong(req, q, w.longAhead, longRunTime)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -48,6 +48,7 @@
 		Fingerprint:      t.fingerprint,
 		UntilDisconnect:  untilDisconnect,
 		PauseTimeout:     pauseTimeout,
+		Resumed:          t.events.forwarded > 0,
 	}
 	result, err := t.relay.PlannerClient.Place(t.ctx, req)
 	t.relay.Metrics.Timer("planning").Record(steady.Now().Sub(now))
