planner: long prompts that others pass by wait again

Reverted: the refusal of long prompts soon after their target when others pass them by, and the order by length that followed from it.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -83,26 +83,21 @@
 	return tryInterval * time.Duration(long/longTriesPerInterval)
 }
 
-// compareWaiting orders requests by priority, then by their group, then by the time of the first-event target.
+// compareWaiting orders requests by priority, then puts those first whose target hasn't passed, then orders by the time
+// of the first-event target.
 func compareWaiting(now time.Time, x, y *waitingRequest) int {
 	if c := cmp.Compare(x.request.Priority, y.request.Priority); c != 0 {
 		return c
 	}
 	xTarget, yTarget := x.arrived.Add(x.request.FirstTarget), y.arrived.Add(y.request.FirstTarget)
-	return cmp.Or(cmp.Compare(x.group(now), y.group(now)), xTarget.Compare(yTarget))
-}
-
-// group returns the group of the request in the order: 0 if its target hasn't passed, 1 if it is one of the longest prompts,
-// 2 otherwise. The longest prompts rarely find enough engines before their targets, and the others that have missed their
-// own would always pass them by.
-func (w *waitingRequest) group(now time.Time) int {
+	xOverdue, yOverdue := xTarget.Before(now), yTarget.Before(now)
 	switch {
-	case !w.arrived.Add(w.request.FirstTarget).Before(now):
-		return 0
-	case w.longest:
+	case xOverdue == yOverdue:
+		return xTarget.Compare(yTarget)
+	case xOverdue:
 		return 1
 	default:
-		return 2
+		return -1
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -50,7 +50,6 @@
 	waiting       []waitingRequest
 	crashes       map[uint64]crashRecord     // by fingerprint
 	shortRates    map[string]*shortRateMeter // of short prompts, by service
-	longRates     map[string]*longRateMeter  // of long prompts, by service
 	results       []Result                   // results of the current call of Decide
 	lastSweep     time.Time                  // time at which expired entries were last removed
 	lastTry       time.Time                  // time at which waiting requests were last tried again
@@ -62,7 +61,6 @@
 	request Request
 	arrived time.Time
 	long    bool // its prompt is long
-	longest bool // its prompt is longer than the typical long one; see longRateMeter
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
 	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
@@ -80,7 +78,6 @@
 		jobs:          make(map[jobKey]*job),
 		crashes:       make(map[uint64]crashRecord),
 		shortRates:    make(map[string]*shortRateMeter),
-		longRates:     make(map[string]*longRateMeter),
 	}
 }
 
@@ -153,27 +150,11 @@
 
 // Submit adds a request that needs a backend server; a later call of Decide returns its result.
 func (p *Planner) Submit(now time.Time, req Request) {
-	w := waitingRequest{request: req, arrived: now, long: p.isLong(&req)}
-	switch {
-	case w.long:
-		prefill := pass.PrefillTime(p.engines[req.Service], req.PromptTokens, 1)
-		rate := p.longRateOf(req.Service)
-		rate.record(now, prefill)
-		w.longest = prefill > rate.typical
-	case req.PromptTokens > 0:
+	long := p.isLong(&req)
+	p.waiting = append(p.waiting, waitingRequest{request: req, arrived: now, long: long})
+	if !long && req.PromptTokens > 0 {
 		p.shortRateOf(req.Service).record(now, req.PromptTokens)
 	}
-	p.waiting = append(p.waiting, w)
-}
-
-// longRateOf returns the meter of a service's long prompts.
-func (p *Planner) longRateOf(service string) *longRateMeter {
-	m := p.longRates[service]
-	if m == nil {
-		m = &longRateMeter{}
-		p.longRates[service] = m
-	}
-	return m
 }
 
 // shortRateOf returns the meter of a service's short prompts.
--- a/internal/planner/rates.go
+++ b/internal/planner/rates.go
@@ -32,23 +32,3 @@
 	}
 	m.typicalTokens += (tokens - m.typicalTokens) / 16
 }
-
-// longRateMeter measures how much prefill the arriving long prompts of a service need.
-type longRateMeter struct {
-	engines     float64 // prefill time on one engine that arrived per unit of time, at lastArrival
-	lastArrival time.Time
-	typical     time.Duration // moving average of the prefill time, weighted by itself
-}
-
-// busyEngines returns the number of engines that the arriving long prompts keep busy.
-func (m *longRateMeter) busyEngines(now time.Time) float64 {
-	return m.engines * decay(now.Sub(m.lastArrival))
-}
-
-// record counts the arrival of a long prompt with the given prefill time on one engine.
-func (m *longRateMeter) record(now time.Time, prefill time.Duration) {
-	m.engines = m.busyEngines(now) + prefill.Seconds()/rateTimeConstant.Seconds()
-	m.lastArrival = now
-	weight := prefill.Seconds() / (prefill + 16*m.typical).Seconds()
-	m.typical += time.Duration(weight * float64(prefill-m.typical))
-}
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -76,7 +76,7 @@
 // shouldYield reports whether a request that will miss its target should leave its slot to one that can meet its own.
 func (r *round) shouldYield(w *waitingRequest, q *serviceQueue) bool {
 	if w.long {
-		return q.longWaiting && !w.longest
+		return q.longWaiting
 	}
 	return r.slotsScarce(w.request.Service, q)
 }
@@ -111,18 +111,12 @@
 func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
 	runTime := minRunTime
-	passedBy := false
 	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
 		wait, runTime = max(wait, longWait), max(runTime, longRunTime)
-		passedBy = !w.longest && r.passedByLong(req, q, w.longAhead, longRunTime)
-	}
-	if passedBy {
-		// The rate of arrivals may be another once it is measured anew.
-		wait = max(wait, rateTimeConstant)
 	}
 	q.ahead++
-	if passedBy || wait+runTime > req.firstEventTimeout() {
+	if wait+runTime > req.firstEventTimeout() {
 		return r.planner.refuse(req, &Refusal{Cause: CauseNoSlot, RetryAfter: max(wait, minRetryAfter)})
 	}
 	return false
@@ -140,17 +134,6 @@
 	return wait, pass.PrefillTime(r.planner.engines[req.Service], req.PromptTokens, engines)
 }
 
-// passedByLong reports whether a long prompt that has missed its target would wait too long behind the long prompts that
-// are still to come: those that can meet their target go first. The prompt's queue and run time are those of longTimes.
-func (r *round) passedByLong(req *Request, q *serviceQueue, ahead, runTime time.Duration) bool {
-	if req.FirstTarget > 0 {
-		return false
-	}
-	left := float64(q.longQueue.engines) - r.planner.longRateOf(req.Service).busyEngines(r.now)
-	available := req.firstEventTimeout() - runTime
-	return left*available.Seconds() < (q.longQueue.work + ahead).Seconds()
-}
-
 // newLongQueue returns the prefill that is queued at the engines of a service.
 func (r *round) newLongQueue(service string) *longQueue {
 	usable := 0
