--- a/internal/planner/long_test.go
+++ b/internal/planner/long_test.go
@@ -126,6 +126,7 @@
 		}
 		p.Decide(at(150))
 		req := longRequest(200)
+		req.UntilDisconnect = 5 * time.Second
 		req.Resumed = resumed
 		p.Submit(at(151), req)
 		refused := slices.ContainsFunc(p.Decide(at(151)), func(r Result) bool { return r.ID == req.ID && r.Refusal != nil })
