feed, placement, roster: one place for what stood twice

Which of two reads of the replicas is the later was decided in two places, and their revision and time were set in four: isLaterRead and setReplicas. A heartbeat asked the cache for its versions twice, and each reply formatted 32 addresses as text to hash them. AddSeeds made entries beside Roster.entry. Revisions carried encoding tags although they are never sent as such. Behaviour is unchanged.

--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -148,8 +148,14 @@
 	if v.ReplicaDigest == 0 || v.ReplicaDigest == peer.ReplicaDigest {
 		return false
 	}
-	order := v.ReplicaRevision.Compare(peer.ReplicaRevision)
-	return order > 0 || order == 0 && v.ReplicasReadAt.After(peer.ReplicasReadAt)
+	return isLaterRead(v.ReplicaRevision, v.ReplicasReadAt, peer.ReplicaRevision, peer.ReplicasReadAt)
+}
+
+// isLaterRead reports whether replicas that were read at the first revision and time are newer than those read at the
+// second. For replicas of the same revision, the later read is the newer.
+func isLaterRead(revision1 revision.Revision, readAt1 time.Time, revision2 revision.Revision, readAt2 time.Time) bool {
+	order := revision1.Compare(revision2)
+	return order > 0 || order == 0 && readAt1.After(readAt2)
 }
 
 // Import takes over what is newer in the state that a peer sent. Times in the state are relative to base.
@@ -190,40 +196,28 @@
 	return applyPatch(c.document.Data, s.ConfigPatch)
 }
 
-// importReplicas takes over the replicas in the state if they are newer. For replicas of the same revision, the later
-// read is the newer.
+// importReplicas takes over the replicas in the state if they are newer.
 func (c *Cache) importReplicas(base time.Time, s State) {
 	readAt := base.Add(s.ReplicaRead)
 	readRevision := revision.New(s.ReplicaEra, s.ReplicaRevision)
-	order := readRevision.Compare(c.replicaRevision)
-	newer := order > 0 || order == 0 && readAt.After(c.replicasReadAt)
+	newer := isLaterRead(readRevision, readAt, c.replicaRevision, c.replicasReadAt)
 	switch {
 	case s.ReplicaRevision == 0 || !newer:
 	case s.HasReplicas:
-		c.replaceReplicas(readRevision, readAt, s.Replicas)
+		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, s.Replicas))
 	case s.ReplicaData != nil:
 		replicas, err := unpackReplicas(s.ReplicaData)
 		if err != nil {
 			c.Log.Warn("replicas_unreadable", slog.String("error", err.Error()))
 			return
 		}
-		c.replaceReplicas(readRevision, readAt, replicas)
+		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, replicas))
 	case s.ReplicaDelta != nil:
 		if changes, ok := c.replicaList.Apply(readAt, s.ReplicaDelta); ok {
-			c.replicaRevision = readRevision
-			c.replicasReadAt = readAt
-			c.applyChanges(changes)
+			c.setReplicas(readRevision, readAt, changes)
 		}
 	case s.ReplicaDigest == c.replicaDigest:
-		c.replicaRevision = readRevision
-		c.replicasReadAt = readAt
 		c.replicaList.ConfirmRead(readAt)
+		c.setReplicas(readRevision, readAt, nil)
 	}
 }
-
-// replaceReplicas replaces the replicas by those of another host, which read them at the given revision and time.
-func (c *Cache) replaceReplicas(readRevision revision.Revision, readAt time.Time, replicas []replica.Replica) {
-	c.replicaRevision = readRevision
-	c.replicasReadAt = readAt
-	c.applyChanges(c.replicaList.Replace(readAt, replicas))
-}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -296,12 +296,18 @@
 	if readRevision.Compare(c.replicaRevision) < 0 {
 		return nil
 	}
-	c.replicaRevision = readRevision
-	c.replicasReadAt = startedAt
-	c.applyChanges(c.replicaList.Update(startedAt, replicas))
+	c.setReplicas(readRevision, startedAt, c.replicaList.Update(startedAt, replicas))
 	return nil
 }
 
+// setReplicas records that the list of replicas is that of a read at the given revision and time, and applies the changes
+// that the read has made to the list.
+func (c *Cache) setReplicas(readRevision revision.Revision, readAt time.Time, changes []replica.Change) {
+	c.replicaRevision = readRevision
+	c.replicasReadAt = readAt
+	c.applyChanges(changes)
+}
+
 // MarkLeaving marks the replica with the given id, if it started at born, as leaving, and reports whether that is new.
 func (c *Cache) MarkLeaving(id string, born int64) bool {
 	c.mu.Lock()
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -27,14 +27,15 @@
 // heartbeat also carries this host's state, without the configuration and replicas that the peer has.
 func (c *Client) sendHeartbeat(now time.Time, p *peerLink, noReply bool) {
 	heartbeat := &link.Heartbeat{Stamp: now.UnixNano(), Host: c.Roster.Self(), NoReply: noReply}
-	heartbeat.SetVersions(c.Cache.Versions())
+	own := c.Cache.Versions()
+	heartbeat.SetVersions(own)
 	heartbeat.HostCount = c.Roster.Size()
 	if noReply {
 		heartbeat.Members = c.membersFor(now, p)
 	}
 	if p.lastStamp != 0 {
 		heartbeat.Echo = p.lastStamp
-		heartbeat.State = c.exportState(now, p, heartbeat.Stamp)
+		heartbeat.State = c.exportState(now, p, own, heartbeat.Stamp)
 	}
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
 }
@@ -61,18 +62,17 @@
 
 // membersDigest returns a hash of the members' addresses.
 func membersDigest(members []roster.Member) uint64 {
-	d := xxhash.New()
+	var addresses []byte
 	for _, m := range members {
-		// Writes to the digest can't fail.
-		_, _ = d.WriteString(m.Address.String())
+		// No error is possible: any address can be encoded.
+		addresses, _ = m.Address.AppendBinary(addresses)
 	}
-	return d.Sum64()
+	return xxhash.Sum64(addresses)
 }
 
-// exportState returns the state to send to a peer with the given stamp. What is sent counts as received until a
-// heartbeat says otherwise that the peer has sent later.
-func (c *Client) exportState(now time.Time, p *peerLink, stamp int64) *feed.State {
-	own := c.Cache.Versions()
+// exportState returns the state to send to a peer with the given stamp; own is what this host has. What is sent counts as
+// received until a heartbeat says otherwise that the peer has sent later.
+func (c *Client) exportState(now time.Time, p *peerLink, own feed.Versions, stamp int64) *feed.State {
 	known := p.versions
 	if own.SameContent(p.sent) && now.Sub(p.sentAt) < resendInterval {
 		known = own // the peer doesn't accept what it was sent
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -103,9 +103,9 @@
 		l.outageEnd = now
 	}
 	if l.restored {
+		l.restored = false
 		l.staleRevision = lastWritten(read)
 	}
-	l.restored = false
 	l.lastRead = now
 	return l.apply(now, read)
 }
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -6,8 +6,8 @@
 // revision numbers go back and are given out again, but its era rises. So only era and number together tell which of
 // two positions is the later one.
 type Revision struct {
-	Era    int64 `cbor:"1,keyasint,omitempty"` // number of restores; 0 for a store that doesn't count them
-	Number int64 `cbor:"2,keyasint,omitempty"` // of the store's last change; 0 if there is none
+	Era    int64 // number of restores; 0 for a store that doesn't count them
+	Number int64 // of the store's last change; 0 if there is none
 }
 
 // New returns the position with the given number in an era.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -71,14 +71,9 @@
 // AddSeeds adds addresses of hosts from which this host can learn of other hosts. It ignores its own address.
 func (r *Roster) AddSeeds(seeds []netip.AddrPort) {
 	for _, address := range seeds {
-		if address == r.self.Address {
-			continue
-		}
-		if e := r.entries[address]; e != nil {
-			e.seed = true
-			continue
+		if address != r.self.Address {
+			r.entry(address).seed = true
 		}
-		r.entries[address] = &entry{member: Member{Address: address}, seed: true}
 	}
 }
 
