planner, placement: a change of planner neither restarts prefills nor loses waiting requests

Its host had been frozen and reported its requests to the planner again; a restored placement's prefill was then queued whole, from the time of the report, and a request that started to decode put it into the model's next pass.

A placement now carries the time left until its first event, and a planner keeps what it knows of requests that are reported again (ReplaceHost). Reading the same code showed a second fault: requests queued at a planner that is lost or left waited until their deadlines, since no other planner was asked. They are submitted to the next planner, and the planner that is left is told to drop them.

Ruled out: the store's era and unverified configuration (no refusal named them), replicas left paused, leaving or excluded (none was). The recovery check now prints who refused what.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -43,7 +43,7 @@
 	localPlanner   *planner.Planner
 	plannerAddress netip.AddrPort                // of the host that plans for this one; may be this host's own address
 	outbound       map[netip.AddrPort]*peerLink  // connections that this host opened or is opening, by the address dialed
-	pending        map[string]chan reply         // placement requests of this host without a result, by request id
+	pending        map[string]*pendingRequest    // placement requests of this host without a result, by request id
 	placed         map[string]*placedRequest     // placed requests in progress, by request id
 	extraWaits     map[string]chan time.Duration // queries about silent requests that wait for a reply, by request id
 	// Requests of other hosts that handlePlacementRequest is submitting and that have no result yet, by "HOST/ID";
@@ -71,13 +71,42 @@
 	membersSentAt time.Time // when the list of members was last sent
 }
 
+// pendingRequest is a placement request without a result. It is kept so that a new planner can be asked for one.
+type pendingRequest struct {
+	request     planner.Request
+	requestedAt time.Time  // when the times in request applied
+	replies     chan reply // has room for the notice that the request is queued and for the result
+	queued      bool       // the notice has been passed on
+}
+
+// newPendingRequest returns a request without a reply, whose times applied at requestedAt.
+func newPendingRequest(req planner.Request, requestedAt time.Time) *pendingRequest {
+	return &pendingRequest{request: req, requestedAt: requestedAt, replies: make(chan reply, 2)}
+}
+
+// requestAt returns the request with its remaining times at now.
+func (p *pendingRequest) requestAt(now time.Time) planner.Request {
+	req := p.request
+	req.SubtractElapsed(now.Sub(p.requestedAt))
+	return req
+}
+
 // placedRequest is a placed request in progress. It is kept so that the request can be reported to a new planner.
 type placedRequest struct {
 	placement       planner.Placement
-	requestedAt     time.Time // when the placement was requested; currentPlacements deducts the time since then
+	requestedAt     time.Time // when the placement was requested; placementAt deducts the time since then
+	firstEvent      time.Time // when the planner has predicted the first event
 	plannerBypassed bool      // planned here in place of another host's planner that did not reply
 }
 
+// placementAt returns the placement with its remaining times at now.
+func (p *placedRequest) placementAt(now time.Time) planner.Placement {
+	placement := p.placement
+	placement.Request.SubtractElapsed(now.Sub(p.requestedAt))
+	placement.FirstEvent = max(p.firstEvent.Sub(now), 1)
+	return placement
+}
+
 // reply is the planner's reply to a placement request: the result, or notice that the request is queued.
 type reply struct {
 	result planner.Result
@@ -88,7 +117,7 @@
 func (c *Client) Init() {
 	c.localPlanner = planner.New(xxhash.Sum64String(c.self().String()))
 	c.outbound = make(map[netip.AddrPort]*peerLink)
-	c.pending = make(map[string]chan reply)
+	c.pending = make(map[string]*pendingRequest)
 	c.placed = make(map[string]*placedRequest)
 	c.inSubmit = make(map[string]bool)
 	c.extraWaits = make(map[string]chan time.Duration)
@@ -216,19 +245,20 @@
 // Ended; it differs from req.ID only in that case. Place returns an error only if ctx ends first.
 func (c *Client) Place(ctx context.Context, req planner.Request) (planner.Result, error) {
 	requestedAt := steady.Now()
-	replies := make(chan reply, 2)
 	req.Host = c.self().String()
+	pending := newPendingRequest(req, requestedAt)
 	c.mu.Lock()
-	c.pending[req.ID] = replies
+	c.pending[req.ID] = pending
 	remote := c.submit(req)
 	c.mu.Unlock()
-	result, ok := c.await(ctx, replies, remote)
+	result, ok := c.await(ctx, pending.replies, remote)
 	if !ok && ctx.Err() == nil {
 		c.Metrics.Counter("planner_passed_over").Inc(1)
 		c.Log.Warn("planner_passed_over", slog.String("request_id", req.ID), slog.String("planner", c.Planner().String()),
 			eventlog.Milliseconds("waited_ms", steady.Now().Sub(requestedAt)))
-		req, replies = c.bypassPlanner(req, requestedAt)
-		result, ok = c.await(ctx, replies, false)
+		pending = c.bypassPlanner(pending)
+		req = pending.request
+		result, ok = c.await(ctx, pending.replies, false)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -238,7 +268,7 @@
 		return planner.Result{}, ctx.Err()
 	}
 	if result.Plan != nil {
-		c.track(req, result, requestedAt)
+		c.track(req, result, pending.requestedAt)
 	}
 	return result, nil
 }
@@ -256,21 +286,27 @@
 	return false
 }
 
-// bypassPlanner submits a placement request, requested at requestedAt, to the local planner under a new id, with its
-// remaining times shortened by the time elapsed since. It returns the changed request and its channel of replies.
-func (c *Client) bypassPlanner(req planner.Request, requestedAt time.Time) (planner.Request, chan reply) {
+// resubmit submits all placement requests without a result to the planner, which is a new one.
+func (c *Client) resubmit(now time.Time) {
+	for _, pending := range c.pending {
+		c.submit(pending.requestAt(now))
+	}
+}
+
+// bypassPlanner submits a placement request to the local planner under a new id, with its remaining times, and returns
+// it.
+func (c *Client) bypassPlanner(pending *pendingRequest) *pendingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.pending, req.ID)
-	elapsed := steady.Now().Sub(requestedAt)
-	req.ID += bypassIDSuffix
-	req.SubtractElapsed(elapsed)
-	replies := make(chan reply, 2)
-	c.pending[req.ID] = replies
+	delete(c.pending, pending.request.ID)
 	now := steady.Now()
+	req := pending.requestAt(now)
+	req.ID += bypassIDSuffix
+	bypassing := newPendingRequest(req, now)
+	c.pending[req.ID] = bypassing
 	c.localPlanner.Submit(now, req)
 	c.sendResults(now)
-	return req, replies
+	return bypassing
 }
 
 // await returns the result of a placement request. It returns false if ctx ends, if the peer sent an invalid result,
@@ -301,9 +337,11 @@
 // track keeps a placed request so that it can be reported to a new planner. If this host planned the request instead of
 // another host's planner, it reports the placement to that planner at once.
 func (c *Client) track(req planner.Request, result planner.Result, requestedAt time.Time) {
+	now := steady.Now()
 	placed := &placedRequest{
 		placement:   planner.Placement{Request: req, Replica: result.Plan.Replica.ID, Helpers: result.Plan.Helpers},
 		requestedAt: requestedAt,
+		firstEvent:  now.Add(result.Plan.FirstEventTime),
 	}
 	c.placed[req.ID] = placed
 	if !strings.HasSuffix(req.ID, bypassIDSuffix) {
@@ -311,7 +349,8 @@
 	}
 	placed.plannerBypassed = true
 	if p := c.linkToPlanner(); p != nil {
-		p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Placements: []planner.Placement{placed.placement}}})
+		placements := []planner.Placement{placed.placementAt(now)}
+		p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Placements: placements}})
 	}
 }
 
@@ -424,13 +463,23 @@
 // deliver passes a result to the request that waits for it. If the result is a plan, no request waits for it and the
 // request is not placed already, deliver reports the request as canceled, so that the planner frees what it planned.
 func (c *Client) deliver(result planner.Result) {
-	replies := c.pending[result.ID]
-	if replies == nil {
+	pending := c.pending[result.ID]
+	if pending == nil {
 		if result.Plan != nil && c.placed[result.ID] == nil {
 			c.reportEnded(link.Progress{ID: result.ID, Outcome: planner.OutcomeCanceled})
 		}
 		return
 	}
 	delete(c.pending, result.ID)
-	replies <- reply{result: result}
+	pending.replies <- reply{result: result}
+}
+
+// notifyQueued passes on once that the planner keeps the request with the given id waiting.
+func (c *Client) notifyQueued(id string) {
+	pending := c.pending[id]
+	if pending == nil || pending.queued {
+		return
+	}
+	pending.queued = true
+	pending.replies <- reply{queued: true}
 }
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -201,7 +201,8 @@
 }
 
 // choosePlanner switches to the planner that the roster names. If that is a new one, it reports the placed requests in
-// progress to it; if the new planner isn't connected yet, dial does so.
+// progress to it and submits those that wait; if the new planner isn't connected yet, the local planner plans until dial
+// does so.
 func (c *Client) choosePlanner(now time.Time) {
 	m := c.Roster.Planner(now)
 	if m.Address == c.plannerAddress {
@@ -209,39 +210,54 @@
 	}
 	c.Log.Event("planner_chosen", slog.String("planner", m.Address.String()),
 		slog.String("before", c.plannerAddress.String()), slog.Int("hosts", c.Roster.Size()))
+	c.leavePlanner()
 	c.plannerAddress = m.Address
-	if c.plannerAddress == c.self() {
-		c.restore(now, c.self().String(), c.currentPlacements(now))
-		c.sendResults(now)
+	if p := c.linkToPlanner(); p != nil {
+		c.syncPlanner(now, p)
 		return
 	}
+	c.localPlanner.ReplaceHost(now, c.self().String(), c.currentPlacements(now))
+	c.resubmit(now)
+	c.sendResults(now)
+}
+
+// leavePlanner tells the planner, if it can still be reached, that it no longer plans for this host.
+func (c *Client) leavePlanner() {
 	if p := c.linkToPlanner(); p != nil {
-		c.syncPlanner(now, p)
+		p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Complete: true}})
 	}
 }
 
-// syncPlanner sends all placed requests in progress and the replicas that leave to a new planner.
+// syncPlanner reports all placed requests in progress and the replicas that leave to a new planner on another host, and
+// submits the requests that wait. The local planner no longer plans for this host.
 func (c *Client) syncPlanner(now time.Time, p *peerLink) {
+	c.localPlanner.RemoveHost(now, c.self().String())
+	for _, placed := range c.placed {
+		placed.plannerBypassed = false
+	}
 	p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Complete: true, Placements: c.currentPlacements(now)}})
 	for _, r := range c.Cache.LeavingReplicas() {
 		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
 	}
+	c.resubmit(now)
 }
 
 // currentPlacements returns the placed requests in progress with their remaining times.
 func (c *Client) currentPlacements(now time.Time) []planner.Placement {
 	placements := make([]planner.Placement, 0, len(c.placed))
 	for _, placed := range c.placed {
-		placement := placed.placement
-		placement.Request.SubtractElapsed(now.Sub(placed.requestedAt))
-		placements = append(placements, placement)
+		placements = append(placements, placed.placementAt(now))
 	}
 	return placements
 }
 
-// restore gives the local planner the requests of host that another planner placed.
-func (c *Client) restore(now time.Time, host string, placements []planner.Placement) {
-	for _, placement := range placements {
+// takePlacements passes the placed requests that a host reports to the local planner.
+func (c *Client) takePlacements(now time.Time, host string, sync *link.PlacementSync) {
+	if sync.Complete {
+		c.localPlanner.ReplaceHost(now, host, sync.Placements)
+		return
+	}
+	for _, placement := range sync.Placements {
 		placement.Request.Host = host
 		c.localPlanner.Restore(now, placement)
 	}
@@ -263,12 +279,7 @@
 	case m.Result != nil:
 		c.deliver(*m.Result)
 	case m.Queued != "":
-		if replies := c.pending[m.Queued]; replies != nil {
-			select {
-			case replies <- reply{queued: true}:
-			default:
-			}
-		}
+		c.notifyQueued(m.Queued)
 	case m.ExtraWaitQuery != nil:
 		extraWait := c.localPlanner.ExtraWait(now, host, m.ExtraWaitQuery.ID)
 		p.link.Send(&link.Message{ExtraWaitReply: &link.ExtraWait{ID: m.ExtraWaitQuery.ID, Wait: extraWait}})
@@ -284,10 +295,7 @@
 	case m.Leaving != nil:
 		c.Cache.MarkLeaving(m.Leaving.Replica, m.Leaving.Born)
 	case m.PlacementSync != nil:
-		if m.PlacementSync.Complete {
-			c.localPlanner.RemoveHost(now, host)
-		}
-		c.restore(now, host, m.PlacementSync.Placements)
+		c.takePlacements(now, host, m.PlacementSync)
 	}
 	c.sendResults(now)
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -71,7 +71,7 @@
 	j.missesTarget = c.firstEvent > req.FirstTarget
 	p.addJob(j)
 	if s.model != nil {
-		p.addPrefill(now, j)
+		p.addPrefill(now, j, math.MaxInt64)
 	}
 	plan := &Plan{Replica: s.replica, FirstEventTime: c.firstEvent, PassTime: c.primary.passTime}
 	for i, h := range c.helpers {
@@ -84,16 +84,21 @@
 	return plan
 }
 
-// addPrefill adds the prefill of the job's prompt to the pass models of all engines that take part.
-func (p *Planner) addPrefill(now time.Time, j *job) {
+// addPrefill adds the prefill of the job's prompt to the pass models of all engines that take part. Each of them has at
+// most the time left of its prefill still to do.
+func (p *Planner) addPrefill(now time.Time, j *job, left time.Duration) {
 	parts := len(j.helpers) + 1
 	for i, s := range append([]*server{j.server}, j.helpers...) {
+		whole := pass.PrefillTime(s.model.Engine, j.request.PromptTokens, parts)
 		prefill := pass.Prefill{
 			ID:     j.modelID(),
 			Tokens: j.request.PromptTokens / parts,
-			Time:   pass.PrefillTime(s.model.Engine, j.request.PromptTokens, parts),
+			Time:   min(whole, left),
 			Part:   i > 0,
 		}
+		if left < whole {
+			prefill.Tokens = int(float64(prefill.Tokens) * float64(left) / float64(whole))
+		}
 		s.model.AddPrefill(now, prefill)
 		if prefill.Part || s.model.DecodingRequests() > 0 {
 			s.delayFirstEvents(j, time.Duration(float64(prefill.Time)*s.model.Slowdown))
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -167,17 +169,38 @@
 		s.model.StartDecoding(now, j.modelID(), placement.Request.PromptTokens/(len(j.helpers)+1), j.split())
 		j.firstPass = s.model.Passes()
 	default:
-		p.addPrefill(now, j)
+		p.addPrefill(now, j, cmp.Or(placement.FirstEvent, math.MaxInt64))
 		forecast := s.model.Forecast(now)
 		j.firstEvent = forecast.NextPass.Add(s.model.DecodeTime(0, 0) + forecast.QueuedParts + forecast.QueuedOwn)
 	}
 }
 
-// RemoveHost removes all requests of an entry host, because its connection ended or because it reports its placements
-// anew.
+// ReplaceHost replaces the requests of an entry host by its placed requests in progress. It keeps what it knows of those
+// that it placed itself, and removes all others of the host, also those that wait.
+func (p *Planner) ReplaceHost(now time.Time, host string, placements []Placement) {
+	reported := make(map[jobKey]string, len(placements)) // replica by key
+	for i := range placements {
+		reported[jobKey{host, placements[i].Request.ID}] = placements[i].Replica
+	}
+	p.removeRequests(now, host, func(j *job) bool { return reported[j.key] == j.server.replica.ID })
+	for _, placement := range placements {
+		placement.Request.Host = host
+		p.Restore(now, placement)
+		if placement.Decoding {
+			p.Started(now, host, placement.Request.ID)
+		}
+	}
+}
+
+// RemoveHost removes all requests of an entry host, because its connection ended.
 func (p *Planner) RemoveHost(now time.Time, host string) {
+	p.removeRequests(now, host, func(*job) bool { return false })
+}
+
+// removeRequests removes the waiting requests of an entry host, and those of its placed ones that keep doesn't name.
+func (p *Planner) removeRequests(now time.Time, host string, keep func(j *job) bool) {
 	for key, j := range p.jobs {
-		if key.host == host {
+		if key.host == host && !keep(j) {
 			p.removeJob(now, j)
 		}
 	}
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -89,4 +89,7 @@
 	Replica  string   `cbor:"2,keyasint,omitempty"`
 	Helpers  []Helper `cbor:"3,keyasint,omitempty"`
 	Decoding bool     `cbor:"4,keyasint,omitempty"` // the first event has arrived
+	// FirstEvent is the time left until the first event, as predicted by the planner that made the placement, and at
+	// least 1 ns; 0 if it isn't known.
+	FirstEvent time.Duration `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -204,8 +204,9 @@
 	refused    atomic.Int64
 
 	mu          sync.Mutex
-	notExecuted []string // ids of requests whose response said that they had not run
-	orderIDs    []string // ids of requests that must run at most once
+	notExecuted []string       // ids of requests whose response said that they had not run
+	orderIDs    []string       // ids of requests that must run at most once
+	refusals    map[string]int // number of requests since the faults by host, path prefix and refusal
 }
 
 // requestKind is a request path prefix with the properties of its requests.
@@ -298,6 +299,9 @@
 		c.refused.Add(1)
 		c.mu.Lock()
 		c.notExecuted = append(c.notExecuted, id)
+		if c.refusals != nil {
+			c.refusals[fmt.Sprintf("%s %s %s", h.name, k.path, strings.TrimSpace(string(body)))]++
+		}
 		c.mu.Unlock()
 	}
 	return false
@@ -332,6 +336,7 @@
 func (c *checker) checkRecovery(seed uint64) {
 	time.Sleep(time.Second)
 	d := c.deployment
+	c.refusals = make(map[string]int)
 	var served atomic.Int64
 	var wg sync.WaitGroup
 	for i := range clientCount {
@@ -354,7 +359,7 @@
 	}
 	wg.Wait()
 	if n := served.Load(); n < int64(recoveryShare*recoveryRequests) {
-		d.t.Errorf("only %d of %d requests were served after the faults", n, recoveryRequests)
+		d.t.Errorf("only %d of %d requests were served after the faults; refused: %v", n, recoveryRequests, c.refusals)
 	}
 }
 
