roster, placement: a host that was frozen keeps its planner

Requests that waited would now be placed by it in between, on engines of which it knows nothing. The gap between two ticks beyond the heartbeat interval isn't counted as silence of others. A link that broke in the meantime still marks its host lost, and a planner that stays silent is replaced as soon as before.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -40,6 +40,7 @@
 	Metrics tally.Scope
 
 	mu             sync.Mutex
+	lastTick       time.Time // when tick was last called; zero before the first call
 	localPlanner   *planner.Planner
 	plannerAddress netip.AddrPort                // of the host that plans for this one; may be this host's own address
 	outbound       map[netip.AddrPort]*peerLink  // connections that this host opened or is opening, by the address dialed
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -138,6 +138,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := steady.Now()
+	if pause := now.Sub(c.lastTick) - heartbeatInterval; !c.lastTick.IsZero() && pause > heartbeatInterval {
+		c.Roster.RecordPause(pause)
+	}
+	c.lastTick = now
 	for _, m := range c.Roster.ExpireSilent(now) {
 		c.Log.Warn("host_lost", slog.String("peer", m.Address.String()), slog.String("error", "no heartbeat reply in time"))
 		if p := c.outbound[m.Address]; p != nil && p.link != nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -156,6 +156,19 @@
 	return true
 }
 
+// RecordPause records that this host itself did nothing for d, for example because it was frozen. In this time it could
+// not hear from others, so it isn't counted as their silence.
+func (r *Roster) RecordPause(d time.Duration) {
+	for _, e := range r.entries {
+		if !e.lastDirect.IsZero() {
+			e.lastDirect = e.lastDirect.Add(d)
+		}
+		if !e.unansweredSince.IsZero() {
+			e.unansweredSince = e.unansweredSince.Add(d)
+		}
+	}
+}
+
 // ExpireSilent marks the hosts lost that did not reply in time and returns those newly marked. It also removes the
 // hosts, seeds excepted, that no host has heard from for forgetTimeout.
 func (r *Roster) ExpireSilent(now time.Time) []Member {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -203,3 +203,25 @@
 		full.MarkLost(start, want.Address)
 	}
 }
+
+// A host that was frozen has heard from nobody. If it chose itself as planner when it continues, it would place the
+// requests that wait on servers of which it knows nothing.
+func TestHostThatWasPausedKeepsItsPlanner(t *testing.T) {
+	const pause = 5 * time.Second
+	r := New(start, member(1), nil)
+	heardAll(r, start, members(18))
+	planner := r.Planner(start)
+	r.RecordContact(start, planner.Address)
+	end := start.Add(pause)
+	r.RecordPause(pause)
+	if lost := r.ExpireSilent(end); len(lost) != 0 {
+		t.Errorf("lost hosts %v", lost)
+	}
+	if got := r.Planner(end); got.Address != planner.Address {
+		t.Errorf("planner %v after the pause, %v before", got.Address, planner.Address)
+	}
+	// A planner that is silent from then on is replaced as soon as ever.
+	if lost := r.ExpireSilent(end.Add(replyTimeout + time.Millisecond)); len(lost) != 1 {
+		t.Errorf("lost hosts %v, want the planner", lost)
+	}
+}
