planner: a prompt over one engine's memory no longer fits an idle engine to the token

Engines allocate memory in blocks, so an engine of 315,000 tokens in blocks of 16 holds 314,992, and the rest of 315,000 was larger than its memory. One in 256 tokens is left free now.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -139,7 +139,7 @@
 	}
 	capacity := 0
 	for _, s := range servers[:min(len(servers), maxEnginesPerPrompt)] {
-		capacity += s.model.Engine.MemoryTokens
+		capacity += s.memory()
 	}
 	return req.PromptTokens+req.OutputTokens > capacity
 }
--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -233,7 +233,7 @@
 // and for the output.
 func primaryIndex(now time.Time, candidates []candidate, req *Request, engines int) int {
 	tokens := req.PromptTokens + req.OutputTokens
-	if engines > 1 && tokens > candidates[0].server.model.Engine.MemoryTokens {
+	if engines > 1 && tokens > candidates[0].server.memory() {
 		tokens = req.PromptTokens/engines + req.OutputTokens
 	}
 	for i := range candidates {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// An engine allocates memory in blocks, of which the last one of each request is partly unused. A prompt over one
+// engine's memory must not be placed so that it fits an idle engine to the token: each engine would refuse it.
+func TestSplitPromptFitsEnginesThatAllocateBlocks(t *testing.T) {
+	const blockTokens = 64
+	p := newDomainPlanner(16)
+	req := longRequest(0)
+	req.PromptTokens = testEngine.MemoryTokens + 10386
+	plan := mustPlan(t, p, at(0), req)
+	reserved := 0
+	for _, h := range plan.Helpers {
+		reserved += h.ReservedTokens
+	}
+	rest := req.PromptTokens + req.OutputTokens - reserved
+	blocks := (rest + blockTokens - 1) / blockTokens
+	if free := testEngine.MemoryTokens / blockTokens; blocks >= free {
+		t.Errorf("the request takes %d blocks at the primary replica, which has %d", blocks, free)
+	}
+}
+
 func TestPromptOverAllMemoryIsRefusedAtOnce(t *testing.T) {
 	p := newDomainPlanner(2)
 	req := longRequest(0)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -26,6 +26,8 @@
 	// If a request's predicted wait, for queued prefill or the next pass, exceeds this, the server's silence is not
 	// taken for a failure.
 	usualPassLimit = 250 * time.Millisecond
+	// One in unusedMemoryDivisor tokens of an engine's memory is left free.
+	unusedMemoryDivisor = 256
 )
 
 // server is one replica and the requests placed on it.
@@ -63,7 +65,14 @@
 }
 
 // freeMemory returns the free memory of the server's engine in tokens.
-func (s *server) freeMemory() int { return s.model.Engine.MemoryTokens - s.usedTokens }
+func (s *server) freeMemory() int { return s.memory() - s.usedTokens }
+
+// memory returns the memory of the server's engine that requests can take, in tokens. An engine allocates it in blocks,
+// so a part of it remains unused.
+func (s *server) memory() int {
+	tokens := s.model.Engine.MemoryTokens
+	return tokens - tokens/unusedMemoryDivisor
+}
 
 // failureRate returns the expected share of requests that fail here.
 func (s *server) failureRate(now time.Time) float64 {
