--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -138,10 +138,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := steady.Now()
-	if pause := now.Sub(c.lastTick) - heartbeatInterval; !c.lastTick.IsZero() && pause > heartbeatInterval {
-		c.Roster.RecordPause(pause)
-	}
-	c.lastTick = now
+	c.recordPause(now)
 	for _, m := range c.Roster.ExpireSilent(now) {
 		c.Log.Warn("host_lost", slog.String("peer", m.Address.String()), slog.String("error", "no heartbeat reply in time"))
 		if p := c.outbound[m.Address]; p != nil && p.link != nil {
@@ -167,6 +164,15 @@
 	}
 }
 
+// recordPause records the time by which a call of tick at now is late, if this host has missed a heartbeat or more.
+func (c *Client) recordPause(now time.Time) {
+	late := now.Sub(c.lastTick) - heartbeatInterval
+	if !c.lastTick.IsZero() && late > heartbeatInterval {
+		c.Roster.RecordPause(late)
+	}
+	c.lastTick = now
+}
+
 // contact sends a heartbeat to the host at address. If there is no connection, it starts to dial it; dial then sends
 // the heartbeat.
 func (c *Client) contact(ctx context.Context, now time.Time, address netip.AddrPort) {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -197,7 +197,7 @@
 	p.removeRequests(now, host, func(*job) bool { return false })
 }
 
-// removeRequests removes the waiting requests of an entry host, and those of its placed ones that keep doesn't name.
+// removeRequests removes the requests of an entry host that wait, and those placed ones for which keep returns false.
 func (p *Planner) removeRequests(now time.Time, host string, keep func(j *job) bool) {
 	for key, j := range p.jobs {
 		if key.host == host && !keep(j) {
