--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(shell $(GO) env GOPATH)/bin
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build deploy check measure demo bench proofs soak soak-seeds soak-short fmt lint vet test model tools spin clean
+.PHONY: build deploy check measure demo bench proofs soak soak-seeds soak-short fuzz fmt lint vet test model tools spin clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -61,6 +61,11 @@
 soak-seeds:
 	scripts/soak-seeds -keep $(CURDIR)/$(BIN)/soak
 
+# Runs each fuzz target for some time: make fuzz FUZZ_TIME=1m
+FUZZ_TIME ?= 10s
+fuzz:
+	scripts/fuzz $(FUZZ_TIME)
+
 soak-short:
 	scripts/soak -seed 1 -length 4s -keep $(CURDIR)/$(BIN)/soak
 
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -67,3 +67,35 @@
 		}
 	}
 }
+
+// Whatever a peer sends is decoded or refused, and is never longer than a document may be.
+func FuzzDecodeFromPeer(f *testing.F) {
+	base, changed := routes(3, 7), routes(3, 8)
+	f.Add(base, makePatch(base, changed))
+	f.Add(base, compress(changed))
+	f.Add([]byte{}, packReplicas([]replica.Replica{{ID: "a"}}))
+	f.Fuzz(func(t *testing.T, base, sent []byte) {
+		if data, err := applyPatch(base, sent); err == nil && len(data) > maxDocumentBytes {
+			t.Errorf("a patch of %d bytes yields %d", len(sent), len(data))
+		}
+		if data, err := decompress(sent); err == nil && len(data) > maxDocumentBytes {
+			t.Errorf("%d bytes yield %d", len(sent), len(data))
+		}
+		_, _ = unpackReplicas(sent)
+	})
+}
+
+// What a host sends is what its peer gets, whatever the documents are.
+func FuzzPatch(f *testing.F) {
+	f.Add(routes(3, 7), routes(3, 8))
+	f.Add([]byte("a"), []byte{})
+	f.Fuzz(func(t *testing.T, base, data []byte) {
+		if len(base) == 0 {
+			return // no host has an empty document
+		}
+		got, err := applyPatch(base, makePatch(base, data))
+		if err != nil || !bytes.Equal(got, data) {
+			t.Errorf("%q becomes %q: %v", data, got, err)
+		}
+	})
+}
