planner: long prompts that wait no longer end the process when their engines are unknown

A random test of the planner, written at once, found a nil pointer within five cases: setLongAhead needs the engine parameters of the service, which a planner drops with the last replica that it knows.

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -89,6 +89,9 @@
 			p.setModel(s, engines[service])
 		}
 	}
+	for i := range p.waiting {
+		p.waiting[i].long = p.isLong(&p.waiting[i].request)
+	}
 }
 
 // setModel gives s a pass model of the engine, or none if engine is nil. It keeps the state of a model that s already
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -26,7 +26,7 @@
 	j.server.model.StartDecoding(now, j.modelID(), j.request.PromptTokens/(len(j.helpers)+1), j.split())
 	j.firstPass = j.server.model.Passes()
 	for _, h := range j.helpers {
-		h.model.Remove(now, j.modelID(), false)
+		h.removeFromModel(now, j.modelID(), false)
 	}
 }
 
@@ -240,15 +240,13 @@
 	if !j.long {
 		s.shortJobs--
 	}
-	if s.model != nil {
-		s.model.Remove(now, j.modelID(), j.split())
-	}
+	s.removeFromModel(now, j.modelID(), j.split())
 	for i, h := range j.helpers {
 		h.helperJobs--
 		if i < len(j.reservations) {
 			h.usedTokens -= j.reservations[i]
 		}
-		h.model.Remove(now, j.modelID(), false)
+		h.removeFromModel(now, j.modelID(), false)
 	}
 }
 
--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -61,3 +61,22 @@
 		t.Error("a request that has started to decode is not known as such")
 	}
 }
+
+// A planner whose last replica of a service is gone no longer knows its engines. Long prompts that wait must not stop it.
+func TestLongPromptsWaitWhileEnginesAreUnknown(t *testing.T) {
+	p := newDomainPlanner(1)
+	for i := range 3 {
+		p.Submit(at(0), longRequest(i))
+	}
+	p.Decide(at(0))
+	if p.Waiting() == 0 {
+		t.Fatal("no request waits")
+	}
+	p.SetEngines(nil)
+	p.SetReplicas(at(20), nil)
+	for _, result := range p.Decide(at(20)) {
+		if result.Refusal == nil || result.Refusal.Cause != CauseNoReplica {
+			t.Errorf("result %+v", result)
+		}
+	}
+}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -59,6 +59,14 @@
 	return max(1, s.replica.Slots)
 }
 
+// removeFromModel removes a request from the pass model. A server loses its model when its service is no longer known to
+// have engines.
+func (s *server) removeFromModel(now time.Time, id string, split bool) {
+	if s.model != nil {
+		s.model.Remove(now, id, split)
+	}
+}
+
 // usable reports whether the server takes requests and is neither excluded nor paused.
 func (s *server) usable(now time.Time) bool {
 	return s.replica.TakesRequests() && !now.Before(s.excludedUntil) && !now.Before(s.pausedUntil)
