--- a/internal/planner/restore_test.go
+++ b/internal/planner/restore_test.go
@@ -80,3 +80,18 @@
 		}
 	}
 }
+
+// Hosts report split prompts to a planner that has just started and doesn't know the engines yet, and leave it again.
+func TestSplitPromptsReportedBeforeEnginesAreKnown(t *testing.T) {
+	p := newDomainPlanner(3)
+	p.SetEngines(nil)
+	p.ReplaceHost(at(0), "h", []Placement{
+		{Request: longRequest(0), Replica: "a-00", Helpers: []Helper{{Replica: "b-01"}}},
+		{Request: longRequest(1), Replica: "c-02", Helpers: []Helper{{Replica: "b-01"}}},
+	})
+	p.Ended(at(100), "h", longRequest(1).ID, OutcomeCompleted)
+	p.ReplaceHost(at(100), "h", nil)
+	if n := len(p.jobs); n != 0 {
+		t.Errorf("%d requests remain", n)
+	}
+}
