--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -212,7 +212,7 @@
 
 // choosePlanner switches to the planner that the roster names. If that is a new one, it reports the placed requests in
 // progress to it and submits those that wait; if the new planner isn't connected yet, the local planner plans until dial
-// does so.
+// has connected it.
 func (c *Client) choosePlanner(now time.Time) {
 	m := c.Roster.Planner(now)
 	if m.Address == c.plannerAddress {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -182,7 +182,12 @@
 	for i := range placements {
 		reported[jobKey{host, placements[i].Request.ID}] = placements[i].Replica
 	}
-	p.removeRequests(now, host, func(j *job) bool { return reported[j.key] == j.server.replica.ID })
+	for key, j := range p.jobs {
+		if key.host == host && reported[key] != j.server.replica.ID {
+			p.removeJob(now, j)
+		}
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(w waitingRequest) bool { return w.request.Host == host })
 	for _, placement := range placements {
 		placement.Request.Host = host
 		p.Restore(now, placement)
@@ -193,25 +198,7 @@
 }
 
 // RemoveHost removes all requests of an entry host, because its connection ended.
-func (p *Planner) RemoveHost(now time.Time, host string) {
-	p.removeRequests(now, host, func(*job) bool { return false })
-}
-
-// removeRequests removes the requests of an entry host that wait, and those placed ones for which keep returns false.
-func (p *Planner) removeRequests(now time.Time, host string, keep func(j *job) bool) {
-	for key, j := range p.jobs {
-		if key.host == host && !keep(j) {
-			p.removeJob(now, j)
-		}
-	}
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		if w.request.Host != host {
-			kept = append(kept, w)
-		}
-	}
-	p.waiting = kept
-}
+func (p *Planner) RemoveHost(now time.Time, host string) { p.ReplaceHost(now, host, nil) }
 
 // addJob adds a job to the planner and counts it at its server and its helper replicas.
 func (p *Planner) addJob(j *job) {
