relay, platform: logs name prompt parts and cut responses

Log lines could tell neither whether a request that ended without an answer was cut within its response or ended before, nor which prompt parts broken attempts share. request_ended now says cut, attempt_ended names the hashes of the shared parts, and responses_cut counts by cause. The planner gets the hashes with each placement request; it doesn't use them yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -27,12 +27,13 @@
 	Header http.Header
 	Body   []byte
 
-	APIKey        string // credential of the caller; empty if it sent none
-	PromptTokens  int    // prompt length in tokens; 0 for calls without a prompt
-	OutputTokens  int    // limit of output tokens that the caller set
-	OutputHint    int    // caller's estimate of the number of output tokens; 0 if unknown
-	LastEvent     int64  // id of the last event that the caller has; valid if ResumesStream
-	ResumesStream bool   // the caller resumes a stream after LastEvent
+	APIKey        string   // credential of the caller; empty if it sent none
+	PromptTokens  int      // prompt length in tokens; 0 for calls without a prompt
+	OutputTokens  int      // limit of output tokens that the caller set
+	PromptParts   []uint64 // hashes of the prompt parts that other requests may share, in order
+	OutputHint    int      // caller's estimate of the number of output tokens; 0 if unknown
+	LastEvent     int64    // id of the last event that the caller has; valid if ResumesStream
+	ResumesStream bool     // the caller resumes a stream after LastEvent
 
 	Received      time.Time     // time of receipt, on the boot-time clock
 	CallerTimeout time.Duration // the caller's timeout, counted from Received
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -22,6 +22,7 @@
 	Priority         int           `cbor:"10,keyasint,omitempty"` // priority; 0 is the highest
 	ExcludedReplicas []string      `cbor:"11,keyasint,omitempty"` // replicas where an attempt did not complete it
 	Fingerprint      uint64        `cbor:"12,keyasint,omitempty"` // equal for requests that do the same work; 0 for none
+	PromptParts      []uint64      `cbor:"17,keyasint,omitempty"` // hashes of the prompt parts that other requests may share
 	UntilDisconnect  time.Duration `cbor:"14,keyasint,omitempty"` // estimated time until the caller disconnects; 0 for none
 	PauseTimeout     time.Duration `cbor:"15,keyasint,omitempty"` // pause after which the caller disconnects
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -13,14 +13,15 @@
 func (t *transfer) finishRefused(r *planner.Refusal) {
 	t.relay.Metrics.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
 	t.relay.recordEnd(t.call, "refused", slog.String("cause", string(r.Cause)),
-		eventlog.Milliseconds("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.mayHaveRun()))
+		eventlog.Milliseconds("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.mayHaveRun()),
+		slog.Bool("cut", t.headWritten))
 	t.finishIncomplete(http.StatusBadGateway, r.RetryAfter, string(r.Cause))
 }
 
 // finishFailed ends a call whose last attempt failed and that is not retried.
 func (t *transfer) finishFailed(o planner.Outcome) {
 	t.relay.recordEnd(t.call, "failed", slog.String("cause", string(o)), slog.Int("runs", t.progress.runs),
-		slog.Int("refusals", t.progress.notRun))
+		slog.Int("refusals", t.progress.notRun), slog.Bool("cut", t.headWritten))
 	t.finishIncomplete(http.StatusBadGateway, defaultRetryAfter, string(o))
 }
 
@@ -32,7 +33,8 @@
 	if disconnected {
 		outcome = "canceled"
 	}
-	t.relay.recordEnd(t.call, outcome, slog.Bool("ran", t.progress.mayHaveRun()), slog.Int("events", t.events.forwarded))
+	t.relay.recordEnd(t.call, outcome, slog.Bool("ran", t.progress.mayHaveRun()), slog.Int("events", t.events.forwarded),
+		slog.Bool("cut", t.headWritten && !disconnected))
 	if disconnected {
 		panic(http.ErrAbortHandler)
 	}
@@ -45,6 +47,7 @@
 func (t *transfer) finishIncomplete(status int, retryAfter time.Duration, cause string) {
 	switch {
 	case t.headWritten:
+		t.relay.Metrics.Tagged(map[string]string{"cause": cause}).Counter("responses_cut").Inc(1)
 		panic(http.ErrAbortHandler)
 	case t.serverFailure != nil:
 		t.writeResponse(t.serverFailure)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -46,6 +46,7 @@
 		Priority:         c.Priority,
 		ExcludedReplicas: append(t.relay.pauses.IDs(now), t.excludedReplicas...),
 		Fingerprint:      t.fingerprint,
+		PromptParts:      c.PromptParts,
 		UntilDisconnect:  untilDisconnect,
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
@@ -76,6 +77,15 @@
 	return max(minPause, firstTargetFactor*c.FirstTarget, pauseTargetFactor*c.PauseTarget)
 }
 
+// partNames returns the hashes of prompt parts in hexadecimal, separated by spaces.
+func partNames(parts []uint64) string {
+	names := make([]string, 0, len(parts))
+	for _, p := range parts {
+		names = append(names, strconv.FormatUint(p, 16))
+	}
+	return strings.Join(names, " ")
+}
+
 func helperNames(helpers []planner.Helper) string {
 	names := make([]string, 0, len(helpers))
 	for _, h := range helpers {
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -124,6 +124,7 @@
 		slog.Int("refusals", t.progress.notRun),
 		slog.Int("events", t.events.forwarded),
 		eventlog.Milliseconds("left_ms", t.call.Deadline().Sub(steady.Now())),
+		slog.String("prompt_parts", partNames(t.call.PromptParts)),
 	}
 	if err != nil {
 		fields = append(fields, slog.String("error", err.Error()))
