gateway: failing tests: sound replicas that are silent for a second lose requests

Streams end after 1.08 s within their response (status 200, unexpected EOF) though their replicas go on after 1.3 s; requests that wait for their head get 502. The change of the configuration makes no difference.

--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,445 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/site"
+	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
+	"github.com/turmericshunt/turmericshunt/pkg/hoststatus"
+)
+
+const (
+	silenceLength    = 1300 * time.Millisecond // a sound replica may fall silent for so long, by the users' pages
+	eventsBeforeHush = 3                       // events of a stream before the silence of its replica
+)
+
+// silence is a time in which replicas of a cluster that are sound send nothing. It begins when the given number of
+// responses has come so far that it may begin; until then, these wait.
+type silence struct {
+	responses  int    // number of responses that must have come so far
+	beforeHead bool   // the silence begins before the head of the responses, not after eventsBeforeHush events
+	everywhere bool   // all replicas fall silent, not only those of the responses
+	onBegin    func() // called when the silence begins; may be nil
+
+	mu      sync.Mutex
+	reached map[string]int // number of responses that have come so far, by replica ID
+	total   int            // sum of reached
+	begun   chan struct{}
+	ends    time.Time // valid once begun is closed
+}
+
+func newSilence(responses int) *silence {
+	return &silence{responses: responses, begun: make(chan struct{}), reached: make(map[string]int)}
+}
+
+// reach is called when a response of the replica has come so far that the silence may begin. It returns when the
+// silence is over.
+func (s *silence) reach(ctx context.Context, id string) {
+	s.mu.Lock()
+	if s.total < s.responses {
+		s.total++
+		s.reached[id]++
+		if s.total == s.responses {
+			s.ends = time.Now().Add(silenceLength)
+			close(s.begun)
+			if s.onBegin != nil {
+				s.onBegin()
+			}
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.begun:
+	case <-ctx.Done():
+	}
+	s.await(ctx, id)
+}
+
+// await returns when the replica isn't silent.
+func (s *silence) await(ctx context.Context, id string) {
+	select {
+	case <-s.begun:
+	default:
+		return
+	}
+	s.mu.Lock()
+	silent := s.everywhere || s.reached[id] > 0
+	s.mu.Unlock()
+	if !silent {
+		return
+	}
+	select {
+	case <-time.After(time.Until(s.ends)):
+	case <-ctx.Done():
+	}
+}
+
+// replicas returns the IDs of the replicas of the responses at which the silence began, sorted.
+func (s *silence) replicas() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, 0, len(s.reached))
+	for id := range s.reached {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// pausingReplica is a replica that takes part in a silence.
+type pausingReplica struct {
+	*replica.Replica
+	silence *silence
+}
+
+func (p *pausingReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasSuffix(r.URL.Path, "/silent") {
+		p.Replica.ServeHTTP(w, r)
+		return
+	}
+	if p.silence.beforeHead {
+		p.silence.reach(r.Context(), p.ID)
+	}
+	p.silence.await(r.Context(), p.ID)
+	p.Replica.ServeHTTP(&pausingWriter{ResponseWriter: w, replica: p, ctx: r.Context()}, r)
+}
+
+// pausingWriter writes a response of a pausingReplica.
+type pausingWriter struct {
+	http.ResponseWriter
+	replica *pausingReplica
+	ctx     context.Context // of the request
+	writes  int             // one for each event
+}
+
+func (w *pausingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *pausingWriter) Write(b []byte) (int, error) {
+	s := w.replica.silence
+	if w.writes == eventsBeforeHush && !s.beforeHead {
+		s.reach(w.ctx, w.replica.ID)
+	}
+	w.writes++
+	s.await(w.ctx, w.replica.ID)
+	return w.ResponseWriter.Write(b)
+}
+
+// newSilentCluster starts a cluster of one host whose replicas take part in s for requests of paths that end in
+// /silent. The host has a retry budget that suffices for each request.
+func newSilentCluster(t *testing.T, f *faultInjector, s *silence) *cluster {
+	t.Helper()
+	c := newCluster(t, 1, f)
+	for _, h := range c.hosts {
+		h.gateway.Reload(&site.Settings{
+			RetryRatio: 10, RetrySlack: 20000, RetryWindow: 10 * time.Second, RevocationTime: time.Hour,
+		})
+	}
+	c.replace(func(r *replica.Replica) http.Handler { return &pausingReplica{Replica: r, silence: s} })
+	return c
+}
+
+// replace serves each replica by the handler that handlerOf returns for it, at a new address, and returns when the
+// hosts know the addresses.
+func (c *cluster) replace(handlerOf func(r *replica.Replica) http.Handler) {
+	c.t.Helper()
+	addresses := make(map[string]netip.AddrPort)
+	for _, r := range c.replicas {
+		r.Address = serve(c.t, handlerOf(r))
+		addresses[r.ID] = r.Address
+		c.store.Put("servers/"+r.ID, r.Entry("ready"))
+	}
+	c.eventually("the hosts know the replicas' addresses", func() bool {
+		for _, h := range c.hosts {
+			known := h.status().Replicas
+			if len(known) != len(addresses) ||
+				slices.ContainsFunc(known, func(r hoststatus.Replica) bool { return r.Address != addresses[r.ID] }) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// configuration returns the configuration in the store.
+func (c *cluster) configuration() map[string]any {
+	resp, err := http.Get("http://" + c.hosts[0].settings.StoreAddress.String() + "/kv-key?key=" + url.QueryEscape("op/config"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var item struct {
+		Value []byte `json:"value"`
+	}
+	doc := make(map[string]any)
+	if err := json.NewDecoder(resp.Body).Decode(&item); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := json.Unmarshal(item.Value, &doc); err != nil {
+		c.t.Fatal(err)
+	}
+	return doc
+}
+
+// putConfiguration stores doc as the next version of the configuration.
+func (c *cluster) putConfiguration(doc map[string]any) {
+	c.version++
+	doc["version"] = c.version
+	data, err := json.Marshal(doc)
+	if err != nil {
+		c.t.Error(err)
+	}
+	c.store.Put("op/config", data)
+}
+
+// changes are changes that may happen while replicas are silent. Each function returns one, made ready for c.
+var changes = []struct {
+	name string
+	make func(c *cluster) func()
+}{
+	{"no change", func(*cluster) func() { return nil }},
+	{"new version", func(c *cluster) func() {
+		doc := c.configuration()
+		return func() { c.putConfiguration(doc) }
+	}},
+}
+
+// silentRequests sends n requests at once and checks that each gets the replica's complete response.
+func (c *cluster) silentRequests(n int, send func() response, want func(id string) string) {
+	c.t.Helper()
+	var all sync.WaitGroup
+	for range n {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			resp := send()
+			c.wantResponse(resp, want(resp.id))
+			c.t.Logf("%s ended after %v", resp.id, resp.took)
+		}()
+	}
+	all.Wait()
+}
+
+func (c *cluster) sendStream() response { return c.post(0, "/quotes/silent", "q") }
+
+// leaveOnly makes all replicas of the service but the one with the given ID unusable in one of several ways.
+func (c *cluster) leaveOnly(id, service, way string) {
+	for _, r := range c.replicas {
+		if r.ID == id || r.Service != service {
+			continue
+		}
+		switch way {
+		case "draining":
+			c.store.Put("servers/"+r.ID, r.Entry("draining"))
+		case "gone":
+			c.store.Remove("servers/" + r.ID)
+		}
+	}
+	c.eventually("the hosts know that the replicas leave", func() bool {
+		for _, h := range c.hosts {
+			for _, r := range h.status().Replicas {
+				if r.Service == service && r.ID != id && !r.Draining {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// Failure: sound replicas fall silent at the same time, their streams are given up one after the other, no replica is
+// left to resume them at, and callers get neither the rest of the stream nor a refusal.
+func TestStreamsAreCompleteAfterAllReplicasWereSilent(t *testing.T) {
+	t.Parallel()
+	for _, change := range changes {
+		t.Run(change.name, func(t *testing.T) {
+			t.Parallel()
+			const streams = 8
+			s := newSilence(streams)
+			s.everywhere = true
+			c := newSilentCluster(t, &faultInjector{}, s)
+			defer c.logOnFailure()
+			s.onBegin = change.make(c)
+			c.silentRequests(streams, c.sendStream, completeStream)
+			if n := len(s.replicas()); n < 2 {
+				t.Errorf("the streams were at %d replicas, want several", n)
+			}
+		})
+	}
+}
+
+// Failure: a stream is given up because its replica is silent, although no other replica can resume it.
+func TestStreamOfOnlyUsableReplicaIsCompleteAfterSilence(t *testing.T) {
+	t.Parallel()
+	for _, change := range changes {
+		for _, way := range []string{"draining", "gone", "refusing"} {
+			t.Run(fmt.Sprintf("others %s, %s", way, change.name), func(t *testing.T) {
+				t.Parallel()
+				f := &faultInjector{}
+				s := newSilence(1)
+				c := newSilentCluster(t, f, s)
+				defer c.logOnFailure()
+				s.onBegin = change.make(c)
+				if way == "refusing" {
+					f.set(func(id string, _ *http.Request) replica.Fault {
+						if id == "i-0" {
+							return replica.FaultNone
+						}
+						return replica.FaultRefuse
+					})
+				} else {
+					c.leaveOnly("i-0", "llm", way)
+				}
+				c.silentRequests(1, c.sendStream, completeStream)
+				if got := s.replicas(); len(got) != 1 || got[0] != "i-0" {
+					t.Errorf("silent replicas %v, want only i-0", got)
+				}
+			})
+		}
+	}
+}
+
+// Failure: a stream is given up because its replica is silent, the replica that resumes it breaks off inside an event,
+// and the caller gets nothing more although the first replica went on.
+func TestStreamIsCompleteAfterSilenceIfRetryBreaksOff(t *testing.T) {
+	t.Parallel()
+	for _, change := range changes {
+		t.Run(change.name, func(t *testing.T) {
+			t.Parallel()
+			f := &faultInjector{}
+			f.set(func(_ string, r *http.Request) replica.Fault {
+				if r.Header.Get("Last-Event-Id") != "" {
+					return replica.FaultTruncate
+				}
+				return replica.FaultNone
+			})
+			s := newSilence(1)
+			c := newSilentCluster(t, f, s)
+			defer c.logOnFailure()
+			s.onBegin = change.make(c)
+			c.silentRequests(1, c.sendStream, completeStream)
+		})
+	}
+}
+
+// Failure: a request is given up because its replica is silent before the head of its response, although no other
+// replica can serve it, and the caller gets an error although the replica went on in time.
+func TestRequestOfOnlyUsableReplicaIsAnsweredAfterSilence(t *testing.T) {
+	t.Parallel()
+	for _, change := range changes {
+		t.Run("stream, "+change.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilence(1)
+			s.beforeHead = true
+			c := newSilentCluster(t, &faultInjector{}, s)
+			defer c.logOnFailure()
+			s.onBegin = change.make(c)
+			c.leaveOnly("i-0", "llm", "draining")
+			c.silentRequests(1, c.sendStream, completeStream)
+		})
+		t.Run("plain, "+change.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilence(1)
+			s.beforeHead = true
+			c := newSilentCluster(t, &faultInjector{}, s)
+			defer c.logOnFailure()
+			s.onBegin = change.make(c)
+			c.leaveOnly("i-4", "desk", "draining")
+			const path = "/lookups/silent"
+			c.silentRequests(1, func() response { return c.get(0, path, nil) },
+				func(string) string { return replica.PlainResponse(path, "") })
+		})
+	}
+}
+
+// partingReplica responds in raw bytes, with a silence between two of them.
+type partingReplica struct {
+	parts func(r *http.Request) (before, after string) // what it sends before and after the silence
+}
+
+func (p *partingReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	before, after := p.parts(r)
+	_, _ = io.WriteString(conn, before)
+	time.Sleep(silenceLength)
+	_, _ = io.WriteString(conn, after)
+}
+
+// Failure: a stream of which no more attempts may be made is ended because its replica is silent in the middle of the
+// head or of a chunk, while it is waited for if it is silent between two of these.
+func TestSilenceInsidePartOfStreamDoesNotEndIt(t *testing.T) {
+	t.Parallel()
+	head := func(r *http.Request, fields string) string {
+		id := r.Header.Get("Request-Id")
+		return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: " + replica.Signature(id) + "\r\n" +
+			fields + "\r\n\r\n"
+	}
+	chunkedStream := func(r *http.Request) string {
+		text := completeStream(r.Header.Get("Request-Id"))
+		return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	const chunked, closed, lastChunk = "Transfer-Encoding: chunked", "Connection: close", "0\r\n\r\n"
+	for _, test := range []struct {
+		name  string
+		parts func(r *http.Request) (before, after string)
+	}{
+		{"before the head", func(r *http.Request) (string, string) {
+			return "", head(r, chunked) + chunkedStream(r) + lastChunk
+		}},
+		{"inside the head", func(r *http.Request) (string, string) {
+			text := head(r, chunked)
+			return text[:len(text)/2], text[len(text)/2:] + chunkedStream(r) + lastChunk
+		}},
+		{"inside a chunk's length", func(r *http.Request) (string, string) {
+			text := chunkedStream(r)
+			return head(r, chunked) + text[:1], text[1:] + lastChunk
+		}},
+		{"inside a chunk", func(r *http.Request) (string, string) {
+			text := chunkedStream(r)
+			return head(r, chunked) + text[:len(text)/2], text[len(text)/2:] + lastChunk
+		}},
+		{"between two chunks", func(r *http.Request) (string, string) {
+			return head(r, chunked) + chunkedStream(r), lastChunk
+		}},
+		{"inside the last chunk", func(r *http.Request) (string, string) {
+			return head(r, chunked) + chunkedStream(r) + lastChunk[:3], lastChunk[3:]
+		}},
+		{"inside a stream that ends with its connection", func(r *http.Request) (string, string) {
+			text := completeStream(r.Header.Get("Request-Id"))
+			return head(r, closed) + text[:len(text)/2], text[len(text)/2:]
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newSilentCluster(t, &faultInjector{}, newSilence(1))
+			defer c.logOnFailure()
+			doc := c.configuration()
+			for _, route := range doc["routes"].([]any) {
+				route.(map[string]any)["maxAttempts"] = 1
+			}
+			c.putConfiguration(doc)
+			c.eventually("the configuration is active", func() bool {
+				return c.hosts[0].status().Configuration.Version == int64(c.version)
+			})
+			c.replace(func(*replica.Replica) http.Handler { return &partingReplica{parts: test.parts} })
+			c.silentRequests(1, c.sendStream, completeStream)
+		})
+	}
+}
