backend: silence inside a head or a chunk is treated as between two

Cause: the limit of a silence was asked for only before each read of the response's parts. Inside a part the deadline of the socket ended the read, the chunk reader kept the error, and neither the planner nor the retry budget was asked.

Now the connection itself asks, wherever the response is. The silence counts from the last progress of the response, not from its last byte, so bytes that are no event don't count as a sign of life for ever; a host that was paused first reads what had come meanwhile.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -33,6 +33,11 @@
 	address   netip.AddrPort
 	idleSince time.Time     // on the boot-time clock
 	maxIdle   time.Duration // how long it may stay idle; if not positive, it isn't reused
+
+	// Limits of the exchange that uses the connection.
+	silentUntil time.Time            // by when something must have come, see Exchange.SetMaxSilence; zero for no limit
+	caughtUp    bool                 // what had come by silentUntil may be read after it, as the host may have been paused
+	extraWait   func() time.Duration // called at silentUntil, see Exchange.SetExtraWait; nil ends the wait
 }
 
 func dial(ctx context.Context, address netip.AddrPort, timeout time.Duration) (*conn, error) {
@@ -42,7 +47,65 @@
 		return nil, err
 	}
 	tcp := c.(*net.TCPConn)
-	return &conn{tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufSize), address: address, maxIdle: defaultMaxIdle}, nil
+	cn := &conn{tcp: tcp, address: address, maxIdle: defaultMaxIdle}
+	cn.reader = bufio.NewReaderSize(cn, readBufSize)
+	return cn, nil
+}
+
+// catchUpTime is how long a host may read after silentUntil what had come before. A host that was paused needs it.
+const catchUpTime = 50 * time.Millisecond
+
+// Read reads from the connection. At silentUntil it asks extraWait for how much longer to wait, and returns the time-out
+// error when that says 0. So a pause at any place in a response is treated alike, within an event too.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		// An error also shows at the read.
+		_ = c.tcp.SetReadDeadline(c.silentUntil)
+		n, err := c.tcp.Read(b)
+		if n > 0 || !isTimeout(err) || c.extraWait == nil {
+			return n, err
+		}
+		if c.mayCatchUp() {
+			continue
+		}
+		wait := c.extraWait()
+		if wait <= 0 {
+			return 0, err
+		}
+		c.setMaxSilence(wait)
+	}
+}
+
+// mayCatchUp reports whether something had come by silentUntil that the host has not read yet, and allows the host to
+// read it. It does so once in each wait, so that a server that sends bytes for ever without getting any further counts as
+// silent.
+func (c *conn) mayCatchUp() bool {
+	if c.caughtUp {
+		return false
+	}
+	// A deadline that has passed would keep IsIdle from looking.
+	_ = c.tcp.SetReadDeadline(time.Time{})
+	if netconn.IsIdle(c.tcp) {
+		return false
+	}
+	c.setMaxSilence(catchUpTime)
+	c.caughtUp = true
+	return true
+}
+
+// setMaxSilence sets silentUntil to d from now; 0 means no limit.
+func (c *conn) setMaxSilence(d time.Duration) {
+	c.silentUntil = time.Time{}
+	if d > 0 {
+		c.silentUntil = time.Now().Add(d)
+	}
+	c.caughtUp = false
+}
+
+// isTimeout reports whether err says that a deadline has passed.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 func (c *conn) close() { _ = c.tcp.Close() }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -13,20 +13,14 @@
 
 // Exchange is one call at one server, from sending the request to the end of the response.
 type Exchange struct {
-	Head *ResponseHead // head of the response to the call
-	// ExtraWait is called when the server has been silent for longer than allowed. It returns the new silence limit,
-	// which counts from the return of ExtraWait; 0 ends the exchange with KindSilent. If ExtraWait is nil, the exchange
-	// ends at once.
-	ExtraWait func() time.Duration
-
+	Head          *ResponseHead // head of the response to the call
 	pool          *Pool
 	conn          *conn
 	call          *call.Call
 	stopAfterFunc func() bool // result of context.AfterFunc, which closes conn when the context ends
 	resp          *http.Response
-	bodySent      <-chan error  // result of writing the body in the background; nil if it isn't
-	maxSilence    time.Duration // limit of each wait for bytes, until it is changed; 0 for none
-	ended         bool          // Finish or Abort was called
+	bodySent      <-chan error // result of writing the body in the background; nil if it isn't
+	ended         bool         // Finish or Abort was called
 }
 
 // maxResponsesRead is the number of responses that are read in search of the one to the call, this one included. The
@@ -36,7 +30,7 @@
 // sendAndReadHead sends the request and reads the head of the response to it. A response with an error status that
 // names no call is taken as the response to this call.
 func (x *Exchange) sendAndReadHead(ctx context.Context, head []byte, maxSilence time.Duration) error {
-	x.maxSilence = maxSilence
+	x.conn.setMaxSilence(maxSilence)
 	bodySent, err := x.conn.writeRequest(head, x.call.Body)
 	x.bodySent = bodySent
 	if err != nil {
@@ -59,9 +53,6 @@
 // readHead reads the head of the next final response; it skips informational (1xx) ones.
 func (x *Exchange) readHead() error {
 	for {
-		if err := x.awaitBytes(); err != nil {
-			return err
-		}
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
 		if err != nil {
 			return err
@@ -76,39 +67,20 @@
 	}
 }
 
-// awaitBytes waits until bytes can be read. If the server stays silent for maxSilence, it asks ExtraWait for an
-// extra wait, which becomes the new maxSilence, and returns the time-out error if there is none.
-func (x *Exchange) awaitBytes() error {
-	if x.conn.reader.Buffered() > 0 {
-		return nil
-	}
-	for {
-		x.setReadTimeout(x.maxSilence)
-		_, err := x.conn.reader.Peek(1)
-		var timeout interface{ Timeout() bool }
-		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() || x.ExtraWait == nil {
-			x.setReadTimeout(x.maxSilence)
-			return err
-		}
-		extraWait := x.ExtraWait()
-		if extraWait <= 0 {
-			return err
-		}
-		x.maxSilence = extraWait
-	}
-}
+// SetExtraWait sets the function that is called when the server has been silent for longer than allowed. It returns the
+// silence that is allowed from its return on; 0 ends the exchange with KindSilent. If it is nil, the exchange ends at
+// once.
+func (x *Exchange) SetExtraWait(extraWait func() time.Duration) { x.conn.extraWait = extraWait }
 
-// SetMaxSilence sets the limit of each further wait for bytes; 0 means no limit.
-func (x *Exchange) SetMaxSilence(d time.Duration) { x.maxSilence = d }
+// SetMaxSilence allows the server to be silent for d from now; 0 means no limit. Bytes alone don't end the silence: the
+// caller sets it again when the response has got further.
+func (x *Exchange) SetMaxSilence(d time.Duration) { x.conn.setMaxSilence(d) }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (x *Exchange) Read(b []byte) (int, error) {
 	if x.resp.ContentLength == 0 {
 		return 0, io.EOF
 	}
-	if err := x.awaitBytes(); err != nil && !errors.Is(err, io.EOF) {
-		return 0, err
-	}
 	return x.resp.Body.Read(b)
 }
 
@@ -142,7 +114,9 @@
 		x.conn.close()
 		return
 	}
-	x.setReadTimeout(0)
+	x.conn.setMaxSilence(0)
+	x.conn.extraWait = nil
+	_ = x.conn.tcp.SetReadDeadline(time.Time{}) // an error also shows at the next read
 	x.pool.putIdle(x.conn)
 }
 
@@ -173,24 +147,13 @@
 	x.conn.close()
 }
 
-// setReadTimeout sets the deadline of reads to d from now; 0 removes it.
-func (x *Exchange) setReadTimeout(d time.Duration) {
-	var deadline time.Time
-	if d > 0 {
-		deadline = time.Now().Add(d)
-	}
-	// An error also shows at the next read.
-	_ = x.conn.tcp.SetReadDeadline(deadline)
-}
-
 // wrapError returns an *Error for the operation op that failed with err after the request was sent, at least in part.
 func (x *Exchange) wrapError(ctx context.Context, op string, err error) error {
 	kind := KindBroken
-	var timeout interface{ Timeout() bool }
 	switch {
 	case ctx.Err() != nil:
 		kind = KindCanceled
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case isTimeout(err):
 		kind = KindSilent
 	}
 	if errors.Is(err, io.EOF) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,10 +25,9 @@
 	idle map[netip.AddrPort][]*conn
 }
 
-// Open sends c and returns the exchange once the head of the response has been read. maxSilence limits each wait for
-// bytes, those of the body too, until Exchange.SetMaxSilence changes it; 0 means no limit. When the server has been
-// silent for so long, extraWait, if not nil, returns the limit from now on; 0 ends the exchange. Errors are of type
-// *Error.
+// Open sends c and returns the exchange once the head of the response has been read. The server may be silent for
+// maxSilence, until Exchange.SetMaxSilence is called; 0 means no limit. After it, extraWait, if not nil, returns how much
+// longer the server may be silent; 0 ends the exchange. Errors are of type *Error.
 func (p *Pool) Open(ctx context.Context, c *call.Call, a *Attempt, maxSilence time.Duration,
 	extraWait func() time.Duration,
 ) (*Exchange, error) {
@@ -47,7 +46,8 @@
 			p.OnDial()
 		}
 	}
-	x := &Exchange{ExtraWait: extraWait, pool: p, conn: cn, call: c}
+	x := &Exchange{pool: p, conn: cn, call: c}
+	x.SetExtraWait(extraWait)
 	x.stopAfterFunc = context.AfterFunc(ctx, cn.close)
 	if err := x.sendAndReadHead(ctx, p.Codec.AppendRequestHead(nil, c, a), maxSilence); err != nil {
 		x.Abort()
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -251,8 +251,8 @@
 			if !started {
 				started = true
 				t.recordFirstEvent(placementID)
-				x.SetMaxSilence(maxSilence)
 			}
+			x.SetMaxSilence(maxSilence)
 			if err := t.forwardEvents(x.Head, complete); err != nil {
 				return planner.OutcomeCanceled, err
 			}
