relay: a silent server is given up only for one that has got further

What callers saw: an accepted request ended without an answer. Its replica was sound, but silent for about a second, for instance during a long pass. The relay closed the exchange, and then the planner refused the retry (busy, no replica) or the retry failed; a response that had begun was cut, though the first replica went on.

Cause: break before make. The only exchange that could still complete the call was given up before there was another.

Ruled out: the change of the configuration itself (the tests fail alike without one), the retry budget (an empty one was handled before), a full or frozen host, streams that end inside an event.

Now a standby is begun at another server while the first is silent, with the same budget and limits as a retry. The call goes on with whichever server gets further first: the standby with its first event or whole response, the silent server with its next event. A standby that is refused or fails changes nothing. The test of a retry that breaks off now breaks inside the first event of the resumed stream: once an event of the second run is forwarded, returning to the first would join events of two runs, which the users' rules forbid. It failed on the unchanged code as well.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -30,6 +30,7 @@
 	responses  int    // number of responses that must have come so far
 	beforeHead bool   // the silence begins before the head of the responses, not after eventsBeforeHush events
 	everywhere bool   // all replicas fall silent, not only those of the responses
+	breakAgain bool   // a stream that is resumed breaks off inside its first event
 	onBegin    func() // called when the silence begins; may be nil
 
 	mu      sync.Mutex
@@ -112,7 +113,8 @@
 		p.silence.reach(r.Context(), p.ID)
 	}
 	p.silence.await(r.Context(), p.ID)
-	p.Replica.ServeHTTP(&pausingWriter{ResponseWriter: w, replica: p, ctx: r.Context()}, r)
+	resumed := r.Header.Get("Last-Event-Id") != ""
+	p.Replica.ServeHTTP(&pausingWriter{ResponseWriter: w, replica: p, ctx: r.Context(), resumed: resumed}, r)
 }
 
 // pausingWriter writes a response of a pausingReplica.
@@ -121,6 +123,7 @@
 	replica *pausingReplica
 	ctx     context.Context // of the request
 	writes  int             // one for each event
+	resumed bool            // the stream is resumed
 }
 
 func (w *pausingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
@@ -132,6 +135,11 @@
 	}
 	w.writes++
 	s.await(w.ctx, w.replica.ID)
+	if s.breakAgain && w.resumed {
+		_, _ = w.ResponseWriter.Write(b[:len(b)/2])
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	return w.ResponseWriter.Write(b)
 }
 
@@ -309,22 +317,17 @@
 	}
 }
 
-// Failure: a stream is given up because its replica is silent, the replica that resumes it breaks off inside an event,
-// and the caller gets nothing more although the first replica went on.
+// Failure: a stream is given up because its replica is silent, the replica that resumes it breaks off inside its first
+// event, and the caller gets nothing more although the first replica went on. Once an event of the second replica is
+// forwarded, the first can't follow: a stream doesn't join events of two runs but at the last event that is known.
 func TestStreamIsCompleteAfterSilenceIfRetryBreaksOff(t *testing.T) {
 	t.Parallel()
 	for _, change := range changes {
 		t.Run(change.name, func(t *testing.T) {
 			t.Parallel()
-			f := &faultInjector{}
-			f.set(func(_ string, r *http.Request) replica.Fault {
-				if r.Header.Get("Last-Event-Id") != "" {
-					return replica.FaultTruncate
-				}
-				return replica.FaultNone
-			})
 			s := newSilence(1)
-			c := newSilentCluster(t, f, s)
+			s.breakAgain = true
+			c := newSilentCluster(t, &faultInjector{}, s)
 			defer c.logOnFailure()
 			s.onBegin = change.make(c)
 			c.silentRequests(1, c.sendStream, completeStream)
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericshunt/turmericshunt/internal/backend"
+	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/steady"
+)
+
+// attempt is one attempt to run a call at a backend server, from its placement to the end of the response.
+type attempt struct {
+	relay     *Relay
+	call      *call.Call
+	placement planner.Result // with a plan
+	resume    bool           // the stream was begun in an earlier attempt
+	lastEvent int64          // with resume: id of the last event that the caller has
+
+	exchange      *backend.Exchange // nil until the head of the response has come
+	pause         time.Duration     // that the server has asked this host for
+	start         []byte            // start of the body that a standby has read
+	response      *response         // the complete response, if it isn't a stream and was read
+	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
+}
+
+// begin sends the call and reads the head of the response. It returns an error, and the outcome of the attempt, unless
+// the response may be forwarded.
+func (a *attempt) begin(ctx context.Context, maxSilence time.Duration, extraWait func() time.Duration) (
+	planner.Outcome, error,
+) {
+	plan := a.placement.Plan
+	parameters := &backend.Attempt{
+		Replica:   plan.Replica,
+		TimeLeft:  a.call.Deadline().Sub(steady.Now()),
+		Resume:    a.resume,
+		LastEvent: a.lastEvent,
+		Priority:  min(a.call.Priority, maxPriority),
+	}
+	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
+		return planner.OutcomeRefused, err
+	}
+	x, err := a.relay.Pool.Open(ctx, a.call, parameters, maxSilence, extraWait)
+	if err != nil {
+		return outcomeOf(err), err
+	}
+	a.exchange = x
+	a.noteRequests(x.Head)
+	switch {
+	case x.Head.NotRun:
+		_, err := x.ReadAll(ctx, maxResponseBytes)
+		if err == nil {
+			x.Finish()
+		}
+		return planner.OutcomeRefused, errors.Errorf("status %d", x.Head.Status)
+	case !x.Head.Valid:
+		return planner.OutcomeBroken, errors.Errorf("status %d: not a valid response of a backend server", x.Head.Status)
+	}
+	return "", nil
+}
+
+// isStream reports whether the response is a stream of events.
+func (a *attempt) isStream() bool {
+	return a.call.Stream && a.exchange.Head.Status < http.StatusMultipleChoices
+}
+
+// readResponse reads a complete response that isn't a stream. One with a 5xx status is a failure.
+func (a *attempt) readResponse(ctx context.Context) (planner.Outcome, error) {
+	if a.response == nil {
+		body, err := a.exchange.ReadAll(ctx, maxResponseBytes)
+		if err != nil {
+			return outcomeOf(err), err
+		}
+		a.exchange.Finish()
+		a.response = &response{head: a.exchange.Head, body: body}
+	}
+	if a.response.isFailure() {
+		return planner.OutcomeFailed, errors.Errorf("status %d", a.exchange.Head.Status)
+	}
+	return "", nil
+}
+
+// Read reads the body of a stream.
+func (a *attempt) Read(b []byte) (int, error) {
+	if len(a.start) == 0 {
+		return a.exchange.Read(b)
+	}
+	n := copy(b, a.start)
+	a.start = a.start[n:]
+	return n, nil
+}
+
+// end ends the attempt and reports its outcome to the planner.
+func (a *attempt) end(outcome planner.Outcome) {
+	if a.exchange != nil {
+		a.exchange.Abort()
+	}
+	if a.releaseMemory != nil {
+		a.releaseMemory()
+	}
+	a.relay.PlannerClient.Ended(a.placement.ID, outcome, a.pause)
+}
+
+// outcomeOf returns the outcome of an attempt that ended with err.
+func outcomeOf(err error) planner.Outcome {
+	var failure *backend.Error
+	if !errors.As(err, &failure) {
+		return planner.OutcomeBroken
+	}
+	switch failure.Kind {
+	case backend.KindUnreachable:
+		return planner.OutcomeUnreachable
+	case backend.KindSilent:
+		return planner.OutcomeSilent
+	case backend.KindCanceled:
+		return planner.OutcomeCanceled
+	default:
+		return planner.OutcomeBroken
+	}
+}
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -9,6 +9,15 @@
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 )
 
+// finishCompleted ends a call that attempt a has completed.
+func (t *transfer) finishCompleted(a *attempt) {
+	t.countAttempt(planner.OutcomeCompleted)
+	t.recordTimings()
+	t.relay.recordEnd(t.call, "completed", slog.String("replica", a.placement.Plan.Replica.ID),
+		eventlog.Milliseconds("first_ms", t.firstEventDelay), eventlog.Milliseconds("gap_ms", t.longestPause),
+		slog.Int("events", t.events.forwarded))
+}
+
 // finishRefused ends a call for which the planner has no server.
 func (t *transfer) finishRefused(r *planner.Refusal) {
 	t.relay.Metrics.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -10,7 +10,6 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
-	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
@@ -36,25 +35,25 @@
 // lastTicket is the number in the ticket that was issued last.
 var lastTicket atomic.Uint64
 
-// reserveAtHelpers reserves the memory that the plan requires at helper replicas and adds the helpers to the attempt.
-// releaseAll must be called, after an error too; it releases all reservations in the background.
-func (t *transfer) reserveAtHelpers(plan *planner.Plan, a *backend.Attempt) (releaseAll func(), err error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	releaseAll = cancel
-	for _, h := range plan.Helpers {
+// reserveAtHelpers reserves the memory that the plan requires at helper replicas and adds the helpers to parameters. All
+// reservations are released in the background when the attempt ends.
+func (a *attempt) reserveAtHelpers(ctx context.Context, parameters *backend.Attempt) error {
+	var held context.Context
+	held, a.releaseMemory = context.WithCancel(context.Background())
+	for _, h := range a.placement.Plan.Helpers {
 		helper := backend.Helper{Address: h.Address}
 		if h.ReservedTokens > 0 {
-			helper.Ticket = t.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
+			helper.Ticket = a.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
 			res := reservation{address: h.Address, ticket: helper.Ticket, tokens: h.ReservedTokens}
-			err = t.relay.reserveOrRenew(t.ctx, res)
-			go t.relay.maintainReservation(ctx, t.call.ID, res)
+			err := a.relay.reserveOrRenew(ctx, res)
+			go a.relay.maintainReservation(held, a.call.ID, res)
 			if err != nil {
-				return releaseAll, err
+				return err
 			}
 		}
-		a.Helpers = append(a.Helpers, helper)
+		parameters.Helpers = append(parameters.Helpers, helper)
 	}
-	return releaseAll, nil
+	return nil
 }
 
 // reserveOrRenew reserves the memory or renews its lease.
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -1,22 +1,25 @@
 package relay
 
 import (
+	"context"
 	"log/slog"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
-// requestPlacement asks the planner for a server for the next attempt. Times in the request are relative to now. Once
-// events have been forwarded, the pause target takes the place of the first-event target, and the time until the caller
-// disconnects counts from the last forwarded event. The caller of a call without a prompt is not expected to disconnect
-// before the deadline.
-func (t *transfer) requestPlacement() (planner.Result, error) {
+// placementRequest returns the request for a server for the next attempt. Its times are relative to now. Once events have
+// been forwarded, the pause target takes the place of the first-event target, and the time until the caller disconnects
+// counts from the last forwarded event. The caller of a call without a prompt is not expected to disconnect before the
+// deadline.
+func (t *transfer) placementRequest() planner.Request {
 	c := t.call
 	now := steady.Now()
 	elapsed := now.Sub(c.Received)
@@ -34,8 +37,7 @@
 	if c.PromptTokens == 0 {
 		untilDisconnect = 0
 	}
-	req := planner.Request{
-		ID:               strconv.FormatUint(t.relay.lastPlacementID.Add(1), 36),
+	return planner.Request{
 		Service:          c.Service,
 		PromptTokens:     c.PromptTokens,
 		OutputTokens:     c.OutputTokens,
@@ -51,19 +53,57 @@
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
 	}
-	result, err := t.relay.PlannerClient.Place(t.ctx, req)
-	t.relay.Metrics.Timer("planning").Record(steady.Now().Sub(now))
-	if err != nil {
-		return result, err
+}
+
+// place asks the planner for a server for c until it names one that may receive the call, refuses the call or ctx ends.
+// It sets the ID of the request.
+func (r *Relay) place(ctx context.Context, c *call.Call, req planner.Request) (planner.Result, error) {
+	for {
+		requestedAt := steady.Now()
+		req.ID = strconv.FormatUint(r.lastPlacementID.Add(1), 36)
+		result, err := r.PlannerClient.Place(ctx, req)
+		now := steady.Now()
+		r.Metrics.Timer("planning").Record(now.Sub(requestedAt))
+		if err != nil || result.Plan == nil {
+			return result, err
+		}
+		r.logPlan(c, result.Plan, now.Sub(requestedAt))
+		if r.mayReceive(result.Plan.Replica) {
+			return result, nil
+		}
+		r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, 0)
+		req.ExcludedReplicas = append(req.ExcludedReplicas, result.Plan.Replica.ID)
+		req.SubtractElapsed(now.Sub(requestedAt))
+	}
+}
+
+// mayReceive reports whether a call may be sent to s: s doesn't leave and hasn't asked this host for a pause. The planner
+// may not know that yet.
+func (r *Relay) mayReceive(s replica.Replica) bool {
+	return !r.PlannerClient.IsLeaving(s) && !r.pauses.Paused(steady.Now(), s)
+}
+
+func (r *Relay) logPlan(c *call.Call, p *planner.Plan, askedFor time.Duration) {
+	r.Log.Event("request_planned", slog.String("request_id", c.ID), slog.String("route", c.Route),
+		slog.String("replica", p.Replica.ID), slog.String("helpers", helperNames(p.Helpers)),
+		eventlog.Milliseconds("first_ms", p.FirstEventTime), eventlog.Milliseconds("pass_ms", p.PassTime),
+		eventlog.Milliseconds("asked_for_ms", askedFor), slog.Int("prompt_tokens", c.PromptTokens),
+		slog.Int64("config_version", c.ConfigVersion))
+}
+
+// noteRequests takes over what the head of a response says about further requests to its server.
+func (a *attempt) noteRequests(head *backend.ResponseHead) {
+	server := a.placement.Plan.Replica
+	if head.Leaving {
+		a.relay.PlannerClient.Leaving(server)
 	}
-	if p := result.Plan; p != nil {
-		t.relay.Log.Event("request_planned", slog.String("request_id", c.ID), slog.String("route", c.Route),
-			slog.String("replica", p.Replica.ID), slog.String("helpers", helperNames(p.Helpers)),
-			eventlog.Milliseconds("first_ms", p.FirstEventTime), eventlog.Milliseconds("pass_ms", p.PassTime),
-			eventlog.Milliseconds("asked_for_ms", steady.Now().Sub(now)), slog.Int("prompt_tokens", c.PromptTokens),
-			slog.Int64("config_version", c.ConfigVersion))
+	if head.Pause > 0 {
+		a.pause = head.Pause
+		now := steady.Now()
+		a.relay.pauses.Add(now, server, now.Add(head.Pause))
+		a.relay.Log.Event("replica_asks_for_pause", slog.String("replica", server.ID),
+			slog.String("request_id", a.call.ID), eventlog.Milliseconds("retry_after_ms", head.Pause))
 	}
-	return result, nil
 }
 
 // disconnectPause returns the pause after which callers are expected to disconnect from a stream. It applies before the
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -30,15 +30,27 @@
 	}
 }
 
-// extraWait returns how much longer each wait may last for a server that has been silent too long. It returns 0 if the
-// attempt is to end so that the call is sent to another server; the retry is then already taken from the budget.
-// Silence alone doesn't end a call that can't be retried.
-func (t *transfer) extraWait(placementID string) time.Duration {
-	if wait := t.relay.PlannerClient.ExtraWait(t.ctx, placementID); wait > 0 {
-		return wait
+// onSilence is called when the server of attempt a has been silent too long. It returns how much longer to wait for it, or
+// 0 if the attempt is to end because a standby has got further. Silence alone never ends an attempt, since the server may
+// go on after it.
+func (t *transfer) onSilence(a *attempt) time.Duration {
+	if t.standby == nil {
+		if wait := t.relay.PlannerClient.ExtraWait(t.ctx, a.placement.ID); wait > 0 {
+			return wait
+		}
+		if !t.progress.mayRetryIfCurrentFails() || !t.takeRetry() {
+			return minStreamSilence
+		}
+		t.startStandby(a)
+		return standbyPollInterval
 	}
-	if !t.progress.mayRetryIfCurrentFails() || !t.takeRetry() {
-		return minStreamSilence
+	r, ok := t.standby.poll()
+	if !ok {
+		return standbyPollInterval
 	}
-	return 0
+	t.takeStandbyResult(r)
+	if t.begun != nil {
+		return 0
+	}
+	return minStreamSilence
 }
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -15,13 +15,14 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
-	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
 const (
 	// Limit of the response to a non-streaming call, in bytes.
 	maxResponseBytes = 8 << 20
+	// Size of the buffer for the events of a stream, in bytes.
+	readBufferSize = 2 << 10
 	// The largest priority number, and so the least urgent, that is sent to engines; larger ones are sent as this one.
 	maxPriority = 9
 )
@@ -34,16 +35,18 @@
 	callerCtx        context.Context // ends when the caller disconnects
 	ctx              context.Context // ends with callerCtx and shortly before the deadline
 	progress         progress
-	events           eventFilter   // spans the attempts, so that a resumed stream repeats no event
-	fingerprint      uint64        // equal for calls that do the same work; recognizes those that crash replicas
-	excludedReplicas []string      // IDs of replicas at which an attempt did not complete the call
-	headWritten      bool          // the head of the response has been written to the caller
-	retryGranted     bool          // the budget has granted the next retry
-	serverFailure    *response     // last response with a 5xx status; forwarded if the call isn't completed
-	firstEventDelay  time.Duration // from receipt of the call to the first event or the complete response; 0 before
-	lastForwarded    time.Time     // when the last events were forwarded; zero before the first
-	longestPause     time.Duration // longest pause between forwarded events
-	pause            time.Duration // that the server of the current attempt has asked this host for
+	events           eventFilter     // spans the attempts, so that a resumed stream repeats no event
+	fingerprint      uint64          // equal for calls that do the same work; recognizes those that crash replicas
+	excludedReplicas []string        // IDs of replicas at which an attempt did not complete the call
+	headWritten      bool            // the head of the response has been written to the caller
+	retryGranted     bool            // the budget has granted the next retry
+	serverFailure    *response       // last response with a 5xx status; forwarded if the call isn't completed
+	firstEventDelay  time.Duration   // from receipt of the call to the first event or the complete response; 0 before
+	lastForwarded    time.Time       // when the last events were forwarded; zero before the first
+	longestPause     time.Duration   // longest pause between forwarded events
+	standby          *standby        // attempt at another server while the current one is silent; nil if there is none
+	begun            *attempt        // that of the standby, once it has begun; nil before
+	lastFailure      planner.Outcome // of the attempt that failed last
 }
 
 // response is a server's complete response that isn't a stream.
@@ -52,66 +55,89 @@
 	body []byte
 }
 
+// isFailure reports whether the status is a 5xx one.
+func (r *response) isFailure() bool { return r.head.Status >= http.StatusInternalServerError }
+
 // run makes attempts until one completes, the call may not be retried or the context ends.
 func (t *transfer) run() {
+	defer t.closeStandby()
 	for {
-		result, err := t.requestPlacement()
-		switch {
-		case err != nil:
-			t.finishExpired()
-			return
-		case result.Refusal != nil:
-			t.finishRefused(result.Refusal)
+		a := t.nextAttempt()
+		if a == nil {
 			return
 		}
-		if !t.mayReceive(result.Plan.Replica) {
-			t.relay.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, 0)
-			t.excludedReplicas = append(t.excludedReplicas, result.Plan.Replica.ID)
-			continue
-		}
-		t.pause = 0
-		outcome, err := t.attempt(result)
-		t.relay.PlannerClient.Ended(result.ID, outcome, t.pause)
-		t.progress.record(outcome)
-		t.relay.Metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("attempts").Inc(1)
+		outcome, err := t.forward(a)
+		a.end(outcome)
 		if outcome == planner.OutcomeCompleted {
-			t.recordTimings()
-			t.relay.recordEnd(t.call, "completed", slog.String("replica", result.Plan.Replica.ID),
-				eventlog.Milliseconds("first_ms", t.firstEventDelay), eventlog.Milliseconds("gap_ms", t.longestPause),
-				slog.Int("events", t.events.forwarded))
+			t.finishCompleted(a)
 			return
 		}
-		t.logAttempt(result, outcome, err)
+		t.recordFailure(a, outcome, err)
 		if t.ctx.Err() != nil {
 			t.finishExpired()
 			return
 		}
-		t.excludedReplicas = append(t.excludedReplicas, result.Plan.Replica.ID)
-		if !t.progress.mayRetry(outcome) || !t.takeRetry() {
-			t.finishFailed(outcome)
+		if t.standby == nil && !t.mayRetry() {
 			return
 		}
-		t.retryGranted = false
 	}
 }
 
-// mayReceive reports whether the call may be sent to r: r doesn't leave and hasn't asked this host for a pause. The
-// planner may not know that yet.
-func (t *transfer) mayReceive(r replica.Replica) bool {
-	return !t.relay.PlannerClient.IsLeaving(r) && !t.relay.pauses.Paused(steady.Now(), r)
+// mayRetry reports whether the call may be sent once more. If not, it ends the call.
+func (t *transfer) mayRetry() bool {
+	if t.progress.mayRetry(t.lastFailure) && t.takeRetry() {
+		return true
+	}
+	t.finishFailed(t.lastFailure)
+	return false
 }
 
-// noteRequests takes over what the head of a response from r says about further requests to r.
-func (t *transfer) noteRequests(r replica.Replica, head *backend.ResponseHead) {
-	if head.Leaving {
-		t.relay.PlannerClient.Leaving(r)
+// nextAttempt returns the attempt of the standby, if there is one that begins, or otherwise a new one that the planner
+// has placed. It ends the call and returns nil if there is neither.
+func (t *transfer) nextAttempt() *attempt {
+	if t.standby != nil {
+		if a := t.awaitStandby(); a != nil {
+			a.exchange.SetMaxSilence(t.initialMaxSilence(a.placement.Plan))
+			a.exchange.SetExtraWait(func() time.Duration { return t.onSilence(a) })
+			return a
+		}
+		if t.ctx.Err() != nil {
+			t.finishExpired()
+			return nil
+		}
+		if !t.mayRetry() {
+			return nil
+		}
+	}
+	placement, err := t.relay.place(t.ctx, t.call, t.placementRequest())
+	switch {
+	case err != nil:
+		t.finishExpired()
+		return nil
+	case placement.Refusal != nil:
+		t.finishRefused(placement.Refusal)
+		return nil
 	}
-	if head.Pause > 0 {
-		t.pause = head.Pause
-		now := steady.Now()
-		t.relay.pauses.Add(now, r, now.Add(head.Pause))
-		t.relay.Log.Event("replica_asks_for_pause", slog.String("replica", r.ID), slog.String("request_id", t.call.ID),
-			eventlog.Milliseconds("retry_after_ms", head.Pause))
+	t.retryGranted = false
+	return &attempt{
+		relay: t.relay, call: t.call, placement: placement, resume: t.events.forwarded > 0, lastEvent: t.events.lastID,
+	}
+}
+
+// countAttempt counts the outcome of an attempt.
+func (t *transfer) countAttempt(outcome planner.Outcome) {
+	t.progress.record(outcome)
+	t.relay.Metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("attempts").Inc(1)
+}
+
+// recordFailure records an attempt that did not complete the call.
+func (t *transfer) recordFailure(a *attempt, outcome planner.Outcome, err error) {
+	t.countAttempt(outcome)
+	t.logAttempt(a.placement, outcome, err)
+	t.lastFailure = outcome
+	t.excludedReplicas = append(t.excludedReplicas, a.placement.Plan.Replica.ID)
+	if outcome == planner.OutcomeFailed && a.response != nil && a.response.isFailure() {
+		t.serverFailure = a.response
 	}
 }
 
@@ -132,42 +158,18 @@
 	t.relay.Log.Event("attempt_ended", fields...)
 }
 
-// attempt sends the call to a server once and forwards the response.
-func (t *transfer) attempt(result planner.Result) (planner.Outcome, error) {
-	plan := result.Plan
-	a := &backend.Attempt{
-		Replica:   plan.Replica,
-		TimeLeft:  t.call.Deadline().Sub(steady.Now()),
-		Resume:    t.events.forwarded > 0,
-		LastEvent: t.events.lastID,
-		Priority:  min(t.call.Priority, maxPriority),
-	}
-	releaseAll, err := t.reserveAtHelpers(plan, a)
-	defer releaseAll()
-	if err != nil {
-		return planner.OutcomeRefused, err
-	}
-	extraWait := func() time.Duration { return t.extraWait(result.ID) }
-	x, err := t.relay.Pool.Open(t.ctx, t.call, a, t.initialMaxSilence(plan), extraWait)
-	if err != nil {
-		return outcomeOf(err), err
-	}
-	defer x.Abort()
-	t.noteRequests(plan.Replica, x.Head)
-	switch {
-	case x.Head.NotRun:
-		_, err := x.ReadAll(t.ctx, maxResponseBytes)
-		if err == nil {
-			x.Finish()
+// forward makes an attempt, unless it has begun as a standby, and forwards the response.
+func (t *transfer) forward(a *attempt) (planner.Outcome, error) {
+	if a.exchange == nil {
+		extraWait := func() time.Duration { return t.onSilence(a) }
+		if outcome, err := a.begin(t.ctx, t.initialMaxSilence(a.placement.Plan), extraWait); err != nil {
+			return outcome, err
 		}
-		return planner.OutcomeRefused, errors.Errorf("status %d", x.Head.Status)
-	case !x.Head.Valid:
-		return planner.OutcomeBroken, errors.Errorf("status %d: not a valid response of a backend server", x.Head.Status)
-	case t.call.Stream && x.Head.Status < http.StatusMultipleChoices:
-		return t.forwardStream(x, result.ID)
-	default:
-		return t.forwardResponse(x)
 	}
+	if a.isStream() {
+		return t.forwardStream(a)
+	}
+	return t.forwardResponse(a)
 }
 
 // takeRetry takes a retry from the service's budget and reports whether it was granted. Further calls before the next
@@ -181,43 +183,18 @@
 	return true
 }
 
-// outcomeOf returns the outcome of an attempt that ended with err.
-func outcomeOf(err error) planner.Outcome {
-	var failure *backend.Error
-	if !errors.As(err, &failure) {
-		return planner.OutcomeBroken
-	}
-	switch failure.Kind {
-	case backend.KindUnreachable:
-		return planner.OutcomeUnreachable
-	case backend.KindSilent:
-		return planner.OutcomeSilent
-	case backend.KindCanceled:
-		return planner.OutcomeCanceled
-	default:
-		return planner.OutcomeBroken
-	}
-}
-
-// forwardResponse reads a complete response that isn't a stream and then forwards it. It keeps a response with a 5xx
-// status, instead of forwarding it, for the case that the call isn't completed. It drops any other response if a stream
-// has begun.
-func (t *transfer) forwardResponse(x *backend.Exchange) (planner.Outcome, error) {
-	body, err := x.ReadAll(t.ctx, maxResponseBytes)
-	if err != nil {
-		return outcomeOf(err), err
-	}
-	x.Finish()
-	resp := &response{head: x.Head, body: body}
-	if x.Head.Status >= http.StatusInternalServerError {
-		t.serverFailure = resp
-		return planner.OutcomeFailed, errors.Errorf("status %d", x.Head.Status)
+// forwardResponse reads a complete response that isn't a stream and then forwards it. A response with a 5xx status is a
+// failure, which is kept for the case that the call isn't completed. It drops any other response if a stream has begun.
+func (t *transfer) forwardResponse(a *attempt) (planner.Outcome, error) {
+	if outcome, err := a.readResponse(t.ctx); err != nil {
+		return outcome, err
 	}
 	if t.headWritten {
-		return planner.OutcomeFailed, errors.Errorf("status %d: not a stream, but a stream has begun", x.Head.Status)
+		return planner.OutcomeFailed,
+			errors.Errorf("status %d: not a stream, but a stream has begun", a.exchange.Head.Status)
 	}
 	t.firstEventDelay = steady.Now().Sub(t.call.Received)
-	t.writeResponse(resp)
+	t.writeResponse(a.response)
 	return planner.OutcomeCompleted, nil
 }
 
@@ -236,22 +213,24 @@
 
 // forwardStream forwards complete events as they arrive. The silence limit between events applies only to a stream that
 // can be resumed at another server.
-func (t *transfer) forwardStream(x *backend.Exchange, placementID string) (planner.Outcome, error) {
+func (t *transfer) forwardStream(a *attempt) (planner.Outcome, error) {
+	x := a.exchange
 	t.events.discardPending()
 	maxSilence := time.Duration(0)
 	if t.call.RetryMode == call.RetryResume {
 		maxSilence = max(minStreamSilence, t.call.PauseTarget)
 	}
-	buffer := make([]byte, 2<<10)
+	buffer := make([]byte, readBufferSize)
 	started := false
 	for {
-		n, err := x.Read(buffer)
+		n, err := a.Read(buffer)
 		complete, filterErr := t.events.add(buffer[:n])
 		if len(complete) > 0 {
 			if !started {
 				started = true
-				t.recordFirstEvent(placementID)
+				t.recordFirstEvent(a.placement.ID)
 			}
+			t.cancelStandby()
 			x.SetMaxSilence(maxSilence)
 			if err := t.forwardEvents(x.Head, complete); err != nil {
 				return planner.OutcomeCanceled, err
