placement: engines of a service in use stay known

Cause: the planner lost the models of all engines of a service that the configuration no longer names, or that has no listed replica for a while.

Known engines now stay until the configuration names the service without engines.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -144,17 +144,22 @@
 }
 
 // newSilentCluster starts a cluster of one host whose replicas take part in s for requests of paths that end in
-// /silent. The host has a retry budget that suffices for each request.
+// /silent.
 func newSilentCluster(t *testing.T, f *faultInjector, s *silence) *cluster {
 	t.Helper()
 	c := newCluster(t, 1, f)
+	c.allowRetries()
+	c.replace(func(r *replica.Replica) http.Handler { return &pausingReplica{Replica: r, silence: s} })
+	return c
+}
+
+// allowRetries gives the hosts a retry budget that suffices for each request of a test.
+func (c *cluster) allowRetries() {
 	for _, h := range c.hosts {
 		h.gateway.Reload(&site.Settings{
 			RetryRatio: 10, RetrySlack: 20000, RetryWindow: 10 * time.Second, RevocationTime: time.Hour,
 		})
 	}
-	c.replace(func(r *replica.Replica) http.Handler { return &pausingReplica{Replica: r, silence: s} })
-	return c
 }
 
 // replace serves each replica by the handler that handlerOf returns for it, at a new address, and returns when the
@@ -181,7 +186,8 @@
 
 // configuration returns the configuration in the store.
 func (c *cluster) configuration() map[string]any {
-	resp, err := http.Get("http://" + c.hosts[0].settings.StoreAddress.String() + "/kv-key?key=" + url.QueryEscape("op/config"))
+	store := c.hosts[0].settings.StoreAddress.String()
+	resp, err := http.Get("http://" + store + "/kv-key?key=" + url.QueryEscape("op/config"))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -446,3 +452,61 @@
 		})
 	}
 }
+
+// Failure: a configuration drops a service whose engines prefill long prompts; the host no longer knows how long these
+// take, gives up sound engines as silent, and callers get neither a response of a replica nor a refusal.
+func TestLongPromptsAreAnsweredWhenConfigurationChanges(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name                 string
+		moveRoutes, dropsLLM bool
+	}{
+		{"new version", false, false}, {"routes moved to another service", true, false}, {"service dropped", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, &faultInjector{})
+			defer c.logOnFailure()
+			c.allowRetries()
+			doc := c.configuration()
+			if test.moveRoutes {
+				for _, route := range doc["routes"].([]any) {
+					route.(map[string]any)["trafficSplit"] = []any{map[string]any{"service": "desk", "weight": 1}}
+				}
+			}
+			if test.dropsLLM {
+				doc["services"] = slices.DeleteFunc(doc["services"].([]any), func(s any) bool {
+					return s.(map[string]any)["name"] == "llm"
+				})
+			}
+			c.checkLongPrompts(func() { c.putConfiguration(doc) })
+		})
+	}
+}
+
+// checkLongPrompts sends more long prompts at once than there are engines and calls change once engines prefill them.
+// It checks that each gets the replica's complete response, or a refusal if it has not run.
+func (c *cluster) checkLongPrompts(change func()) {
+	c.t.Helper()
+	const prompts = 6
+	since := time.Now()
+	var all sync.WaitGroup
+	for i := range prompts {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			resp := c.do(0, http.MethodPost, fmt.Sprintf("/dossiers/%d", i), "p", http.Header{
+				"Token-Usage": {"150000,500"}, "Model": {"m"}, "Timeout-Remaining": {"15000"},
+			})
+			c.t.Logf("%s ended after %v with status %d", resp.id, resp.took, resp.status)
+			if resp.status != http.StatusServiceUnavailable || c.log.Runs(resp.id) > 0 {
+				c.wantResponse(resp, completeStream(resp.id))
+			}
+		}()
+	}
+	c.eventually("an engine prefills a prompt", func() bool {
+		return slices.ContainsFunc(c.replicas, func(r *replica.Replica) bool { return len(c.log.Received(r.ID, since)) > 0 })
+	})
+	change()
+	all.Wait()
+}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -42,11 +43,12 @@
 	mu             sync.Mutex
 	lastTick       time.Time // when tick was last called; zero before the first call
 	localPlanner   *planner.Planner
-	plannerAddress netip.AddrPort                // of the host that plans for this one; may be this host's own address
-	outbound       map[netip.AddrPort]*peerLink  // connections that this host opened or is opening, by the address dialed
-	pending        map[string]*pendingRequest    // placement requests of this host without a result, by request id
-	placed         map[string]*placedRequest     // placed requests in progress, by request id
-	extraWaits     map[string]chan time.Duration // queries about silent requests that wait for a reply, by request id
+	engines        map[string]*catalog.EngineParams // by service; those that the local planner has
+	plannerAddress netip.AddrPort                   // of the host that plans for this one; may be this host's own address
+	outbound       map[netip.AddrPort]*peerLink     // connections that this host opened or is opening, by the address dialed
+	pending        map[string]*pendingRequest       // placement requests of this host without a result, by request id
+	placed         map[string]*placedRequest        // placed requests in progress, by request id
+	extraWaits     map[string]chan time.Duration    // queries about silent requests that wait for a reply, by request id
 	// Requests of other hosts that handlePlacementRequest is submitting and that have no result yet, by "HOST/ID";
 	// empty between messages.
 	inSubmit  map[string]bool
@@ -216,7 +218,8 @@
 	now := steady.Now()
 	replicas := c.Cache.Replicas()
 	config, _ := c.Cache.Active()
-	c.localPlanner.SetEngines(engines(config, replicas))
+	c.engines = engines(c.engines, config, replicas)
+	c.localPlanner.SetEngines(c.engines)
 	c.localPlanner.SetReplicas(now, replicas)
 	c.sendResults(now)
 	for p := range c.inbound {
@@ -227,14 +230,22 @@
 	}
 }
 
-// engines returns the engine parameters of each service that has engines and at least one replica.
-func engines(c *catalog.Configuration, replicas []replica.Replica) map[string]*catalog.EngineParams {
-	byService := make(map[string]*catalog.EngineParams)
+// engines returns the engine parameters of each service that has engines. Those that are known stay as they are if the
+// service has no replica or the configuration doesn't name it, since requests may still be in progress there.
+func engines(known map[string]*catalog.EngineParams, c *catalog.Configuration, replicas []replica.Replica,
+) map[string]*catalog.EngineParams {
+	byService := make(map[string]*catalog.EngineParams, len(known))
+	maps.Copy(byService, known)
 	if c == nil {
 		return byService
 	}
 	for _, r := range replicas {
-		if s := c.Service(r.Service); s != nil && s.Engine != nil {
+		s := c.Service(r.Service)
+		switch {
+		case s == nil:
+		case s.Engine == nil:
+			delete(byService, r.Service)
+		default:
 			byService[r.Service] = s.Engine
 		}
 	}
