quarantine, planner: a prompt part that crashes replicas is refused at all hosts

Cause: the planner counted crashes for the hash of a whole request, and no two requests with the part are alike.

Now package quarantine decides which parts crash replicas: those that all requests share which were at three crashes, and that no completed request had. Completed requests clear their parts, crashes with a common cause don't count, parts that come together are refused together. Verdicts travel with heartbeats; a new planner gets the crashes that its hosts know.

Sound requests of which three attempts broke off within crashes of others are no longer refused for it: attempts count against a whole request at once only if they break off early. The limit of three in TestRequestThatCrashesReplicasIsRefusedForAllHosts is unchanged.

--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/quarantine"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 )
@@ -23,6 +24,8 @@
 	ExtraWaitQuery *ExtraWait `cbor:"8,keyasint,omitempty"`
 	ExtraWaitReply *ExtraWait `cbor:"9,keyasint,omitempty"`
 	Leaving        *Leaving   `cbor:"10,keyasint,omitempty"` // notifies the planner that a replica leaves
+	// Crashes reports to a new planner which attempts broke off.
+	Crashes []quarantine.Crash `cbor:"11,keyasint,omitempty"`
 }
 
 // Leaving notifies the planner that a replica has announced in a response that it leaves.
@@ -56,7 +59,11 @@
 	ConfigVersion  int64  `cbor:"9,keyasint,omitempty"`
 	ConfigEra      int64  `cbor:"10,keyasint,omitempty"` // of ConfigRevision
 	AcceptsChanges bool   `cbor:"11,keyasint,omitempty"` // the sender accepts changes in place of the whole
-	NoReply        bool   `cbor:"8,keyasint,omitempty"`  // must not be replied to: a reply, or an unrequested report
+	// VerdictDigest identifies the sender's verdicts on what crashes replicas; Verdicts are these, unless the receiver's
+	// last heartbeat had the same digest.
+	VerdictDigest uint64               `cbor:"13,keyasint,omitempty"`
+	Verdicts      []quarantine.Verdict `cbor:"14,keyasint,omitempty"`
+	NoReply       bool                 `cbor:"8,keyasint,omitempty"` // must not be replied to: a reply, or an unrequested report
 }
 
 // SetVersions sets the fields that identify the sender's configuration and replicas.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -45,6 +45,8 @@
 	localPlanner   *planner.Planner
 	engines        map[string]*catalog.EngineParams // by service; those that the local planner has
 	plannerAddress netip.AddrPort                   // of the host that plans for this one; may be this host's own address
+	plannerSince   time.Time                        // when that host was chosen
+	verdictDigest  uint64                           // of the verdicts on what crashes replicas that were last logged
 	outbound       map[netip.AddrPort]*peerLink     // connections that this host opened or is opening, by the address dialed
 	pending        map[string]*pendingRequest       // placement requests of this host without a result, by request id
 	placed         map[string]*placedRequest        // placed requests in progress, by request id
@@ -72,6 +74,7 @@
 	lastScheduled time.Time // when tick last chose the other host as a contact, or the connection opened
 	membersDigest uint64    // of the members that were last sent
 	membersSentAt time.Time // when the list of members was last sent
+	verdictDigest uint64    // of the other host's verdicts on what crashes replicas, as its last heartbeat said
 }
 
 // pendingRequest is a placement request without a result. It is kept so that a new planner can be asked for one.
@@ -98,7 +101,9 @@
 type placedRequest struct {
 	placement       planner.Placement
 	requestedAt     time.Time // when the placement was requested; placementAt deducts the time since then
+	replica         replica.Replica
 	firstEvent      time.Time // when the planner has predicted the first event
+	writingSince    time.Time // when the first event arrived; zero before
 	plannerBypassed bool      // planned here in place of another host's planner that did not reply
 }
 
@@ -127,6 +132,7 @@
 	c.inbound = make(map[*peerLink]bool)
 	c.hostLink = make(map[string]*peerLink)
 	c.plannerAddress = c.self()
+	c.plannerSince = steady.Now()
 }
 
 func (c *Client) self() netip.AddrPort { return c.Roster.Self().Address }
@@ -353,6 +359,7 @@
 	placed := &placedRequest{
 		placement:   planner.Placement{Request: req, Replica: result.Plan.Replica.ID, Helpers: result.Plan.Helpers},
 		requestedAt: requestedAt,
+		replica:     result.Plan.Replica,
 		firstEvent:  now.Add(result.Plan.FirstEventTime),
 	}
 	c.placed[req.ID] = placed
@@ -376,6 +383,7 @@
 	}
 	placed.placement.Decoding = true
 	now := steady.Now()
+	placed.writingSince = now
 	if c.plannerAddress == c.self() || placed.plannerBypassed {
 		c.localPlanner.Started(now, c.self().String(), id)
 		c.sendResults(now)
@@ -420,10 +428,23 @@
 func (c *Client) Ended(id string, outcome planner.Outcome, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.placed, id)
+	if placed := c.placed[id]; placed != nil {
+		c.recordOutcome(steady.Now(), placed, outcome)
+		delete(c.placed, id)
+	}
 	c.reportEnded(link.Progress{ID: id, Outcome: outcome, Pause: pause})
 }
 
+// recordOutcome records at the local planner, too, how a request of this host has ended, so that this host knows what
+// crashes replicas when it plans itself or reports to another planner.
+func (c *Client) recordOutcome(now time.Time, placed *placedRequest, outcome planner.Outcome) {
+	writing := time.Duration(0)
+	if !placed.writingSince.IsZero() {
+		writing = now.Sub(placed.writingSince)
+	}
+	c.localPlanner.RecordOutcome(now, &placed.placement.Request, &placed.replica, writing, outcome)
+}
+
 // Leaving marks r as leaving on this host and, through the planner, on all others.
 func (c *Client) Leaving(r replica.Replica) {
 	if !c.Cache.MarkLeaving(r.ID, r.Born) {
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -23,6 +23,8 @@
 	// A connection to a host other than the planner is closed if tick has not chosen the host as a contact for this
 	// time.
 	idleTimeout = 6 * time.Second
+	// A host that has been its own planner for this time lets requests through whose quarantine is over.
+	probingDelay = 10 * time.Second
 )
 
 // Run exchanges heartbeats and placement messages with other hosts until ctx ends; it accepts their connections on
@@ -147,7 +149,9 @@
 		}
 	}
 	c.choosePlanner(now)
-	if c.plannerAddress == c.self() {
+	ownPlanner := c.plannerAddress == c.self()
+	c.localPlanner.SetProbing(ownPlanner && now.Sub(c.plannerSince) > probingDelay)
+	if ownPlanner {
 		c.hostCount.record(now, c.Roster.Size())
 	}
 	c.Metrics.Gauge("hosts").Update(float64(c.Roster.Size()))
@@ -222,6 +226,7 @@
 		slog.String("before", c.plannerAddress.String()), slog.Int("hosts", c.Roster.Size()))
 	c.leavePlanner()
 	c.plannerAddress = m.Address
+	c.plannerSince = now
 	if p := c.linkToPlanner(); p != nil {
 		c.syncPlanner(now, p)
 		return
@@ -249,6 +254,9 @@
 	for _, r := range c.Cache.LeavingReplicas() {
 		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
 	}
+	if crashes := c.localPlanner.Quarantine().Crashes(now); len(crashes) > 0 {
+		p.link.Send(&link.Message{Crashes: crashes})
+	}
 	c.resubmit(now)
 }
 
@@ -306,6 +314,10 @@
 		c.Cache.MarkLeaving(m.Leaving.Replica, m.Leaving.Born)
 	case m.PlacementSync != nil:
 		c.takePlacements(now, host, m.PlacementSync)
+	case len(m.Crashes) > 0:
+		for i := range m.Crashes {
+			c.localPlanner.Quarantine().Crashed(now, m.Crashes[i])
+		}
 	}
 	c.sendResults(now)
 }
--- a/internal/planner/crashattempt_test.go
+++ b/internal/planner/crashattempt_test.go
@@ -161,13 +161,21 @@
 	}
 	h := a.host
 	w.atHost(h, func() {
-		a.decoding = true
+		a.decoding, a.writingSince = true, w.Now
 		a.call.resumed = true
 		a.call.begun = a.call.begun || a.call.first
 		w.report(a, func(p *Planner) { p.Started(w.Now, h.name, a.id) })
 	})
 }
 
+// writing returns the time since the first event of an attempt, 0 before.
+func (a *crashAttempt) writing(now time.Time) time.Duration {
+	if !a.decoding {
+		return 0
+	}
+	return now.Sub(a.writingSince)
+}
+
 // report reports the progress of an attempt to the host's planner, and to its own planner if that placed it.
 func (w *crashWorld) report(a *crashAttempt, f func(p *Planner)) {
 	h := a.host
@@ -205,6 +213,7 @@
 func (w *crashWorld) ended(a *crashAttempt, outcome Outcome) {
 	h, c := a.host, a.call
 	h.placed = slices.DeleteFunc(h.placed, func(other *crashAttempt) bool { return other == a })
+	h.planner.RecordOutcome(w.Now, &a.request, &a.plan.Replica, a.writing(w.Now), outcome)
 	w.report(a, func(p *Planner) { p.Ended(w.Now, h.name, a.id, outcome) })
 	c.broken = c.broken || c.first && outcome != OutcomeCompleted
 	c.first = false
--- a/internal/planner/crashpart_test.go
+++ b/internal/planner/crashpart_test.go
@@ -211,7 +211,7 @@
 }
 
 // refusedSound returns the number of sound requests that were refused because of crashes, and how many of them though
-// fewer than maxCrashes of their own attempts had broken off.
+// fewer than ownCrashes of their own attempts had broken off.
 func (w *crashWorld) refusedSound() (all, forOthers int) {
 	for _, c := range w.calls {
 		if c.bad == 0 && c.refused {
--- a/internal/planner/crashtraffic_test.go
+++ b/internal/planner/crashtraffic_test.go
@@ -80,18 +80,19 @@
 
 	// crashAttempt is one placement request and what follows it.
 	crashAttempt struct {
-		call        *callTry
-		host        *crashHost
-		id          string
-		request     Request
-		requestedAt time.Time
-		queued      bool // the planner keeps it waiting
-		bypassed    bool // placed by the host in place of its planner
-		plan        *Plan
-		replica     *crashReplica
-		firstEvent  time.Time // predicted
-		decoding    bool
-		over        bool // at the replica
+		call         *callTry
+		host         *crashHost
+		id           string
+		request      Request
+		requestedAt  time.Time
+		queued       bool // the planner keeps it waiting
+		bypassed     bool // placed by the host in place of its planner
+		plan         *Plan
+		replica      *crashReplica
+		firstEvent   time.Time // predicted
+		decoding     bool
+		writingSince time.Time
+		over         bool // at the replica
 	}
 )
 
@@ -221,8 +222,11 @@
 	})
 }
 
+// ownCrashes is the number of its own attempts that broke off from which on a request may be refused for them.
+const ownCrashes = 3
+
 // recordRefusal records a refusal because of crashes.
 func (c *crashCall) recordRefusal() {
 	c.refused = true
-	c.refusedPart = c.refusedPart || c.breaks < maxCrashes
+	c.refusedPart = c.refusedPart || c.breaks < ownCrashes
 }
--- a/internal/planner/crashworld_test.go
+++ b/internal/planner/crashworld_test.go
@@ -22,6 +22,7 @@
 	crashLostAfter       = 900 * time.Millisecond  // a host notices after this time that others can't be reached
 	crashUnlistAfter     = 1200 * time.Millisecond // the entry of a replica that is gone is removed after this time
 	crashPoll            = 20 * time.Millisecond
+	crashProbingDelay    = 10 * time.Second // as in package placement
 	crashStableWindow    = 3 * time.Second
 	crashMinReturn       = 2 * time.Second // from a crash to the next start at least; three times this at most
 	crashMaxWriting      = 100 * time.Millisecond
@@ -58,20 +59,21 @@
 
 	// crashHost is an entry host.
 	crashHost struct {
-		index     int
-		name      string
-		domain    int
-		planner   *Planner
-		plannedBy *crashHost // may be the host itself
-		group     int        // hosts of the same group reach each other
-		side      int        // hosts reach the replicas of the same side
-		frozen    bool
-		down      bool
-		inbox     []func() // what happened to it while it was frozen
-		calmSince time.Time
-		polling   bool
-		pending   []*crashAttempt // without a placement result
-		placed    []*crashAttempt // in progress
+		index        int
+		name         string
+		domain       int
+		planner      *Planner
+		plannedBy    *crashHost // may be the host itself
+		plannedSince time.Time
+		group        int // hosts of the same group reach each other
+		side         int // hosts reach the replicas of the same side
+		frozen       bool
+		down         bool
+		inbox        []func() // what happened to it while it was frozen
+		calmSince    time.Time
+		polling      bool
+		pending      []*crashAttempt // without a placement result
+		placed       []*crashAttempt // in progress
 	}
 
 	// crashReplica is one incarnation of a replica.
@@ -117,13 +119,27 @@
 // exchange passes what one host's planner knows of crashes on to another's, as the heartbeat from the first host to the
 // second does. Heartbeats pass every crashHeartbeat between each host and its planner, and when a host gets a new planner.
 func (w *crashWorld) exchange(from, to *crashHost) {
-	_, _ = from, to
+	if from.planner.Quarantine().Digest(w.Now) != to.planner.Quarantine().Digest(w.Now) {
+		to.planner.Quarantine().Merge(w.Now, from.planner.Quarantine().Verdicts(w.Now))
+		w.decide(to)
+	}
+}
+
+// reportCrashes reports the attempts that broke off, as far as the host knows, to its new planner.
+func (w *crashWorld) reportCrashes(h, p *crashHost) {
+	crashes := h.planner.Quarantine().Crashes(w.Now)
+	w.send(h, p, func() {
+		for _, c := range crashes {
+			p.planner.Quarantine().Crashed(w.Now, c)
+		}
+	})
 }
 
 // heartbeats exchanges heartbeats between each host and its planner.
 func (w *crashWorld) heartbeats() {
 	for _, h := range w.hosts {
 		w.exchangeBoth(h, h.plannedBy)
+		h.planner.SetProbing(h.plannedBy == h && w.Now.Sub(h.plannedSince) > crashProbingDelay)
 	}
 	w.After(crashHeartbeat, w.heartbeats)
 }
@@ -227,7 +243,7 @@
 	if old != h {
 		w.removeHost(old, h)
 	}
-	h.plannedBy = p
+	h.plannedBy, h.plannedSince = p, w.Now
 	placements := w.placementsOf(h)
 	for _, a := range h.placed {
 		a.bypassed = false
@@ -238,6 +254,7 @@
 		h.planner.RemoveHost(w.Now, h.name)
 		w.send(h, p, func() { p.planner.ReplaceHost(w.Now, h.name, placements) })
 		w.exchangeBoth(h, p)
+		w.reportCrashes(h, p)
 	}
 	for _, a := range slices.Clone(h.pending) {
 		w.submit(a)
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -106,12 +106,13 @@
 	switch {
 	case req.Deadline <= 0:
 		return &Refusal{Cause: CauseOutOfTime, RetryAfter: minRetryAfter}
-	case req.Fingerprint != 0 && p.crashes[req.Fingerprint].count >= maxCrashes:
-		return &Refusal{Cause: CauseCrashes, RetryAfter: crashRetention}
 	case len(servers) == 0:
 		return &Refusal{Cause: CauseNoReplica, RetryAfter: p.usableAfter(now, req.Service)}
 	case tooLarge(req, servers):
-		return &Refusal{Cause: CauseTooLarge, RetryAfter: crashRetention}
+		return &Refusal{Cause: CauseTooLarge, RetryAfter: tooLargeRetryAfter}
+	}
+	if retryAfter, refused := p.quarantine.Refuses(now, req.content(), p.mayProbe); refused {
+		return &Refusal{Cause: CauseCrashes, RetryAfter: retryAfter}
 	}
 	return nil
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -53,6 +53,7 @@
 
 // recordPlacement records a choice as a job and returns its plan.
 func (p *Planner) recordPlacement(now time.Time, req *Request, c choice, reservations []int) *Plan {
+	p.quarantine.LetThrough(now, req.content())
 	s := c.primary.server
 	j := &job{
 		key:          jobKey{req.Host, req.ID},
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/pass"
+	"github.com/turmericshunt/turmericshunt/internal/quarantine"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
@@ -19,12 +20,8 @@
 	expiryGrace = 2 * time.Second
 	// Time after OutcomeRefused for which a server is no primary replica. It may still be a helper replica.
 	refusalBackoff = 100 * time.Millisecond
-	// Once this many attempts with one fingerprint have ended with OutcomeBroken, requests with this fingerprint are
-	// refused, because they seem to crash replicas.
-	maxCrashes = 3
-	// Time after the last crash for which the crashes of a fingerprint are counted. It is also the Retry-After time of a
-	// request that is refused because of crashes or because it is too large.
-	crashRetention = 60 * time.Second
+	// Retry-After time of a request that is refused because it is too large.
+	tooLargeRetryAfter = 60 * time.Second
 	// Interval at which waiting requests are tried again if no slot has become free.
 	tryInterval = 20 * time.Millisecond
 	// The maximum number of long prompts that are tried again in each tryInterval.
@@ -33,12 +30,6 @@
 	minRetryAfter = 300 * time.Millisecond
 )
 
-// crashRecord counts the attempts with OutcomeBroken of requests with one fingerprint.
-type crashRecord struct {
-	count int
-	last  time.Time
-}
-
 // Planner places requests on the replicas of all services. It isn't safe for concurrent use; all times passed to its
 // methods must come from the same clock.
 type Planner struct {
@@ -48,7 +39,8 @@
 	sortedServers map[string][]*server          // the servers of each service, in the planner's order
 	jobs          map[jobKey]*job
 	waiting       []waitingRequest
-	crashes       map[uint64]crashRecord     // by fingerprint
+	quarantine    *quarantine.Table          // contents that crash replicas
+	mayProbe      bool                       // see SetProbing
 	shortRates    map[string]*shortRateMeter // of short prompts, by service
 	results       []Result                   // results of the current call of Decide
 	lastSweep     time.Time                  // time at which expired entries were last removed
@@ -76,7 +68,7 @@
 		services:      make(map[string]map[string]*server),
 		sortedServers: make(map[string][]*server),
 		jobs:          make(map[jobKey]*job),
-		crashes:       make(map[uint64]crashRecord),
+		quarantine:    quarantine.New(),
 		shortRates:    make(map[string]*shortRateMeter),
 	}
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -145,7 +145,7 @@
 
 func TestRequestThatCrashesReplicasIsRefusedForAllHosts(t *testing.T) {
 	p := newDomainPlanner(16)
-	for i := range maxCrashes {
+	for i := range 3 {
 		req := shortRequest(i)
 		req.Host = fmt.Sprint("h", i)
 		req.Fingerprint = 17
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -58,6 +58,7 @@
 	}
 	p.removeJob(now, j)
 	s := j.server
+	p.RecordOutcome(now, &j.request, &s.replica, j.writingTime(now), outcome)
 	switch outcome {
 	case OutcomeCompleted:
 		s.lastAlive = now
@@ -75,7 +76,6 @@
 		countHelperFailures(now, j.helpers)
 	case OutcomeBroken:
 		s.recordOutcome(now, true)
-		p.recordCrash(now, j)
 		countHelperFailures(now, j.helpers)
 	case OutcomeCanceled:
 	}
@@ -131,15 +131,6 @@
 	}
 }
 
-// recordCrash counts a broken attempt as a crash against the fingerprint of the job's request, if it has one.
-func (p *Planner) recordCrash(now time.Time, j *job) {
-	if j.request.Fingerprint == 0 {
-		return
-	}
-	c := p.crashes[j.request.Fingerprint]
-	p.crashes[j.request.Fingerprint] = crashRecord{count: c.count + 1, last: now}
-}
-
 // Restore restores a placement that another planner made. It does nothing if the replica is unknown or the request is
 // already placed.
 func (p *Planner) Restore(now time.Time, placement Placement) {
@@ -237,7 +228,7 @@
 	}
 }
 
-// sweep removes requests whose end no host reported and crashes that are no longer counted.
+// sweep removes requests whose end no host reported.
 func (p *Planner) sweep(now time.Time) {
 	const sweepInterval = time.Second
 	if now.Sub(p.lastSweep) < sweepInterval {
@@ -249,9 +240,4 @@
 			p.removeJob(now, j)
 		}
 	}
-	for fingerprint, c := range p.crashes {
-		if now.Sub(c.last) > crashRetention {
-			delete(p.crashes, fingerprint)
-		}
-	}
 }
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,198 @@
+package quarantine
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+const (
+	common, bad, otherBad = 1, 2, 3 // parts
+	firstOwn              = 100     // the first of a series of parts that occur once
+)
+
+var begin = time.Unix(1000, 0)
+
+// world feeds a table with crashes and completed requests, one each second.
+type world struct {
+	table    *Table
+	now      time.Time
+	replicas int
+	requests uint64
+}
+
+func newWorld() *world { return &world{table: New(), now: begin} }
+
+func (w *world) content(parts ...uint64) Content {
+	w.requests++
+	return Content{Parts: parts, Request: w.requests + 1_000_000}
+}
+
+// crash makes a new request with the parts crash a replica.
+func (w *world) crash(parts ...uint64) { w.crashAgain(w.content(parts...)) }
+
+func (w *world) crashAgain(c Content) {
+	w.now = w.now.Add(time.Second)
+	w.replicas++
+	w.table.Crashed(w.now, Crash{Content: c, Replica: strconv.Itoa(w.replicas), Early: true})
+}
+
+func (w *world) complete(parts ...uint64) {
+	w.now = w.now.Add(time.Second)
+	w.table.Completed(w.now, w.content(parts...))
+}
+
+// refuses reports whether a request is refused once the crashes so far are judged.
+func (w *world) refuses(parts ...uint64) bool {
+	w.now = w.now.Add(commonWindow)
+	_, refused := w.table.Refuses(w.now, w.content(parts...), false)
+	return refused
+}
+
+func (w *world) check(t *testing.T, wantRefused bool, parts ...uint64) {
+	t.Helper()
+	if got := w.refuses(parts...); got != wantRefused {
+		t.Errorf("request with parts %v: refused %v, want %v", parts, got, wantRefused)
+	}
+}
+
+func TestPartsOfCrashes(t *testing.T) {
+	t.Run("the part that all requests share", func(t *testing.T) {
+		w := newWorld()
+		for i := range uint64(crashesForParts) {
+			w.check(t, false, bad)
+			w.crash(firstOwn+i, bad)
+		}
+		w.check(t, true, firstOwn+50, bad)
+		w.check(t, false, firstOwn)
+	})
+	t.Run("parts that come together are refused together", func(t *testing.T) {
+		w := newWorld()
+		for range crashesForParts {
+			w.crash(common, bad)
+		}
+		w.check(t, true, bad, common)
+		w.check(t, false, common)
+		w.complete(common)
+		w.check(t, true, bad)
+	})
+	t.Run("a completed request clears its parts", func(t *testing.T) {
+		w := newWorld()
+		w.complete(common)
+		for range crashesForParts {
+			w.crash(common, bad)
+		}
+		w.check(t, false, common, otherBad)
+		w.check(t, true, bad)
+	})
+	t.Run("a part that turns bad", func(t *testing.T) {
+		w := newWorld()
+		w.complete(bad)
+		for range crashesForDoubtfulParts - 1 {
+			w.crash(bad)
+		}
+		w.check(t, false, bad)
+		w.crash(bad)
+		w.check(t, true, bad)
+	})
+	t.Run("two bad parts beside one that was never completed", func(t *testing.T) {
+		w := newWorld()
+		for range 2 {
+			w.crash(common, bad)
+			w.crash(common, otherBad)
+		}
+		w.check(t, false, common)
+		w.crash(common, bad)
+		w.crash(common, otherBad)
+		w.check(t, true, common, bad)
+		w.check(t, true, common, otherBad)
+		w.check(t, false, common)
+	})
+	t.Run("one request that is sent again holds nothing against its parts", func(t *testing.T) {
+		w := newWorld()
+		c := w.content(common)
+		for range crashesForRequest {
+			w.crashAgain(c)
+		}
+		w.check(t, false, common)
+		if _, refused := w.table.Refuses(w.now, c, false); !refused {
+			t.Error("the request itself isn't refused")
+		}
+	})
+	t.Run("a common cause", func(t *testing.T) {
+		w := newWorld()
+		for i := range uint64(12) {
+			w.now = w.now.Add(-time.Second) // together
+			w.crash(firstOwn + i/3)
+		}
+		for i := range uint64(4) {
+			w.check(t, false, firstOwn+i)
+		}
+	})
+}
+
+func TestQuarantineEndsWithSoundRequest(t *testing.T) {
+	w := newWorld()
+	for i := range uint64(crashesForParts) {
+		w.crash(firstOwn+i, bad)
+	}
+	w.check(t, true, bad)
+	c := w.content(bad)
+	w.now = w.now.Add(minQuarantine)
+	if _, refused := w.table.Refuses(w.now, c, false); !refused {
+		t.Error("a planner that must not probe lets a request through")
+	}
+	if _, refused := w.table.Refuses(w.now, c, true); refused {
+		t.Fatal("no request is let through after the quarantine")
+	}
+	w.table.LetThrough(w.now, c)
+	if _, refused := w.table.Refuses(w.now, w.content(bad), true); !refused {
+		t.Error("a second request is let through before the outcome of the first is known")
+	}
+	w.crashAgain(c)
+	if wait, refused := w.table.Refuses(w.now, w.content(bad), true); !refused || wait != 2*minQuarantine {
+		t.Errorf("after the request that was let through crashed: refused %v for %v", refused, wait)
+	}
+	w.now = w.now.Add(2 * minQuarantine)
+	w.table.LetThrough(w.now, w.content(bad))
+	w.complete(bad)
+	w.check(t, false, bad)
+}
+
+// Verdicts that two tables exchange agree whatever the order, and an older one doesn't undo a newer one.
+func TestVerdictsAreMerged(t *testing.T) {
+	w, other := newWorld(), newWorld()
+	for i := range uint64(crashesForParts) {
+		w.crash(firstOwn+i, bad)
+	}
+	w.check(t, true, bad)
+	older := w.table.Verdicts(w.now)
+	other.now = w.now
+	other.table.Merge(w.now, older)
+	other.check(t, true, bad)
+	if w.table.Digest(w.now) != other.table.Digest(other.now) {
+		t.Error("the digests differ though the verdicts are the same")
+	}
+	other.complete(bad)
+	other.table.Merge(other.now, older)
+	other.check(t, false, bad)
+	w.table.Merge(w.now, other.table.Verdicts(other.now))
+	w.check(t, false, bad)
+}
+
+// Another table learns the crashes that this one knows, and counts each once.
+func TestCrashesAreReported(t *testing.T) {
+	w, other := newWorld(), newWorld()
+	for i := range uint64(crashesForParts - 1) {
+		w.crash(firstOwn+i, bad)
+	}
+	for range 2 {
+		for _, c := range w.table.Crashes(w.now) {
+			other.table.Crashed(w.now, c)
+		}
+	}
+	other.now, other.replicas, other.requests = w.now, 50, 50
+	other.check(t, false, bad)
+	other.crash(bad)
+	other.check(t, true, bad)
+}
--- /dev/null
+++ b/internal/quarantine/verdict.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Verdict is a content that is quarantined, or was and is so no longer, as planners report it to each other.
+type Verdict struct {
+	Content Content `cbor:"1,keyasint"`
+	// Generation rises with each decision on the content; the content is quarantined if it is odd. Of two verdicts on a
+	// content the one with the higher generation holds.
+	Generation uint32        `cbor:"2,keyasint"`
+	Left       time.Duration `cbor:"3,keyasint,omitempty"` // time until a request is let through
+	Length     time.Duration `cbor:"4,keyasint,omitempty"` // length of the quarantine
+}
+
+// Quarantined reports whether requests with the content are refused.
+func (v *Verdict) Quarantined() bool { return v.Generation%2 == 1 }
+
+// verdict is what a table keeps of a Verdict.
+type verdict struct {
+	content    Content
+	generation uint32
+	until      time.Time
+	length     time.Duration
+	probing    bool // a request was let through, and its outcome isn't known
+}
+
+func (v *verdict) quarantined() bool { return v.generation%2 == 1 }
+
+// key returns a hash of the content.
+func (c *Content) key() uint64 {
+	b := binary.BigEndian.AppendUint64(nil, c.Request)
+	for _, part := range c.Parts {
+		b = binary.BigEndian.AppendUint64(b, part)
+	}
+	return xxhash.Sum64(b)
+}
+
+// quarantine quarantines a content unless it is already.
+func (t *Table) quarantine(now time.Time, c Content) {
+	if len(c.Parts) == 0 && c.Request == 0 {
+		return
+	}
+	key := c.key()
+	v := t.verdicts[key]
+	if v == nil {
+		v = &verdict{content: c}
+		t.verdicts[key] = v
+	}
+	if v.quarantined() {
+		return
+	}
+	v.generation++
+	v.length = minQuarantine
+	v.until = now.Add(v.length)
+	v.probing = false
+}
+
+// renewProbed doubles the quarantine of contents of which the request that was let through has crashed a replica.
+func (t *Table) renewProbed(now time.Time, c *Content) {
+	for _, v := range t.verdicts {
+		if !v.probing || !v.quarantined() || !c.holds(&v.content) {
+			continue
+		}
+		v.probing = false
+		v.generation += 2
+		v.length = min(2*v.length, maxQuarantine)
+		v.until = now.Add(v.length)
+	}
+}
+
+// clearVerdicts ends the quarantine of contents that a completed request holds. Where it holds only some of the parts
+// that are quarantined together, the others remain.
+func (t *Table) clearVerdicts(now time.Time, c *Content) {
+	var remaining []Content
+	for _, v := range t.verdicts {
+		if !v.quarantined() {
+			continue
+		}
+		if c.holds(&v.content) {
+			v.generation++
+			v.until = now
+			continue
+		}
+		rest := slices.DeleteFunc(slices.Clone(v.content.Parts), func(p uint64) bool { return slices.Contains(c.Parts, p) })
+		if len(rest) > 0 && len(rest) < len(v.content.Parts) {
+			remaining = append(remaining, Content{Parts: rest})
+		}
+	}
+	for _, rest := range remaining {
+		t.quarantine(now, rest)
+	}
+}
+
+// Verdicts returns all verdicts, for another table.
+func (t *Table) Verdicts(now time.Time) []Verdict {
+	t.decide(now)
+	verdicts := make([]Verdict, 0, len(t.verdicts))
+	for _, v := range t.verdicts {
+		verdicts = append(verdicts, Verdict{
+			Content: v.content, Generation: v.generation, Left: max(v.until.Sub(now), 0), Length: v.length,
+		})
+	}
+	return verdicts
+}
+
+// Digest identifies the verdicts: two tables with the same digest have the same. It is 0 if there are none.
+func (t *Table) Digest(now time.Time) uint64 {
+	t.decide(now)
+	digest := uint64(0)
+	for key, v := range t.verdicts {
+		b := binary.BigEndian.AppendUint64(nil, key)
+		digest ^= xxhash.Sum64(binary.BigEndian.AppendUint32(b, v.generation))
+	}
+	return digest
+}
+
+// Merge takes over the verdicts of another table that are newer than its own.
+func (t *Table) Merge(now time.Time, verdicts []Verdict) {
+	for i := range verdicts {
+		other := &verdicts[i]
+		key := other.Content.key()
+		if v := t.verdicts[key]; v != nil && v.generation >= other.Generation {
+			continue
+		}
+		t.verdicts[key] = &verdict{
+			content: other.Content, generation: other.Generation, length: min(other.Length, maxQuarantine),
+			until: now.Add(min(other.Left, maxQuarantine)),
+		}
+	}
+}
