--- /dev/null
+++ b/internal/standin/replica/log.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// ReceivedRequest records a request that reached a replica.
+type ReceivedRequest struct {
+	ReplicaID   string // ID
+	Method      string
+	Target      string // path and query as sent
+	Header      http.Header
+	Body        string
+	LastEventID string // value of the Last-Event-Id header
+	Ran         bool   // the replica did not refuse the request
+	At          time.Time
+}
+
+// RequestLog records the requests that reached any of the replicas that share it. Its zero value is empty and ready.
+type RequestLog struct {
+	mu   sync.Mutex
+	seen map[string][]ReceivedRequest // by Request-Id, in order of arrival
+}
+
+func (l *RequestLog) add(id string, s ReceivedRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen == nil {
+		l.seen = make(map[string][]ReceivedRequest)
+	}
+	l.seen[id] = append(l.seen[id], s)
+}
+
+// Requests returns the records of the request with the given ID, one for each attempt that reached a replica, in
+// order of arrival.
+func (l *RequestLog) Requests(id string) []ReceivedRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]ReceivedRequest(nil), l.seen[id]...)
+}
+
+// Received returns the records of all requests that reached the replica with the given ID after since.
+func (l *RequestLog) Received(replicaID string, since time.Time) []ReceivedRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var received []ReceivedRequest
+	for _, requests := range l.seen {
+		for _, r := range requests {
+			if r.ReplicaID == replicaID && r.At.After(since) {
+				received = append(received, r)
+			}
+		}
+	}
+	return received
+}
+
+// Runs returns the number of times that the request with the given ID was run.
+func (l *RequestLog) Runs(id string) int {
+	runs := 0
+	for _, s := range l.Requests(id) {
+		if s.Ran {
+			runs++
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/standin/replica/stream.go
@@ -0,0 +1,74 @@
+package replica
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
+)
+
+// EventCount returns the number of events in the stream of the request with the given ID, 8 to 15.
+func EventCount(id string) int {
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, id)
+	return 8 + int(hash.Sum32()%8)
+}
+
+// EventText returns the event with the given number, counted from 1, in the stream of the request with the given ID.
+func EventText(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", number, id, number)
+}
+
+// serveStream responds as a model replica: it runs the request on the emulated fleet and streams its events. The
+// Token-Usage header gives the length of the prompt, the Helpers header the replicas that prefill parts of it. If the
+// request has a Last-Event-Id, the stream resumes after that event; the response is empty if no events remain.
+func (p *Replica) serveStream(w http.ResponseWriter, r *http.Request, id string, fault Fault) {
+	usage, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+	promptTokens, _ := strconv.Atoi(usage)
+	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	fleetRequest := passes.Request{
+		ID: id + "@" + p.ID, Primary: p.ID, PromptTokens: max(promptTokens, 1), EventCount: EventCount(id) - lastEvent,
+	}
+	for _, helper := range strings.Split(r.Header.Get("Helpers"), ",") {
+		address, _, _ := strings.Cut(helper, "/")
+		if parsed, err := netip.ParseAddrPort(address); err == nil {
+			fleetRequest.Helpers = append(fleetRequest.Helpers, p.EngineNames()[parsed])
+		}
+	}
+	if fleetRequest.EventCount <= 0 {
+		w.Header().Set("Response-Signature", Signature(id))
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	events := p.Clock.submit(fleetRequest)
+	defer p.Clock.cancel(fleetRequest.ID)
+	w.Header().Set("Response-Signature", Signature(id))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for {
+		select {
+		case e := <-events:
+			text := EventText(id, lastEvent+e.Number)
+			if fault == FaultPause && e.Number == 4 {
+				time.Sleep(FaultPauseDuration)
+			}
+			if fault == FaultTruncate && e.Number == 3 {
+				_, _ = io.WriteString(w, text[:len(text)/2])
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+			if e.Last {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
