standin/replica: a part of a prompt that crashes replicas

A replica that is started with Listen and begins to respond to a request with such a part, not the last one, resets all its connections, refuses new ones for its downtime and is back as a new incarnation without reservations. The log keeps the times of the crashes by part. go test -race -count=5 ./internal/standin/replica passes.

--- a/internal/standin/replica/log.go
+++ b/internal/standin/replica/log.go
@@ -20,8 +20,9 @@
 
 // RequestLog records the requests that reached any of the replicas that share it. Its zero value is empty and ready.
 type RequestLog struct {
-	mu   sync.Mutex
-	seen map[string][]ReceivedRequest // by Request-Id, in order of arrival
+	mu      sync.Mutex
+	seen    map[string][]ReceivedRequest // by Request-Id, in order of arrival
+	crashes map[string][]time.Time       // by the part of a prompt that caused them, in order
 }
 
 func (l *RequestLog) add(id string, s ReceivedRequest) {
@@ -66,3 +67,19 @@
 	}
 	return runs
 }
+
+func (l *RequestLog) addCrash(part string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.crashes == nil {
+		l.crashes = make(map[string][]time.Time)
+	}
+	l.crashes[part] = append(l.crashes[part], time.Now())
+}
+
+// Crashes returns the times at which replicas crashed on the given part of a prompt, in order.
+func (l *RequestLog) Crashes(part string) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]time.Time(nil), l.crashes[part]...)
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -25,11 +26,22 @@
 	Log           *RequestLog
 	// Fault is called for each request and returns its fault. If it is nil, no request meets a fault.
 	Fault func(r *http.Request) Fault
+	// CrashesOn reports whether the replica crashes when it begins to respond to a request with the given part, not the
+	// last, in its prompt. If it is nil, the replica never crashes. Model replicas only.
+	CrashesOn func(part string) bool
+	Downtime  time.Duration // from a crash until the replica is back; 0 for DefaultDowntime
+	OnCrash   func()        // if not nil, called after the replica has crashed
+	OnReturn  func()        // if not nil, called when the replica is back as a new incarnation
 
 	leaving      atomic.Bool
 	starts       atomic.Int64 // calls of Restart
 	mu           sync.Mutex
 	reservations map[string]reservation // by ID
+	server       *http.Server           // nil unless Listen was called, as are connections and listener
+	connections  map[net.Conn]bool      // that are open
+	listener     net.Listener
+	down         bool // the replica has crashed and isn't back
+	closed       bool // Close was called
 }
 
 // Entry returns the JSON entry with which the replica registers itself in the metadata store, with the given state.
--- a/internal/standin/replica/stream.go
+++ b/internal/standin/replica/stream.go
@@ -54,6 +54,10 @@
 		select {
 		case e := <-events:
 			text := EventText(id, lastEvent+e.Number)
+			if part, crashes := p.crashingPart(r); crashes {
+				p.crash(part)
+				panic(http.ErrAbortHandler)
+			}
 			if fault == FaultPause && e.Number == 4 {
 				time.Sleep(FaultPauseDuration)
 			}
