--- a/internal/standin/replica/plain.go
+++ b/internal/standin/replica/plain.go
@@ -18,6 +18,9 @@
 	case <-r.Context().Done():
 		return
 	}
+	if fault == FaultSilentStart {
+		time.Sleep(p.silence())
+	}
 	text := PlainResponse(r.RequestURI, body)
 	w.Header().Set("Response-Signature", Signature(id))
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -29,6 +32,14 @@
 	case FaultTruncate:
 		_, _ = io.WriteString(w, text[:len(text)/2])
 		panic(http.ErrAbortHandler)
+	case FaultSilentMiddle:
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(p.silence())
+		text = text[len(text)/2:]
+	case FaultNoLength:
+		w.Header().Del("Content-Length")
+		omitLength(w)
 	case FaultDuplicate:
 		p.sendTwice(w, id, text)
 		return
@@ -50,3 +61,6 @@
 	_ = buffered.Flush()
 	time.Sleep(200 * time.Millisecond)
 }
+
+// omitLength makes the end of the connection the end of the response, which has neither a length nor chunks.
+func omitLength(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -24,6 +24,7 @@
 	EngineNames   func() map[netip.AddrPort]string // returns the engine names by address; resolves the Helpers header
 	ServiceTime   time.Duration                    // time that a plain service takes for a request
 	Log           *RequestLog
+	Silence       time.Duration // duration of FaultSilentStart and FaultSilentMiddle; 0 for DefaultSilence
 	// Fault is called for each request and returns its fault. If it is nil, no request meets a fault.
 	Fault func(r *http.Request) Fault
 	// CrashesOn reports whether the replica crashes when it begins to respond to a request with the given part, not the
@@ -42,6 +43,8 @@
 	listener     net.Listener
 	down         bool // the replica has crashed and isn't back
 	closed       bool // Close was called
+
+	endlessBytes atomic.Int64 // see EndlessBytes
 }
 
 // Entry returns the JSON entry with which the replica registers itself in the metadata store, with the given state.
@@ -113,6 +116,8 @@
 		panic(http.ErrAbortHandler)
 	case fault == FaultSilent:
 		<-r.Context().Done()
+	case fault >= FaultEndlessLine && fault <= FaultEndlessBody:
+		p.serveEndless(w, r, id, fault)
 	case p.Clock != nil:
 		p.serveStream(w, r, id, fault)
 	default:
--- a/internal/standin/replica/stream.go
+++ b/internal/standin/replica/stream.go
@@ -50,24 +50,19 @@
 	defer p.Clock.cancel(fleetRequest.ID)
 	w.Header().Set("Response-Signature", Signature(id))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if fault.withoutLength() {
+		omitLength(w)
+	}
 	for {
 		select {
 		case e := <-events:
-			text := EventText(id, lastEvent+e.Number)
 			if part, crashes := p.crashingPart(r); crashes {
 				p.crash(part)
 				panic(http.ErrAbortHandler)
 			}
-			if fault == FaultPause && e.Number == 4 {
-				time.Sleep(FaultPauseDuration)
-			}
-			if fault == FaultTruncate && e.Number == 3 {
-				_, _ = io.WriteString(w, text[:len(text)/2])
-				_ = http.NewResponseController(w).Flush()
-				panic(http.ErrAbortHandler)
+			if !p.sendEvent(w, fault, e.Number, EventText(id, lastEvent+e.Number)) {
+				return
 			}
-			_, _ = io.WriteString(w, text)
-			_ = http.NewResponseController(w).Flush()
 			if e.Last {
 				return
 			}
@@ -76,3 +71,31 @@
 		}
 	}
 }
+
+// sendEvent sends the event with the given number, counted from 1 in this response, in the way that fault asks for. It
+// returns false if the response ends in the middle of the event.
+func (p *Replica) sendEvent(w http.ResponseWriter, fault Fault, number int, text string) bool {
+	send := func(part string) {
+		_, _ = io.WriteString(w, part)
+		_ = http.NewResponseController(w).Flush()
+	}
+	half := len(text) / 2
+	switch {
+	case fault == FaultSilentStart && number == 1:
+		time.Sleep(p.silence())
+	case fault == FaultPause && number == 4:
+		time.Sleep(FaultPauseDuration)
+	case fault == FaultSilentMiddle && number == 3:
+		send(text[:half])
+		time.Sleep(p.silence())
+		text = text[half:]
+	case fault == FaultTruncate && number == 3:
+		send(text[:half])
+		panic(http.ErrAbortHandler)
+	case fault.endsInEvent() && number == 3:
+		send(text[:half])
+		return false
+	}
+	send(text)
+	return true
+}
