--- a/internal/standin/replica/endless.go
+++ b/internal/standin/replica/endless.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// A response without end is sent in pieces of endlessPiece bytes, one each endlessInterval, so that it does not fill
-// the memory of the test's machine at once.
-const (
-	endlessPiece    = 32 << 10
-	endlessInterval = time.Millisecond
-)
+// DefaultEndlessPiece is the size of the pieces in which a response without end is sent if Replica.EndlessPiece is 0. The
+// pieces are limited so that the response doesn't fill the memory of the test's machine at once.
+const DefaultEndlessPiece = 32 << 10
+
+// endlessInterval is the pause between two of these pieces.
+const endlessInterval = time.Millisecond
 
 // EndlessBytes returns the largest number of bytes that a client has taken from one response without end before it
 // closed the connection. It includes bytes that the client's system has buffered.
@@ -48,7 +48,11 @@
 
 // repeat writes prefix and then unit over and over until a write fails or stopped returns true.
 func (p *Replica) repeat(w io.Writer, prefix, unit string, stopped func() bool) {
-	piece := bytes.Repeat([]byte(unit), endlessPiece/len(unit))
+	size := p.EndlessPiece
+	if size == 0 {
+		size = DefaultEndlessPiece
+	}
+	piece := bytes.Repeat([]byte(unit), max(size/len(unit), 1))
 	n, err := io.WriteString(w, prefix)
 	sum := int64(n)
 	for err == nil && !stopped() {
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -25,6 +25,7 @@
 	ServiceTime   time.Duration                    // time that a plain service takes for a request
 	Log           *RequestLog
 	Silence       time.Duration // duration of FaultSilentStart and FaultSilentMiddle; 0 for DefaultSilence
+	EndlessPiece  int           // bytes of a response without end that are sent at a time; 0 for DefaultEndlessPiece
 	// Fault is called for each request and returns its fault. If it is nil, no request meets a fault.
 	Fault func(r *http.Request) Fault
 	// CrashesOn reports whether the replica crashes when it begins to respond to a request with the given part, not the
