gateway: failing test: heads without end take memory without limit

Callers see nothing wrong: what may be retried is served elsewhere after the silence limit, an order gets 504 at its deadline. But the host keeps all of the head: internal/backend reads it with http.ReadResponse, which has no limit, until the silence limit (calls that may be retried) or the deadline (all others) ends it. At 32 MB/s for each response:

$ go test -race -count=2 ./internal/gateway -run 'HeadWithoutEnd|HeadsWithoutEnd' --- FAIL: TestHeadsWithoutEndTakeBoundedMemory (8.17s) --- FAIL: TestHeadsWithoutEndTakeBoundedMemory/line (4.06s) broken_answers_test.go:219: the memory grew by 133 MiB, want at most 20 MiB --- FAIL: TestHeadsWithoutEndTakeBoundedMemory/fields (4.11s) broken_answers_test.go:219: the memory grew by 96 MiB, want at most 20 MiB --- FAIL: TestHeadWithoutEndIsCut (0.00s) --- FAIL: TestHeadWithoutEndIsCut/fields (5.84s) broken_answers_test.go:210: i-1: the host took bytes of one response, want at most 9437184 broken_answers_test.go:210: i-5: the host took bytes of one response, want at most 9437184 --- FAIL: TestHeadWithoutEndIsCut/line (5.90s) broken_answers_test.go:210: i-1: the host took bytes of one response, want at most 9437184 broken_answers_test.go:210: i-4: the host took bytes of one response, want at most 9437184 broken_answers_test.go:210: i-6: the host took bytes of one response, want at most 9437184 --- FAIL: TestHeadsWithoutEndTakeBoundedMemory (8.38s) --- FAIL: TestHeadsWithoutEndTakeBoundedMemory/fields (4.05s) broken_answers_test.go:219: the memory grew by 109 MiB, want at most 20 MiB --- FAIL: TestHeadsWithoutEndTakeBoundedMemory/line (4.33s)

--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -200,3 +200,22 @@
 func TestBodiesWithoutEndTakeBoundedMemory(t *testing.T) {
 	wantBoundedMemory(t, replica.FaultEndlessBody, maxEndlessBody)
 }
+
+// Guards against reading a head without end until the deadline, and against keeping all of it in memory.
+func TestHeadWithoutEndIsCut(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]replica.Fault{"line": replica.FaultEndlessLine, "fields": replica.FaultEndlessHead} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			wantCut(t, fault, 0, maxEndlessHead+transitBytes)
+		})
+	}
+}
+
+// Guards against a host that runs out of memory on heads without end. The test isn't parallel, because it measures the
+// memory of the whole process.
+func TestHeadsWithoutEndTakeBoundedMemory(t *testing.T) {
+	for name, fault := range map[string]replica.Fault{"line": replica.FaultEndlessLine, "fields": replica.FaultEndlessHead} {
+		t.Run(name, func(t *testing.T) { wantBoundedMemory(t, fault, maxEndlessHead) })
+	}
+}
