gateway: failing test: intermediate responses without end hold a call until its deadline

Callers get 504 at the deadline although another replica would have served the request. internal/backend skips responses with status 1xx in a loop without a limit, and each of them starts the silence limit anew, so that the call is never retried.

--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -219,3 +219,10 @@
 		t.Run(name, func(t *testing.T) { wantBoundedMemory(t, fault, maxEndlessHead) })
 	}
 }
+
+// Guards against waiting until the deadline for the final response of a replica that sends intermediate responses
+// without end.
+func TestIntermediateResponsesWithoutEndAreCut(t *testing.T) {
+	t.Parallel()
+	wantCut(t, replica.FaultEndlessIntermediate, 0, maxEndlessHead+transitBytes)
+}
