gateway: test that slow heads without end are cut

It passes on the unchanged code: the silence limit covers the whole head. go test -race -count=2 ./internal/gateway -run SlowHeadWithoutEnd.

--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -226,3 +226,17 @@
 	t.Parallel()
 	wantCut(t, replica.FaultEndlessIntermediate, 0, maxEndlessHead+transitBytes)
 }
+
+// slowPiece is the number of bytes at a time of a response without end that is slow but never falls silent.
+const slowPiece = 64
+
+// Guards against reading a slow head without end until the caller's deadline.
+func TestSlowHeadWithoutEndIsCut(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]replica.Fault{"line": replica.FaultEndlessLine, "fields": replica.FaultEndlessHead} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			wantCut(t, fault, slowPiece, maxEndlessHead)
+		})
+	}
+}
