gateway: failing test: a slow body without end holds a call until its deadline

Callers get 504 at the deadline although another replica would have served the request. The silence limit of a response counts from the last byte, and for a stream bytes that complete no event count too, so that a body that never falls silent is read until 8 MiB (1 MiB of one event) have come. 64 bytes each ms:

$ go test -race -count=2 ./internal/gateway -run SlowBodyWithoutEnd --- FAIL: TestSlowBodyWithoutEndIsCut (15.61s) broken_answers_test.go:247: r2: status 504, error <nil>, body "timeout\n", want "answer to /lookups/1 " broken_answers_test.go:247: r2: signature "" broken_answers_test.go:247: the lookup took 1.48394186s of the 1.5 s that its route allows broken_answers_test.go:247: r3: status 504, error <nil>, body "timeout\n", want "id: 1\ndata: r3 piece 1\n\nid: 2\ndata: r3 piece 2\n\nid: 3\ndata: r3 piece 3\n\nid: broken_answers_test.go:247: r3: signature "" broken_answers_test.go:247: the quote took 9.982605989s of 10 s --- FAIL: TestSlowBodyWithoutEndIsCut (15.61s) broken_answers_test.go:247: r6: status 504, error <nil>, body "timeout\n", want "answer to /lookups/1 " broken_answers_test.go:247: r6: signature "" broken_answers_test.go:247: the lookup took 1.483766396s of the 1.5 s that its route allows broken_answers_test.go:247: r7: status 504, error <nil>, body "timeout\n", want "id: 1\ndata: r7 piece 1\n\nid: 2\ndata: r7 piece 2\n\nid: 3\ndata: r7 piece 3\n\nid: broken_answers_test.go:247: r7: signature "" broken_answers_test.go:247: the quote took 9.982418817s of 10 s FAIL FAIL github.com/turmericshunt/turmericshunt/internal/gateway 31.250s FAIL

--- a/internal/gateway/broken_answers_test.go
+++ b/internal/gateway/broken_answers_test.go
@@ -240,3 +240,9 @@
 		})
 	}
 }
+
+// Guards against reading a slow body without end until the caller's deadline.
+func TestSlowBodyWithoutEndIsCut(t *testing.T) {
+	t.Parallel()
+	wantCut(t, replica.FaultEndlessBody, slowPiece, maxEndlessBody)
+}
