standin/relay: a relay passes resets on and can refuse connections

A replica behind a relay that crashes has to look like one without a relay: the end of a response without a length must not look complete, and new connections are refused. go test -race -count=10 ./internal/standin/relay passes.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -12,13 +14,17 @@
 // bufferBytes is the size of the copy buffer of one direction of a connection.
 const bufferBytes = 32 << 10
 
+// relistenInterval is the pause between two attempts of Accept to listen on the relay's address.
+const relistenInterval = 20 * time.Millisecond
+
 // Relay is a TCP proxy that forwards connections to Target. Silence makes the open connections silent, while new ones
-// work. Target must be set before Listen.
+// work; Refuse ends them. Target must be set before Listen.
 type Relay struct {
 	Target netip.AddrPort
 
-	listener net.Listener
 	mu       sync.Mutex
+	listener net.Listener
+	closed   bool
 	pairs    map[*connPair]bool // the open connections, including silent ones
 }
 
@@ -38,7 +44,7 @@
 	}
 	r.listener = l
 	r.pairs = make(map[*connPair]bool)
-	go r.acceptLoop()
+	go r.acceptLoop(l)
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
@@ -53,20 +59,56 @@
 	return len(r.pairs)
 }
 
+// Refuse resets all open connections but the silent ones, and refuses new ones until Accept.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.listener.Close()
+	for p := range r.pairs {
+		if !p.silent.Load() {
+			p.reset()
+		}
+	}
+}
+
+// Accept accepts connections again after Refuse. It retries until the address is free.
+func (r *Relay) Accept() {
+	for !r.relisten() {
+		time.Sleep(relistenInterval)
+	}
+}
+
+// relisten listens on the relay's address again, and reports whether it does so or the relay was closed meanwhile.
+func (r *Relay) relisten() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return true
+	}
+	l, err := net.Listen("tcp", r.listener.Addr().String())
+	if err != nil {
+		return false
+	}
+	r.listener = l
+	go r.acceptLoop(l)
+	return true
+}
+
 // Close stops listening and closes all connections.
 func (r *Relay) Close() {
-	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
+	_ = r.listener.Close()
 	for p := range r.pairs {
 		p.close()
 	}
 }
 
 // acceptLoop accepts connections until the listener is closed. It closes a connection whose server can't be reached.
-func (r *Relay) acceptLoop() {
+func (r *Relay) acceptLoop(l net.Listener) {
 	for {
-		client, err := r.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -84,13 +126,15 @@
 	}
 }
 
-// forward copies data of p in one direction until one side closes. While p is silent, it still reads and discards the
+// forward copies data of p in one direction until one side closes; it passes a reset on as such. While p is silent, it still reads and discards the
 // data, so that the sender does not notice the failure.
 func (r *Relay) forward(p *connPair, from, to net.Conn) {
 	buffer := make([]byte, bufferBytes)
+	wasReset := false
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
+			wasReset = errors.Is(err, syscall.ECONNRESET)
 			break
 		}
 		if p.silent.Load() {
@@ -108,6 +152,17 @@
 	r.mu.Lock()
 	delete(r.pairs, p)
 	r.mu.Unlock()
+	if wasReset {
+		p.reset()
+		return
+	}
+	p.close()
+}
+
+// reset closes both connections so that neither side takes it for the end of a response without a length.
+func (p *connPair) reset() {
+	_ = p.client.(*net.TCPConn).SetLinger(0)
+	_ = p.server.(*net.TCPConn).SetLinger(0)
 	p.close()
 }
 
