soak: crashing parts of prompts, broken responses, clients that stay through a stop, series of signals, -hosts

Faults that draw from random sources of their own, so that inject draws the same as ever: requests with a part in their prompts on which replicas crash; silences, responses without a length, streams that end inside an event, bytes without end; series of SIGHUP and SIGTERM that overlap. A client for each host keeps one connection through the host's stop. New check: a host that wasn't killed, frozen or started lately doesn't close a connection without a response to what it has read. Requests with the crashing part count nowhere.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -26,7 +26,6 @@
 )
 
 const (
-	hostCount       = 5
 	engineCount     = 5                      // model replicas, which serve quick-quote and dossier requests
 	serviceCount    = 3                      // replicas of the plain service, which serves orders and lookups
 	revocationDelay = 3 * time.Second        // after it, entry hosts must not accept a revoked key (setting revokeMs)
@@ -51,9 +50,11 @@
 	config        string // text of the sample configuration
 
 	mu            sync.Mutex
-	random        *rand.Rand           // for the replicas' faults
-	faultShare    float64              // share of requests that meet a fault of their replica
-	pauseShare    float64              // share of requests that are refused with a Retry-After
+	random        *rand.Rand // for the replicas' faults
+	faultShare    float64    // share of requests that meet a fault of their replica
+	pauseShare    float64    // share of requests that are refused with a Retry-After
+	brokenShare   float64    // share of requests that meet brokenFault
+	brokenFault   replica.Fault
 	configVersion int                  // of the newest configuration that was written in the store
 	revokedAt     map[string]time.Time // by key: when the store got the first configuration without it
 }
@@ -71,6 +72,8 @@
 	exited      chan struct{} // closed when process has exited
 	startedAt   time.Time     // last start
 	disturbedAt time.Time     // last signal, start or stop
+	brokenAt    time.Time     // last start, or signal other than SIGTERM and SIGHUP
+	stoppedAt   time.Time     // first SIGTERM of this process; zero if there was none
 }
 
 func freePort(t *testing.T) netip.AddrPort {
@@ -133,8 +136,10 @@
 		if i >= engineCount {
 			r.Service, r.Clock, r.ServiceTime, r.Slots = "order-desk", nil, 10*time.Millisecond, 6
 		}
-		replicaRelay, address := startRelay(t, serve(t, r))
+		replicaRelay, address := startRelay(t, listen(t, r))
 		r.Address = address
+		r.CrashesOn, r.OnCrash = isCrashingPart, replicaRelay.Refuse
+		r.OnReturn = func() { replicaRelay.Accept(); d.store.Put("servers/"+r.ID, r.Entry("ready")) }
 		names[address] = r.ID
 		d.replicas = append(d.replicas, r)
 		d.replicaRelays = append(d.replicaRelays, replicaRelay)
@@ -143,22 +148,26 @@
 	d.configVersion = 1
 	d.putConfiguration()
 	var peers []string
-	for range hostCount {
+	for range *hostCount {
 		peers = append(peers, freePort(t).String())
 	}
-	for i := range hostCount {
+	for i := range *hostCount {
 		d.addHost(i, peers, storeAddress)
 	}
 	return d
 }
 
-// fault returns a random fault, any but FaultPause, for a share of faultShare of the requests, and otherwise FaultNone.
+// fault returns a random fault, one of those up to FaultDuplicate, for a share of faultShare of the requests, and otherwise
+// FaultNone; setPauseShare and setBroken add further faults.
 func (d *deployment) fault(*http.Request) replica.Fault {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.pauseShare > 0 && rand.Float64() < d.pauseShare {
 		return replica.FaultAskPause
 	}
+	if d.brokenShare > 0 && rand.Float64() < d.brokenShare {
+		return d.brokenFault
+	}
 	if d.random.Float64() >= d.faultShare {
 		return replica.FaultNone
 	}
@@ -236,6 +245,17 @@
 	d.t.Cleanup(func() { h.kill() })
 }
 
+// listen starts a replica that runs until the test ends, and returns its address.
+func listen(t *testing.T, r *replica.Replica) netip.AddrPort {
+	t.Helper()
+	address, err := r.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return address
+}
+
 // start starts the host's process after its previous one has exited. It does nothing if the host is running. If the
 // process exits without being asked to, the test fails.
 func (d *deployment) start(h *host) {
@@ -260,7 +280,7 @@
 	}
 	exited := make(chan struct{})
 	h.process, h.running, h.startedAt, h.exited = cmd, true, time.Now(), exited
-	h.disturbedAt = h.startedAt
+	h.disturbedAt, h.brokenAt, h.stoppedAt = h.startedAt, h.startedAt, time.Time{}
 	go func() {
 		err := cmd.Wait()
 		logs.Close()
@@ -290,6 +310,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.disturbedAt = time.Now()
+	switch {
+	case s != syscall.SIGTERM && s != syscall.SIGHUP:
+		h.brokenAt = h.disturbedAt
+	case s == syscall.SIGTERM && h.stoppedAt.IsZero():
+		h.stoppedAt = h.disturbedAt
+	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		h.running = false
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 	firstSeed     = flag.Uint64("seed", 1, "seed of the faults")
 	seedCount     = flag.Int("seeds", 1, "how many seeds to run, from the first on")
 	faultDuration = flag.Duration("length", 12*time.Second, "how long faults go on")
+	hostCount     = flag.Int("hosts", 5, "how many entry hosts to run, at least 3")
 	logDir        = flag.String("keep", "", "folder for the logs of failed runs")
 )
 
@@ -38,7 +39,8 @@
 
 // TestSoak injects random, overlapping faults under load. It guards against these failures: a caller gets an incomplete
 // response or that of another request; an order runs twice; a request runs although its response said that it did not;
-// a request with a revoked key runs; a request does not end in time; or the system does not recover after the faults.
+// a request with a revoked key runs; a request does not end in time; a host that stops closes a connection without a
+// response to a request that it has read; or the system does not recover after the faults.
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
 	for i := range *seedCount {
@@ -73,6 +75,8 @@
 		defer wg.Done()
 		d.injectStoreAndReplicaFaults(rand.New(rand.NewPCG(seed, 4)), *faultDuration)
 	}()
+	c.startBrokenReplicas(seed, &wg)
+	c.startKeepAlive(seed, &wg, stop)
 	d.inject(rand.New(rand.NewPCG(seed, 1)), *faultDuration)
 	close(stop)
 	wg.Wait()
@@ -81,7 +85,8 @@
 	}
 	c.checkRecovery(seed)
 	c.checkReplicas()
-	t.Logf("%d requests, %d served, %d refused", c.sent.Load(), c.served.Load(), c.refused.Load())
+	t.Logf("%d requests, %d served, %d refused; replicas crashed %d times", c.sent.Load(), c.served.Load(),
+		c.refused.Load(), len(d.requestLog.Crashes(crashingPart)))
 }
 
 // inject starts random faults for the given period; several can be active at the same time. It returns when all faults
@@ -239,7 +244,7 @@
 
 // runClient sends requests, one after another, to random hosts until stop is closed.
 func (c *checker) runClient(random *rand.Rand, stop chan struct{}) {
-	client := &http.Client{Timeout: callerTimeout + responseSlack, Transport: &http.Transport{DisableCompression: true}}
+	client := newClient()
 	for {
 		select {
 		case <-stop:
@@ -255,22 +260,7 @@
 func (c *checker) send(client *http.Client, h *host, k requestKind, key string) bool {
 	t := c.deployment.t
 	id := fmt.Sprintf("r%d", c.ids.Add(1))
-	method := http.MethodPost
-	if k.path == "/lookups/" {
-		method = http.MethodGet
-	}
-	req, err := http.NewRequest(method, "http://"+h.callersAddr.String()+k.path+id, strings.NewReader("body of "+id))
-	if err != nil {
-		t.Error(err)
-		return false
-	}
-	req.Host = "quotes.example"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Timeout-Remaining", fmt.Sprint(callerTimeout.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+key)
-	if k.tokenUsage != "" {
-		req.Header.Set("Token-Usage", k.tokenUsage)
-	}
+	req := newRequest(h, k, id, key, soundMiddlePart)
 	if k.atMostOnce {
 		c.mu.Lock()
 		c.orderIDs = append(c.orderIDs, id)
@@ -280,6 +270,7 @@
 	c.sent.Add(1)
 	resp, err := client.Do(req)
 	if err != nil {
+		c.checkLost(h, id, sent, err)
 		c.checkFailure(h, id, sent, err)
 		return false
 	}
@@ -307,6 +298,28 @@
 	return false
 }
 
+// newRequest returns a request whose prompt, if it has one, holds the part middle.
+func newRequest(h *host, k requestKind, id, key, middle string) *http.Request {
+	method := http.MethodPost
+	if k.path == "/lookups/" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, "http://"+h.callersAddr.String()+k.path+id, strings.NewReader("body of "+id))
+	if err != nil {
+		panic(err)
+	}
+	req.GetBody = nil // so that the client doesn't send the request again by itself
+	req.Host = "quotes.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Timeout-Remaining", fmt.Sprint(callerTimeout.Milliseconds()))
+	req.Header.Set("Authorization", "Bearer "+key)
+	if k.tokenUsage != "" {
+		req.Header.Set("Token-Usage", k.tokenUsage)
+		req.Header.Set("Prompt-Prefix", promptParts(k, id, middle))
+	}
+	return req
+}
+
 // checkFailure checks a request that got no response or an incomplete one. It fails the test if the request took the
 // whole of callerTimeout and responseSlack although nothing had been done to the host since responseSlack before it was
 // sent.
@@ -344,7 +357,7 @@
 		go func() {
 			defer wg.Done()
 			random := rand.New(rand.NewPCG(seed, 200+uint64(i)))
-			client := &http.Client{Timeout: callerTimeout + responseSlack, Transport: &http.Transport{DisableCompression: true}}
+			client := newClient()
 			for j := range recoveryRequests / clientCount {
 				h := d.hosts[(i+j)%len(d.hosts)]
 				k := kinds[random.IntN(len(kinds))]
