gateway: failing test: a part of many prompts crashes replicas one after the other

Callers whose prompts share nothing but one part, at any host and on two routes, crash the four model replicas over and over; sound callers are refused or broken off meanwhile. What crashes replicas is recognized by workspace, method, target and body alone (internal/relay, fingerprint), and no two of these requests are alike.

$ go test -race -count=1 ./internal/gateway -run KeptFromThem --- FAIL: TestPartOfPromptsThatCrashesReplicasIsKeptFromThem (18.83s) crashing_part_test.go:73: 0 of 30 sound requests are served at their first attempt, 30 before the crashes crashing_part_test.go:86: 16 requests with the part reached replicas 3s after crash 5, want at most 3; 37 crashes in all

--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -29,6 +29,8 @@
 const (
 	eventualTimeout = 10 * time.Second // how long eventually waits for its condition
 	testKey         = "key-of-hule"
+	crashingPart    = "bad0"                 // part of a prompt
+	crashDowntime   = 500 * time.Millisecond // of a replica
 )
 
 var engineParameters = passes.FastDecodeEngine()
@@ -107,6 +109,20 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// listen starts a replica that runs until the test ends, and returns its address.
+func listen(t *testing.T, r *replica.Replica) netip.AddrPort {
+	t.Helper()
+	address, err := r.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return address
+}
+
+// isCrashingPart reports whether model replicas crash on a part of a prompt.
+func isCrashingPart(part string) bool { return part == crashingPart }
+
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
 	address, err := ports.Free()
@@ -142,7 +158,9 @@
 			r.ServiceTime = 5 * time.Millisecond
 		}
 		r.Fault = f.forReplica(r.ID)
-		r.Address = serve(t, r)
+		r.CrashesOn, r.Downtime = isCrashingPart, crashDowntime
+		r.OnReturn = func() { c.store.Put("servers/"+r.ID, r.Entry("ready")) }
+		r.Address = listen(t, r)
 		replicaIDs[r.Address] = r.ID
 		c.replicas = append(c.replicas, r)
 		c.store.Put("servers/"+r.ID, r.Entry("ready"))
