backend: a head without end is cut

What callers saw: on heads or intermediate responses without end, a host took all bytes until the silence limit or the deadline (10 to 37 MB of one head; four at once took 96 to 221 MiB), and lookups got 504 in place of another replica's response. Cause: http.ReadResponse has no limit. A head, with all that comes before it, may now have 1 MiB.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -20,6 +20,8 @@
 	readBufSize = 4 << 10 // bytes
 	// A body up to this size is written before the response is read. A longer one is written concurrently.
 	maxInlineBody = 16 << 10 // bytes
+	// Limit of the head of a response, together with the intermediate responses and those to other calls before it.
+	maxHeadBytes = 1 << 20
 	// A connection isn't reused once less than this time is left before the server closes it as idle.
 	idleMargin = 800 * time.Millisecond
 	// How long a connection may stay idle if the server sends no Keep-Alive timeout.
@@ -37,6 +39,7 @@
 	// Limits of the exchange that uses the connection.
 	silentUntil time.Time            // by when something must have come, see Exchange.SetMaxSilence; zero for no limit
 	caughtUp    bool                 // what had come by silentUntil may be read after it, as the host may have been paused
+	headLeft    int                  // bytes that may still be read before the final head is complete; -1 for no limit
 	extraWait   func() time.Duration // called at silentUntil, see Exchange.SetExtraWait; nil ends the wait
 }
 
@@ -47,17 +50,35 @@
 		return nil, err
 	}
 	tcp := c.(*net.TCPConn)
-	cn := &conn{tcp: tcp, address: address, maxIdle: defaultMaxIdle}
+	cn := &conn{tcp: tcp, address: address, maxIdle: defaultMaxIdle, headLeft: -1}
 	cn.reader = bufio.NewReaderSize(cn, readBufSize)
 	return cn, nil
 }
 
+// errHeadTooLong is the error of reading a head that is longer than maxHeadBytes.
+var errHeadTooLong = errors.Errorf("head longer than %d bytes", maxHeadBytes)
+
 // catchUpTime is how long a host may read after silentUntil what had come before. A host that was paused needs it.
 const catchUpTime = 50 * time.Millisecond
 
 // Read reads from the connection. At silentUntil it asks extraWait for how much longer to wait, and returns the time-out
 // error when that says 0. So a pause at any place in a response is treated alike, within an event too.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	if c.headLeft > 0 {
+		b = b[:min(len(b), c.headLeft)]
+	}
+	n, err := c.readPatiently(b)
+	if c.headLeft > 0 {
+		c.headLeft -= n
+	}
+	return n, err
+}
+
+// readPatiently reads from the connection, see Read.
+func (c *conn) readPatiently(b []byte) (int, error) {
 	for {
 		// An error also shows at the read.
 		_ = c.tcp.SetReadDeadline(c.silentUntil)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -31,6 +31,7 @@
 // names no call is taken as the response to this call.
 func (x *Exchange) sendAndReadHead(ctx context.Context, head []byte, maxSilence time.Duration) error {
 	x.conn.setMaxSilence(maxSilence)
+	x.conn.headLeft = maxHeadBytes
 	bodySent, err := x.conn.writeRequest(head, x.call.Body)
 	x.bodySent = bodySent
 	if err != nil {
@@ -41,6 +42,7 @@
 			return x.wrapError(ctx, "read answer", err)
 		}
 		if x.Head.RequestID == x.call.ID || x.Head.RequestID == "" && x.Head.Status >= http.StatusBadRequest {
+			x.conn.headLeft = -1
 			return nil
 		}
 		if err := discardBody(x.resp); err != nil {
