relay: a standby that has begun is taken even if the parser of the head drops the error

TestSlowHeadWithoutEndIsCut/fields: a head of endless fields was read to the deadline although the standby had its response. textproto drops an error that comes where a field may be continued and reads on; the standby's result had been taken then and was never looked at again. Now each further silence ends the attempt.

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -34,6 +34,9 @@
 // 0 if the attempt is to end because a standby has got further. Silence alone never ends an attempt, since the server may
 // go on after it.
 func (t *transfer) onSilence(a *attempt) time.Duration {
+	if t.begun != nil {
+		return 0 // the parser of the head drops some errors and reads again
+	}
 	if t.standby == nil {
 		if wait := t.relay.PlannerClient.ExtraWait(t.ctx, a.placement.ID); wait > 0 {
 			return wait
