backend: a connection that has failed doesn't look like the end of a response

A response without length counted as complete after a reset or a loss of the connection, if the host had not read for a while or was still sending the body: the system reports the error of a connection once, to whatever asks first, and the next read sees an orderly end. Looking for unread bytes now returns that error, a lost connection is no longer taken for silence, and the end of such a response asks whether the request could be sent.

An exchange that has ended leaves its connection, which may be in use for another call, as it is (TestHedgeDoesNotChangePooledConnection, data race).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -83,15 +84,19 @@
 		// An error also shows at the read.
 		_ = c.tcp.SetReadDeadline(c.silentUntil)
 		n, err := c.tcp.Read(b)
-		if n > 0 || !isTimeout(err) || c.extraWait == nil {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extraWait == nil {
 			return n, err
 		}
-		if c.mayCatchUp() {
+		catchUp, err := c.mayCatchUp()
+		if err != nil {
+			return 0, err
+		}
+		if catchUp {
 			continue
 		}
 		wait := c.extraWait()
 		if wait <= 0 {
-			return 0, err
+			return 0, os.ErrDeadlineExceeded
 		}
 		c.setMaxSilence(wait)
 	}
@@ -99,19 +104,20 @@
 
 // mayCatchUp reports whether something had come by silentUntil that the host has not read yet, and allows the host to
 // read it. It does so once in each wait, so that a server that sends bytes for ever without getting any further counts as
-// silent.
-func (c *conn) mayCatchUp() bool {
+// silent. It returns the error of a connection that has failed.
+func (c *conn) mayCatchUp() (bool, error) {
 	if c.caughtUp {
-		return false
+		return false, nil
 	}
-	// A deadline that has passed would keep IsIdle from looking.
+	// A deadline that has passed would keep Readable from looking.
 	_ = c.tcp.SetReadDeadline(time.Time{})
-	if netconn.IsIdle(c.tcp) {
-		return false
+	readable, err := netconn.Readable(c.tcp)
+	if err != nil || !readable {
+		return false, err
 	}
 	c.setMaxSilence(catchUpTime)
 	c.caughtUp = true
-	return true
+	return true, nil
 }
 
 // setMaxSilence sets silentUntil to d from now; 0 means no limit.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -71,21 +71,56 @@
 
 // SetExtraWait sets the function that is called when the server has been silent for longer than allowed. It returns the
 // silence that is allowed from its return on; 0 ends the exchange with KindSilent. If it is nil, the exchange ends at
-// once.
-func (x *Exchange) SetExtraWait(extraWait func() time.Duration) { x.conn.extraWait = extraWait }
+// once. It does nothing after Finish.
+func (x *Exchange) SetExtraWait(extraWait func() time.Duration) {
+	if !x.ended {
+		x.conn.extraWait = extraWait
+	}
+}
 
 // SetMaxSilence allows the server to be silent for d from now; 0 means no limit. Bytes alone don't end the silence: the
-// caller sets it again when the response has got further.
-func (x *Exchange) SetMaxSilence(d time.Duration) { x.conn.setMaxSilence(d) }
+// caller sets it again when the response has got further. It does nothing after Finish.
+func (x *Exchange) SetMaxSilence(d time.Duration) {
+	if !x.ended {
+		x.conn.setMaxSilence(d)
+	}
+}
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (x *Exchange) Read(b []byte) (int, error) {
 	if x.resp.ContentLength == 0 {
 		return 0, io.EOF
 	}
-	return x.resp.Body.Read(b)
+	n, err := x.resp.Body.Read(b)
+	if errors.Is(err, io.EOF) && !x.framed() {
+		if sendErr := x.sendError(); sendErr != nil {
+			return n, sendErr
+		}
+	}
+	return n, err
 }
 
+// sendErrorWait is how long after the end of a connection the error of sending the request's body may become known.
+const sendErrorWait = 50 * time.Millisecond
+
+// sendError returns the error with which sending the body in the background has ended, if it has. The system reports the
+// failure of a connection only once, to the read or to the write; the other one then sees an orderly end.
+func (x *Exchange) sendError() error {
+	if x.bodySent == nil {
+		return nil
+	}
+	select {
+	case err := <-x.bodySent:
+		x.bodySent = nil
+		return err
+	case <-time.After(sendErrorWait):
+		return nil
+	}
+}
+
+// framed reports whether the response says where it ends; otherwise it ends with its connection.
+func (x *Exchange) framed() bool { return x.resp.ContentLength >= 0 || x.chunked() }
+
 // ReadAll reads the complete body. It returns an error if the body is longer than limit bytes.
 func (x *Exchange) ReadAll(ctx context.Context, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(x, limit+1))
@@ -111,8 +146,7 @@
 	}
 	x.ended = true
 	ctxActive := x.stopAfterFunc()
-	framed := x.resp.ContentLength >= 0 || x.chunked()
-	if !ctxActive || !framed || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.bodyWritten() {
+	if !ctxActive || !x.framed() || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.bodyWritten() {
 		x.conn.close()
 		return
 	}
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -28,20 +28,33 @@
 // has stopped responding: it is probed after 2 s without data and closed after two probes, 1 s apart, without response.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
 
-// IsIdle reports whether an idle connection is still open and has no data to read. It peeks at the receive buffer
-// without blocking or consuming data. Unread data on an idle connection belongs to no request in flight, so the caller
-// must not send another request on it.
+// IsIdle reports whether an idle connection is still open and has no data to read. Unread data on an idle connection
+// belongs to no request in flight, so the caller must not send another request on it.
 func IsIdle(c *net.TCPConn) bool {
+	readable, err := Readable(c)
+	return err == nil && !readable
+}
+
+// Readable reports whether a read would return at once, with data or because the peer has closed the connection. It peeks
+// at the receive buffer without blocking or consuming data. The error is that of a connection that has failed; the system
+// reports it only once, so a later read may see an orderly end.
+func Readable(c *net.TCPConn) (bool, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return false, err
 	}
-	quiet := false
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
+		_, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && quiet
+	switch {
+	case err != nil:
+		return false, err
+	case peekErr == unix.EAGAIN:
+		return false, nil
+	default:
+		return peekErr == nil, peekErr
+	}
 }
