--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -188,12 +189,12 @@
 // addServers adds to group the servers for callers, for the load balancer's readiness checks and, if the settings
 // have a metrics address, for monitoring. It returns an *Error if the host can't listen on an address.
 func (g *Gateway) addServers(group *run.Group) error {
-	callers, err := listen(g.Settings.CallerAddress)
+	callers, err := listen(g.Settings.CallerAddress, netconn.SetCallerUserTimeout)
 	if err != nil {
 		return err
 	}
 	group.Add(func() error { return g.ingress.Run(callers) }, func(error) { _ = callers.Close() })
-	ready, err := listen(g.Settings.ReadinessAddress)
+	ready, err := listen(g.Settings.ReadinessAddress, netconn.SetUserTimeout)
 	if err != nil {
 		return err
 	}
@@ -201,7 +202,7 @@
 	if !g.Settings.MetricsAddress.IsValid() {
 		return nil
 	}
-	monitoring, err := listen(g.Settings.MetricsAddress)
+	monitoring, err := listen(g.Settings.MetricsAddress, netconn.SetUserTimeout)
 	if err != nil {
 		return err
 	}
@@ -219,7 +220,7 @@
 // of hosts, closing of idle connections and reloads of the settings. They run until ctx ends; the group calls cancel,
 // which must end ctx, to stop them. addLoops returns an *Error if the host can't listen for peers.
 func (g *Gateway) addLoops(ctx context.Context, cancel func(), group *run.Group) error {
-	peers, err := listen(g.Settings.PeerAddress)
+	peers, err := listen(g.Settings.PeerAddress, netconn.SetUserTimeout)
 	if err != nil {
 		return err
 	}
@@ -246,9 +247,10 @@
 	return err
 }
 
-// listen listens on address with the TCP options of package netconn.
-func listen(address netip.AddrPort) (net.Listener, error) {
-	config := net.ListenConfig{Control: netconn.SetUserTimeout, KeepAliveConfig: netconn.KeepAlive}
+// listen listens on address with the TCP options of package netconn, one of which control sets.
+func listen(address netip.AddrPort, control func(network, address string, c syscall.RawConn) error,
+) (net.Listener, error) {
+	config := net.ListenConfig{Control: control, KeepAliveConfig: netconn.KeepAlive}
 	l, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, &Error{Op: "listen on " + address.String(), Kind: KindListen, Err: err}
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -8,15 +8,27 @@
 	"golang.org/x/sys/unix"
 )
 
-// unackedTimeout is how long sent data may stay unacknowledged before the kernel closes the connection.
-const unackedTimeout = 3 * time.Second
+const (
+	// How long sent data may stay unacknowledged before the kernel closes the connection.
+	unackedTimeout = 3 * time.Second
+	// As unackedTimeout, for connections of callers: a caller that reads nothing for a while, and so takes no more data, is
+	// still there.
+	callerUnackedTimeout = 30 * time.Second
+)
 
 // SetUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects or listens. It is meant for net.Dialer.Control
 // and net.ListenConfig.Control.
-func SetUserTimeout(_, _ string, c syscall.RawConn) error {
+func SetUserTimeout(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, unackedTimeout) }
+
+// SetCallerUserTimeout is as SetUserTimeout, for a socket that listens for callers.
+func SetCallerUserTimeout(_, _ string, c syscall.RawConn) error {
+	return setUserTimeout(c, callerUnackedTimeout)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,7 +24,7 @@
 
 // PlannerClient is what the relay needs of the client of the planner, which is placement.Client: Place requests a
 // placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
-// server has asked for. ExtraWait returns how much longer to wait for a silent server of a placement, 0 for no longer.
+// server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have failed.
 // Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
@@ -72,6 +72,11 @@
 	defer r.inFlight.Add(-1)
 	r.Budget.RecordRequest(c.Received, c.Service)
 	remaining := c.Deadline().Sub(steady.Now()) - responseMargin
+	controller := http.NewResponseController(w)
+	// Without it, a caller that takes no more data would hold the call beyond its deadline. A writer without deadlines is
+	// that of a test.
+	_ = controller.SetWriteDeadline(time.Now().Add(max(remaining, 0) + writeMargin))
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	deadlineCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	t := &transfer{
@@ -94,6 +99,9 @@
 // time.
 const responseMargin = 20 * time.Millisecond
 
+// writeMargin is how long after a call's deadline a response may still be written.
+const writeMargin = time.Second
+
 // fingerprint returns a hash that is equal for requests of one workspace with the same method, target and body, which
 // do the same work.
 func fingerprint(c *call.Call) uint64 {
