--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -44,7 +44,7 @@
 	Service       string
 	RetryMode     RetryMode
 	Stream        bool          // the response is a stream of events
-	MaxAttempts   int           // number of replicas that may run the call, one after another
+	MaxAttempts   int           // number of replicas that may run the call, one after another or, while one is silent, beside it
 	RouteTimeout  time.Duration // time limit for the end of the response, counted from Received
 	FirstTarget   time.Duration // target for the response or the first event of a stream, counted from Received
 	PauseTarget   time.Duration // target for pauses between events: a longer one misses it
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -46,6 +46,9 @@
 	if wait > usualPassLimit || now.Sub(s.lastAlive) < aliveWindow {
 		return wait + aliveWindow
 	}
+	if !now.Before(s.excludedUntil) {
+		p.exclude(now, s)
+	}
 	return 0
 }
 
@@ -72,7 +75,9 @@
 		p.exclude(now, s)
 	case OutcomeSilent:
 		s.recordOutcome(now, true)
-		p.exclude(now, s)
+		if !now.Before(s.excludedUntil) {
+			p.exclude(now, s)
+		}
 		countHelperFailures(now, j.helpers)
 	case OutcomeBroken:
 		s.recordOutcome(now, true)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -23,7 +23,7 @@
 
 	exchange      *backend.Exchange // nil until the head of the response has come
 	pause         time.Duration     // that the server has asked this host for
-	start         []byte            // start of the body that a standby has read
+	start         []byte            // start of the body that a hedge has read
 	response      *response         // the complete response, if it isn't a stream and was read
 	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
 }
@@ -57,7 +57,7 @@
 			x.Finish()
 		}
 		return planner.OutcomeRefused, errors.Errorf("status %d", x.Head.Status)
-	case !x.Head.Valid:
+	case !x.Head.Valid || x.Head.Status < http.StatusOK:
 		return planner.OutcomeBroken, errors.Errorf("status %d: not a valid response of a backend server", x.Head.Status)
 	}
 	return "", nil
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -20,6 +20,7 @@
 
 // finishRefused ends a call for which the planner has no server.
 func (t *transfer) finishRefused(r *planner.Refusal) {
+	t.closeHedge()
 	t.relay.Metrics.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
 	t.relay.recordEnd(t.call, "refused", slog.String("cause", string(r.Cause)),
 		eventlog.Milliseconds("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.mayHaveRun()),
@@ -29,6 +30,7 @@
 
 // finishFailed ends a call whose last attempt failed and that is not retried.
 func (t *transfer) finishFailed(o planner.Outcome) {
+	t.closeHedge()
 	t.relay.recordEnd(t.call, "failed", slog.String("cause", string(o)), slog.Int("runs", t.progress.runs),
 		slog.Int("refusals", t.progress.notRun), slog.Bool("cut", t.headWritten))
 	t.finishIncomplete(http.StatusBadGateway, defaultRetryAfter, string(o))
@@ -37,6 +39,7 @@
 // finishExpired ends a call whose context has ended. It panics with http.ErrAbortHandler if the caller has
 // disconnected; otherwise the deadline has passed and the caller gets a response.
 func (t *transfer) finishExpired() {
+	t.closeHedge()
 	outcome := "timeout"
 	disconnected := t.callerCtx.Err() != nil
 	if disconnected {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -11,60 +11,69 @@
 	"github.com/pkg/errors"
 
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
-// standbyPollInterval is how often a transfer whose server is silent looks whether its standby has begun.
-const standbyPollInterval = 20 * time.Millisecond
+// hedgePollInterval is how often a transfer whose server is silent looks whether its hedge has begun.
+const hedgePollInterval = 20 * time.Millisecond
 
-// standby is an attempt at another server that is begun while the server of the current attempt is silent. Silence
+// hedge is an attempt at another server that is begun while the server of the current attempt is silent. Silence
 // alone says nothing about the current server, so the transfer goes on with whichever server gets further first, and the
-// current attempt isn't given up for a standby that fails. Once an event of the standby is forwarded, the current attempt
+// current attempt isn't given up for a hedge that fails. Once an event of the hedge is forwarded, the current attempt
 // can't follow it, since the events of two runs needn't fit together.
-type standby struct {
+type hedge struct {
 	cancel  context.CancelFunc
-	result  chan standbyResult // without a buffer: an attempt that isn't received is canceled
-	claimed atomic.Bool        // by run, which then sends the call, or by cancelStandby, after which it isn't sent
+	result  chan hedgeResult // without a buffer: an attempt that isn't received is canceled
+	claimed atomic.Bool      // by run, which then sends the call, or by cancelHedge, after which it isn't sent
+	limit   atomic.Int64     // by when it should have begun, in nanoseconds of the boot-time clock; 0 before it is placed
 }
 
-// standbyResult is how a standby began. Without an error and a refusal, its first event or complete response has come.
-type standbyResult struct {
+// overdue reports whether the hedge should have begun.
+func (s *hedge) overdue() bool {
+	limit := s.limit.Load()
+	return limit != 0 && steady.Now().UnixNano() > limit
+}
+
+// hedgeResult is how a hedge began. Without an error and a refusal, its first event or complete response has come.
+type hedgeResult struct {
 	attempt *attempt
 	refusal *planner.Refusal
 	outcome planner.Outcome
 	err     error
 }
 
-// begun reports whether the first event or the complete response has come.
-func (r *standbyResult) begun() bool { return r.err == nil && r.refusal == nil }
+// hasBegun reports whether the first event or the complete response has come.
+func (r *hedgeResult) hasBegun() bool { return r.err == nil && r.refusal == nil }
 
-// startStandby begins an attempt at another server than that of the current attempt.
-func (t *transfer) startStandby(current *attempt) {
+// startHedge begins an attempt at another server than that of the current attempt.
+func (t *transfer) startHedge(current *attempt) {
 	ctx, cancel := context.WithCancel(t.ctx)
-	s := &standby{cancel: cancel, result: make(chan standbyResult)}
-	t.standby = s
+	s := &hedge{cancel: cancel, result: make(chan hedgeResult)}
+	t.hedge = s
 	req := t.placementRequest()
 	req.ExcludedReplicas = append(req.ExcludedReplicas, current.placement.Plan.Replica.ID)
 	template := attempt{relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID}
-	t.relay.Metrics.Counter("standbys").Inc(1)
-	t.relay.Log.Event("standby_started", slog.String("request_id", t.call.ID),
+	t.relay.Metrics.Counter("hedges").Inc(1)
+	t.relay.Log.Event("hedge_started", slog.String("request_id", t.call.ID),
 		slog.String("silent_replica", current.placement.Plan.Replica.ID), slog.Int("events", t.events.forwarded))
 	go s.run(ctx, template, req)
 }
 
 // run places and begins the attempt and hands over the result. If ctx ends before, it ends the attempt.
-func (s *standby) run(ctx context.Context, template attempt, req planner.Request) {
+func (s *hedge) run(ctx context.Context, template attempt, req planner.Request) {
 	a := &template
 	placement, err := a.relay.place(ctx, a.call, req)
 	if err != nil {
 		return
 	}
-	result := standbyResult{attempt: a, refusal: placement.Refusal}
+	result := hedgeResult{attempt: a, refusal: placement.Refusal}
 	if placement.Plan != nil {
 		a.placement = placement
 		if !s.claimed.CompareAndSwap(false, true) {
 			a.end(planner.OutcomeCanceled)
 			return
 		}
+		s.limit.Store(steady.Now().Add(maxSilenceOf(a.call, placement.Plan)).UnixNano())
 		result.outcome, result.err = a.beginBody(ctx)
 	}
 	if result.err != nil {
@@ -73,7 +82,7 @@
 	select {
 	case s.result <- result:
 	case <-ctx.Done():
-		if result.begun() {
+		if result.hasBegun() {
 			a.end(planner.OutcomeCanceled)
 		}
 	}
@@ -85,6 +94,9 @@
 		return outcome, err
 	}
 	if !a.isStream() {
+		if a.resume {
+			return planner.OutcomeFailed, errors.Errorf("status %d: can't resume a stream", a.exchange.Head.Status)
+		}
 		return a.readResponse(ctx)
 	}
 	buffer := make([]byte, readBufferSize)
@@ -92,7 +104,8 @@
 		n, err := a.exchange.Read(buffer)
 		a.start = append(a.start, buffer[:n]...)
 		switch {
-		case errors.Is(err, io.EOF) && len(a.start) == 0:
+		case bytes.Contains(a.start, eventEnd):
+		case errors.Is(err, io.EOF) && len(a.start) == 0 && !a.resume:
 			return "", nil // a stream without events
 		case err != nil:
 			failure := a.exchange.ReadError(ctx, err)
@@ -104,69 +117,73 @@
 	return "", nil
 }
 
-// poll returns the result of the standby and true if there is one.
-func (s *standby) poll() (standbyResult, bool) {
+// poll returns the result of the hedge and true if there is one.
+func (s *hedge) poll() (hedgeResult, bool) {
 	select {
 	case r := <-s.result:
 		return r, true
 	default:
-		return standbyResult{}, false
+		return hedgeResult{}, false
 	}
 }
 
-// cancelStandby ends the standby, if there is one, since the current server sends again. The standby counts as a run if
+// cancelHedge ends the hedge, if there is one, since the current server sends again. The hedge counts as a run if
 // the call may have reached its server.
-func (t *transfer) cancelStandby() {
-	s := t.standby
+func (t *transfer) cancelHedge() {
+	s := t.hedge
 	if s == nil {
 		return
 	}
-	t.standby = nil
+	t.hedge = nil
 	s.cancel()
 	if s.claimed.Swap(true) {
 		t.progress.record(planner.OutcomeCanceled)
 		t.retryGranted = false
 	}
-	t.relay.Log.Event("standby_canceled", slog.String("request_id", t.call.ID))
+	t.relay.Log.Event("hedge_canceled", slog.String("request_id", t.call.ID))
 }
 
-// awaitStandby waits for the standby and returns its attempt, since the current attempt has failed. It returns nil if the
-// standby failed or the context ends.
-func (t *transfer) awaitStandby() *attempt {
-	if t.begun == nil {
+// awaitHedge waits for the hedge and returns its attempt, since the current attempt has failed. It returns nil if the
+// hedge failed or the context ends.
+func (t *transfer) awaitHedge() *attempt {
+	for t.hedgeAttempt == nil && t.hedge != nil {
 		select {
-		case r := <-t.standby.result:
-			t.takeStandbyResult(r)
+		case r := <-t.hedge.result:
+			t.takeHedgeResult(r)
+		case <-time.After(hedgePollInterval):
+			if t.hedge.overdue() && t.progress.mayRetryIfCurrentFails() {
+				t.cancelHedge()
+			}
 		case <-t.ctx.Done():
 			return nil
 		}
 	}
-	a := t.begun
-	t.standby, t.begun = nil, nil
+	a := t.hedgeAttempt
+	t.hedge, t.hedgeAttempt = nil, nil
 	return a
 }
 
-// takeStandbyResult keeps the attempt of a standby that has begun, and records one that failed. If the standby was
+// takeHedgeResult keeps the attempt of a hedge that has begun, and records one that failed. If the hedge was
 // refused, the retry that the budget has granted is left for another one.
-func (t *transfer) takeStandbyResult(r standbyResult) {
+func (t *transfer) takeHedgeResult(r hedgeResult) {
 	switch {
 	case r.refusal != nil:
-		t.standby = nil
+		t.hedge = nil
 	case r.err != nil:
-		t.standby = nil
+		t.hedge = nil
 		t.retryGranted = false
 		t.recordFailure(r.attempt, r.outcome, r.err)
 	default:
 		t.retryGranted = false
-		t.begun = r.attempt
+		t.hedgeAttempt = r.attempt
 	}
 }
 
-// closeStandby ends a standby that the transfer doesn't need any more.
-func (t *transfer) closeStandby() {
-	if a := t.begun; a != nil {
-		t.standby, t.begun = nil, nil
+// closeHedge ends a hedge that the transfer doesn't need any more.
+func (t *transfer) closeHedge() {
+	if a := t.hedgeAttempt; a != nil {
+		t.hedge, t.hedgeAttempt = nil, nil
 		a.end(planner.OutcomeCanceled)
 	}
-	t.cancelStandby()
+	t.cancelHedge()
 }
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -43,7 +43,13 @@
 // mayRetryIfCurrentFails reports whether the call may be sent once more if the attempt in progress ends without a
 // response.
 func (p *progress) mayRetryIfCurrentFails() bool {
-	return p.retryMode != call.RetryNever && p.runs+1 < p.maxRuns
+	return p.retryMode != call.RetryNever && p.runs+1 < p.maxRuns && p.notRun <= maxNotRun
+}
+
+// mayRetryBesideTwo reports whether the call may be sent once more while the attempt in progress and another one have no
+// response.
+func (p *progress) mayRetryBesideTwo() bool {
+	return p.retryMode != call.RetryNever && p.runs+2 < p.maxRuns && p.notRun <= maxNotRun
 }
 
 // mayHaveRun reports whether a server may have run the call.
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -20,39 +20,46 @@
 // initialMaxSilence returns how long the server may be silent until the first event of a stream, or until the end of a
 // response that is not a stream. It returns 0, no limit, for a call that must not be repeated.
 func (t *transfer) initialMaxSilence(plan *planner.Plan) time.Duration {
-	switch {
-	case t.call.RetryMode == call.RetryNever:
+	if t.call.RetryMode == call.RetryNever {
 		return 0
-	case t.call.Stream:
+	}
+	return maxSilenceOf(t.call, plan)
+}
+
+// maxSilenceOf returns how long the server of a plan may be silent at the start of a response to c.
+func maxSilenceOf(c *call.Call, plan *planner.Plan) time.Duration {
+	if c.Stream {
 		return plan.FirstEventTime + firstEventSlack
-	default:
-		return max(responseTargetFactor*t.call.FirstTarget, minResponseSilence)
 	}
+	return max(responseTargetFactor*c.FirstTarget, minResponseSilence)
 }
 
 // onSilence is called when the server of attempt a has been silent too long. It returns how much longer to wait for it, or
-// 0 if the attempt is to end because a standby has got further. Silence alone never ends an attempt, since the server may
+// 0 if the attempt is to end because a hedge has got further. Silence alone never ends an attempt, since the server may
 // go on after it.
 func (t *transfer) onSilence(a *attempt) time.Duration {
-	if t.begun != nil {
+	if t.hedgeAttempt != nil {
 		return 0 // the parser of the head drops some errors and reads again
 	}
-	if t.standby == nil {
+	if t.hedge != nil && t.hedge.overdue() && t.progress.mayRetryBesideTwo() {
+		t.cancelHedge()
+	}
+	if t.hedge == nil {
 		if wait := t.relay.PlannerClient.ExtraWait(t.ctx, a.placement.ID); wait > 0 {
 			return wait
 		}
 		if !t.progress.mayRetryIfCurrentFails() || !t.takeRetry() {
 			return minStreamSilence
 		}
-		t.startStandby(a)
-		return standbyPollInterval
+		t.startHedge(a)
+		return hedgePollInterval
 	}
-	r, ok := t.standby.poll()
+	r, ok := t.hedge.poll()
 	if !ok {
-		return standbyPollInterval
+		return hedgePollInterval
 	}
-	t.takeStandbyResult(r)
-	if t.begun != nil {
+	t.takeHedgeResult(r)
+	if t.hedgeAttempt != nil {
 		return 0
 	}
 	return minStreamSilence
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -44,8 +44,8 @@
 	firstEventDelay  time.Duration   // from receipt of the call to the first event or the complete response; 0 before
 	lastForwarded    time.Time       // when the last events were forwarded; zero before the first
 	longestPause     time.Duration   // longest pause between forwarded events
-	standby          *standby        // attempt at another server while the current one is silent; nil if there is none
-	begun            *attempt        // that of the standby, once it has begun; nil before
+	hedge            *hedge          // attempt at another server while the current one is silent; nil if there is none
+	hedgeAttempt     *attempt        // that of the hedge, once it has begun; nil before
 	lastFailure      planner.Outcome // of the attempt that failed last
 }
 
@@ -60,14 +60,13 @@
 
 // run makes attempts until one completes, the call may not be retried or the context ends.
 func (t *transfer) run() {
-	defer t.closeStandby()
+	defer t.closeHedge()
 	for {
 		a := t.nextAttempt()
 		if a == nil {
 			return
 		}
-		outcome, err := t.forward(a)
-		a.end(outcome)
+		outcome, err := t.makeAttempt(a)
 		if outcome == planner.OutcomeCompleted {
 			t.finishCompleted(a)
 			return
@@ -77,7 +76,7 @@
 			t.finishExpired()
 			return
 		}
-		if t.standby == nil && !t.mayRetry() {
+		if t.hedge == nil && !t.mayRetry() {
 			return
 		}
 	}
@@ -92,11 +91,11 @@
 	return false
 }
 
-// nextAttempt returns the attempt of the standby, if there is one that begins, or otherwise a new one that the planner
+// nextAttempt returns the attempt of the hedge, if there is one that begins, or otherwise a new one that the planner
 // has placed. It ends the call and returns nil if there is neither.
 func (t *transfer) nextAttempt() *attempt {
-	if t.standby != nil {
-		if a := t.awaitStandby(); a != nil {
+	if t.hedge != nil {
+		if a := t.awaitHedge(); a != nil {
 			a.exchange.SetMaxSilence(t.initialMaxSilence(a.placement.Plan))
 			a.exchange.SetExtraWait(func() time.Duration { return t.onSilence(a) })
 			return a
@@ -158,7 +157,14 @@
 	t.relay.Log.Event("attempt_ended", fields...)
 }
 
-// forward makes an attempt, unless it has begun as a standby, and forwards the response.
+// makeAttempt makes an attempt and ends it, also if forwarding the response panics.
+func (t *transfer) makeAttempt(a *attempt) (outcome planner.Outcome, err error) {
+	outcome = planner.OutcomeCanceled
+	defer func() { a.end(outcome) }()
+	return t.forward(a)
+}
+
+// forward begins an attempt, unless it has begun as a hedge, and forwards the response.
 func (t *transfer) forward(a *attempt) (planner.Outcome, error) {
 	if a.exchange == nil {
 		extraWait := func() time.Duration { return t.onSilence(a) }
@@ -224,17 +230,21 @@
 	started := false
 	for {
 		n, err := a.Read(buffer)
+		if t.hedgeAttempt != nil {
+			// What came with the error is later than the event after which the hedge has resumed the stream.
+			return planner.OutcomeSilent, a.exchange.ReadError(t.ctx, err)
+		}
 		complete, filterErr := t.events.add(buffer[:n])
 		if len(complete) > 0 {
 			if !started {
 				started = true
 				t.recordFirstEvent(a.placement.ID)
 			}
-			t.cancelStandby()
-			x.SetMaxSilence(maxSilence)
+			t.cancelHedge()
 			if err := t.forwardEvents(x.Head, complete); err != nil {
 				return planner.OutcomeCanceled, err
 			}
+			x.SetMaxSilence(maxSilence) // after the write, which a slow caller may hold up
 		}
 		switch {
 		case filterErr != nil:
