--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -236,28 +235,6 @@
 	}
 }
 
-// engines returns the engine parameters of each service that has engines. Those that are known stay as they are if the
-// service has no replica or the configuration doesn't name it, since requests may still be in progress there.
-func engines(known map[string]*catalog.EngineParams, c *catalog.Configuration, replicas []replica.Replica,
-) map[string]*catalog.EngineParams {
-	byService := make(map[string]*catalog.EngineParams, len(known))
-	maps.Copy(byService, known)
-	if c == nil {
-		return byService
-	}
-	for _, r := range replicas {
-		s := c.Service(r.Service)
-		switch {
-		case s == nil:
-		case s.Engine == nil:
-			delete(byService, r.Service)
-		default:
-			byService[r.Service] = s.Engine
-		}
-	}
-	return byService
-}
-
 // Place submits a placement request to the planner and returns its result. If another host's planner does not reply in
 // time, this host plans the request in its place. The ID in the result is the one to pass to Started, ExtraWait and
 // Ended; it differs from req.ID only in that case. Place returns an error only if ctx ends first.
@@ -435,16 +412,6 @@
 	c.reportEnded(link.Progress{ID: id, Outcome: outcome, Pause: pause})
 }
 
-// recordOutcome records at the local planner, too, how a request of this host has ended, so that this host knows what
-// crashes replicas when it plans itself or reports to another planner.
-func (c *Client) recordOutcome(now time.Time, placed *placedRequest, outcome planner.Outcome) {
-	writing := time.Duration(0)
-	if !placed.writingSince.IsZero() {
-		writing = now.Sub(placed.writingSince)
-	}
-	c.localPlanner.RecordOutcome(now, &placed.placement.Request, &placed.replica, writing, outcome)
-}
-
 // Leaving marks r as leaving on this host and, through the planner, on all others.
 func (c *Client) Leaving(r replica.Replica) {
 	if !c.Cache.MarkLeaving(r.ID, r.Born) {
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
@@ -47,24 +46,6 @@
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
 }
 
-// recordVerdicts logs what crashes replicas when that has changed.
-func (c *Client) recordVerdicts(now time.Time, digest uint64) {
-	if digest == c.verdictDigest {
-		return
-	}
-	c.verdictDigest = digest
-	quarantined := 0
-	for _, v := range c.localPlanner.Quarantine().Verdicts(now) {
-		if !v.Quarantined() {
-			continue
-		}
-		quarantined++
-		c.Log.Warn("quarantine_changed", slog.String("content", v.Content.String()),
-			slog.Int("generation", int(v.Generation)), eventlog.Milliseconds("left_ms", v.Left))
-	}
-	c.Metrics.Gauge("quarantined").Update(float64(quarantined))
-}
-
 // membersFor returns the first hosts in the planning order if a peer is due to get them: when they are others than it got
 // last, and otherwise every membersInterval. A host of an earlier version doesn't read HostCount, so it gets all hosts.
 func (c *Client) membersFor(now time.Time, p *peerLink) []roster.Member {
