quarantine: a completed request isn't held for its earlier crashes

A lookup that many callers repeat alike was refused once three of its attempts had broken off within a minute, whatever had been completed between them (a new case of TestPartsOfCrashes fails before). relay: the receiver of a hedge is h.

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -13,7 +13,8 @@
 	// Early says that the replica had not written the response for long, so that the parts of the prompt may be the cause.
 	Early bool `cbor:"4,keyasint,omitempty"`
 
-	at time.Time
+	at        time.Time
+	completed bool // the same request was completed later, so that it isn't the cause
 }
 
 // replicaCrash is when the first attempt at a replica broke off.
@@ -98,7 +99,7 @@
 	all, early := 0, 0
 	for i := range t.crashes {
 		c := &t.crashes[i]
-		if c.Content.Request != request {
+		if c.Content.Request != request || c.completed {
 			continue
 		}
 		all++
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -95,6 +95,10 @@
 	for _, part := range c.Parts {
 		t.cleared[part] = now
 	}
+	for i := range t.crashes {
+		crash := &t.crashes[i]
+		crash.completed = crash.completed || c.Request != 0 && crash.Content.Request == c.Request
+	}
 	t.clearVerdicts(now, &c)
 }
 
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -119,6 +119,17 @@
 			t.Error("the request itself isn't refused")
 		}
 	})
+	t.Run("a request that is completed in between", func(t *testing.T) {
+		w := newWorld()
+		c := w.content()
+		for range earlyCrashesForRequest {
+			w.table.Completed(w.now, c)
+			w.crashAgain(c)
+		}
+		if _, refused := w.table.Refuses(w.now, c, false); refused {
+			t.Error("the request is refused")
+		}
+	})
 	t.Run("a common cause", func(t *testing.T) {
 		w := newWorld()
 		for i := range uint64(12) {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -29,8 +29,8 @@
 }
 
 // overdue reports whether the hedge should have begun.
-func (s *hedge) overdue() bool {
-	limit := s.limit.Load()
+func (h *hedge) overdue() bool {
+	limit := h.limit.Load()
 	return limit != 0 && steady.Now().UnixNano() > limit
 }
 
@@ -48,19 +48,19 @@
 // startHedge begins an attempt at another server than that of the current attempt.
 func (t *transfer) startHedge(current *attempt) {
 	ctx, cancel := context.WithCancel(t.ctx)
-	s := &hedge{cancel: cancel, result: make(chan hedgeResult)}
-	t.hedge = s
+	h := &hedge{cancel: cancel, result: make(chan hedgeResult)}
+	t.hedge = h
 	req := t.placementRequest()
 	req.ExcludedReplicas = append(req.ExcludedReplicas, current.placement.Plan.Replica.ID)
 	template := attempt{relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID}
 	t.relay.Metrics.Counter("hedges").Inc(1)
 	t.relay.Log.Event("hedge_started", slog.String("request_id", t.call.ID),
 		slog.String("silent_replica", current.placement.Plan.Replica.ID), slog.Int("events", t.events.forwarded))
-	go s.run(ctx, template, req)
+	go h.run(ctx, template, req)
 }
 
 // run places and begins the attempt and hands over the result. If ctx ends before, it ends the attempt.
-func (s *hedge) run(ctx context.Context, template attempt, req planner.Request) {
+func (h *hedge) run(ctx context.Context, template attempt, req planner.Request) {
 	a := &template
 	placement, err := a.relay.place(ctx, a.call, req)
 	if err != nil {
@@ -69,18 +69,18 @@
 	result := hedgeResult{attempt: a, refusal: placement.Refusal}
 	if placement.Plan != nil {
 		a.placement = placement
-		if !s.claimed.CompareAndSwap(false, true) {
+		if !h.claimed.CompareAndSwap(false, true) {
 			a.end(planner.OutcomeCanceled)
 			return
 		}
-		s.limit.Store(steady.Now().Add(maxSilenceOf(a.call, placement.Plan)).UnixNano())
+		h.limit.Store(steady.Now().Add(maxSilenceOf(a.call, placement.Plan)).UnixNano())
 		result.outcome, result.err = a.beginBody(ctx)
 	}
 	if result.err != nil {
 		a.end(result.outcome)
 	}
 	select {
-	case s.result <- result:
+	case h.result <- result:
 	case <-ctx.Done():
 		if result.hasBegun() {
 			a.end(planner.OutcomeCanceled)
@@ -118,9 +118,9 @@
 }
 
 // poll returns the result of the hedge and true if there is one.
-func (s *hedge) poll() (hedgeResult, bool) {
+func (h *hedge) poll() (hedgeResult, bool) {
 	select {
-	case r := <-s.result:
+	case r := <-h.result:
 		return r, true
 	default:
 		return hedgeResult{}, false
@@ -130,13 +130,13 @@
 // cancelHedge ends the hedge, if there is one, since the current server sends again. The hedge counts as a run if
 // the call may have reached its server.
 func (t *transfer) cancelHedge() {
-	s := t.hedge
-	if s == nil {
+	h := t.hedge
+	if h == nil {
 		return
 	}
 	t.hedge = nil
-	s.cancel()
-	if s.claimed.Swap(true) {
+	h.cancel()
+	if h.claimed.Swap(true) {
 		t.progress.record(planner.OutcomeCanceled)
 		t.retryGranted = false
 	}
