quarantine: old verdicts are forgotten

Found by reading the diff: a verdict that one host had forgotten came back from another with a new time, and so on in turn. The time after its end is now reported too (TestOldVerdictsAreForgotten fails before).

--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -191,6 +191,25 @@
 	w.check(t, false, bad)
 }
 
+// Guards against verdicts that are never forgotten because tables report them to each other in turn.
+func TestOldVerdictsAreForgotten(t *testing.T) {
+	w, other := newWorld(), newWorld()
+	for i := range uint64(crashesForParts) {
+		w.crash(firstOwn+i, bad)
+	}
+	w.check(t, true, bad)
+	for end := w.now.Add(3 * clearedRetention); w.now.Before(end); w.now = w.now.Add(time.Minute) {
+		other.now = w.now
+		other.table.Merge(w.now, w.table.Verdicts(w.now))
+		w.table.Merge(w.now, other.table.Verdicts(w.now))
+		w.complete()
+		other.complete()
+	}
+	if n := len(w.table.Verdicts(w.now)) + len(other.table.Verdicts(w.now)); n > 0 {
+		t.Errorf("%d verdicts remain", n)
+	}
+}
+
 // Another table learns the crashes that this one knows, and counts each once.
 func TestCrashesAreReported(t *testing.T) {
 	w, other := newWorld(), newWorld()
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -14,7 +14,7 @@
 	// Generation rises with each decision on the content; the content is quarantined if it is odd. Of two verdicts on a
 	// content the one with the higher generation holds.
 	Generation uint32        `cbor:"2,keyasint"`
-	Left       time.Duration `cbor:"3,keyasint,omitempty"` // time until a request is let through
+	Left       time.Duration `cbor:"3,keyasint,omitempty"` // time until a request is let through; negative after it
 	Length     time.Duration `cbor:"4,keyasint,omitempty"` // length of the quarantine
 }
 
@@ -103,7 +103,7 @@
 	verdicts := make([]Verdict, 0, len(t.verdicts))
 	for _, v := range t.verdicts {
 		verdicts = append(verdicts, Verdict{
-			Content: v.content, Generation: v.generation, Left: max(v.until.Sub(now), 0), Length: v.length,
+			Content: v.content, Generation: v.generation, Left: v.until.Sub(now), Length: v.length,
 		})
 	}
 	return verdicts
@@ -120,12 +120,13 @@
 	return digest
 }
 
-// Merge takes over the verdicts of another table that are newer than its own.
+// Merge takes over the verdicts of another table that are newer than its own. It leaves out those that are too old, which
+// the other table is about to forget.
 func (t *Table) Merge(now time.Time, verdicts []Verdict) {
 	for i := range verdicts {
 		other := &verdicts[i]
 		key := other.Content.key()
-		if v := t.verdicts[key]; v != nil && v.generation >= other.Generation {
+		if v := t.verdicts[key]; v != nil && v.generation >= other.Generation || other.Left < -clearedRetention {
 			continue
 		}
 		t.verdicts[key] = &verdict{
