quarantine: replicas that go on haven't crashed; hosts object to verdicts on sound parts

Hosts had been restarted, so planners knew of no completed request with the parts, and the stand-ins' faults break off attempts without a crash.

An attempt counts only if its replica sends nothing more, and a host that knows of completed requests with the parts of a verdict objects to it. New cases of TestPartsOfCrashes and TestKnownSoundPartsAreClearedByOtherTable.

--- a/internal/planner/crash.go
+++ b/internal/planner/crash.go
@@ -37,6 +37,7 @@
 ) {
 	switch {
 	case outcome == OutcomeCompleted:
+		p.quarantine.Alive(now, incarnation(server))
 		p.quarantine.Completed(now, req.content())
 	case writing >= soundWriting:
 		p.quarantine.Completed(now, quarantine.Content{Parts: req.PromptParts})
@@ -44,12 +45,15 @@
 	if outcome == OutcomeBroken {
 		p.quarantine.Crashed(now, quarantine.Crash{
 			Content: req.content(),
-			Replica: server.ID + "/" + strconv.FormatInt(server.Born, 36),
+			Replica: incarnation(server),
 			Early:   writing < earlyWriting,
 		})
 	}
 }
 
+// incarnation names a replica's incarnation.
+func incarnation(r *replica.Replica) string { return r.ID + "/" + strconv.FormatInt(r.Born, 36) }
+
 // Quarantine returns the contents that crash replicas, as far as this planner knows.
 func (p *Planner) Quarantine() *quarantine.Table { return p.quarantine }
 
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -16,6 +16,7 @@
 	j.decoding = true
 	j.firstEvent = now
 	j.server.lastAlive = now
+	p.quarantine.Alive(now, incarnation(&j.server.replica))
 	if now.After(j.firstTarget) {
 		j.missesTarget = true
 	}
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -15,6 +15,7 @@
 
 	at        time.Time
 	completed bool // the same request was completed later, so that it isn't the cause
+	survived  bool // the replica has sent something since, so that it didn't crash
 }
 
 // replicaCrash is when the first attempt at a replica broke off.
@@ -45,13 +46,26 @@
 	t.renewProbed(now, &c.Content)
 	t.judgeRequest(now, c.Content.Request)
 	if c.Early && len(c.Content.Parts) > 0 {
-		t.undecided = append(t.undecided, undecided{parts: c.Content.Parts, due: c.at.Add(commonWindow)})
+		t.undecided = append(t.undecided, undecided{parts: c.Content.Parts, due: c.at.Add(decisionDelay)})
 	}
 	t.decide(now)
 }
 
-// undecided are the parts of a request that was at a crash, and when it is known which other replicas crashed at about the
-// same time.
+// Alive records that a replica has sent something, so that earlier attempts that broke off there didn't crash it.
+func (t *Table) Alive(now time.Time, replica string) {
+	i := slices.IndexFunc(t.replicas, func(r replicaCrash) bool { return r.replica == replica })
+	if i < 0 || now.Sub(t.replicas[i].at) < reportDelay {
+		return
+	}
+	t.replicas = slices.Delete(t.replicas, i, i+1)
+	for j := range t.crashes {
+		c := &t.crashes[j]
+		c.survived = c.survived || c.Replica == replica && now.Sub(c.at) >= reportDelay
+	}
+}
+
+// undecided are the parts of a request that was at a crash, and when it is known whether the replica has crashed and which
+// others did at about the same time.
 type undecided struct {
 	parts []uint64
 	due   time.Time
@@ -99,7 +113,7 @@
 	all, early := 0, 0
 	for i := range t.crashes {
 		c := &t.crashes[i]
-		if c.Content.Request != request || c.completed {
+		if c.Content.Request != request || c.completed || c.survived {
 			continue
 		}
 		all++
@@ -108,7 +122,7 @@
 		}
 	}
 	if early >= earlyCrashesForRequest || all >= crashesForRequest {
-		t.quarantine(now, q)
+		t.quarantine(now, q, false)
 	}
 }
 
@@ -117,8 +131,9 @@
 func (t *Table) judgePart(now time.Time, part uint64, doubtful bool) {
 	e := t.evidenceAgainst(part)
 	needed := crashesForParts
+	cleared := t.isCleared(part)
 	switch {
-	case t.isCleared(part) || e.hasAlternative():
+	case cleared || e.hasAlternative():
 		needed = crashesForDoubtfulParts
 		if !doubtful {
 			return
@@ -127,7 +142,7 @@
 		needed = crashesToNarrow
 	}
 	if len(e.unexplained) >= needed && len(e.requests) >= requestsForParts {
-		t.quarantine(now, Content{Parts: e.shared})
+		t.quarantine(now, Content{Parts: e.shared}, cleared)
 	}
 }
 
@@ -230,7 +245,7 @@
 	cleared := t.cleared[part]
 	for i := range t.crashes {
 		c := &t.crashes[i]
-		if c.Early && c.at.After(cleared) && slices.Contains(c.Content.Parts, part) {
+		if c.Early && !c.survived && c.at.After(cleared) && slices.Contains(c.Content.Parts, part) {
 			crashes = append(crashes, c)
 			held[c.Replica] = true
 		}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -23,6 +23,10 @@
 	// Replicas that crash within commonWindow have a common cause if this many of them or more did not hold the content.
 	commonCrashes = 3
 	commonWindow  = 300 * time.Millisecond
+	// How much later than it came a sign of life of a replica may be reported.
+	reportDelay = 150 * time.Millisecond
+	// Time from a crash until it is decided whether parts of the request are the cause.
+	decisionDelay = 500 * time.Millisecond
 	// How long a crash counts.
 	crashRetention = 60 * time.Second
 	// How long a completed request clears its parts.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -44,7 +44,7 @@
 
 // refuses reports whether a request is refused once the crashes so far are judged.
 func (w *world) refuses(parts ...uint64) bool {
-	w.now = w.now.Add(commonWindow)
+	w.now = w.now.Add(decisionDelay)
 	_, refused := w.table.Refuses(w.now, w.content(parts...), false)
 	return refused
 }
@@ -130,6 +130,14 @@
 			t.Error("the request is refused")
 		}
 	})
+	t.Run("attempts that break off at replicas which go on", func(t *testing.T) {
+		w := newWorld()
+		for i := range uint64(crashesForDoubtfulParts) {
+			w.crash(common, firstOwn+i)
+			w.table.Alive(w.now.Add(reportDelay), strconv.Itoa(w.replicas))
+		}
+		w.check(t, false, common)
+	})
 	t.Run("a common cause", func(t *testing.T) {
 		w := newWorld()
 		for i := range uint64(12) {
@@ -191,6 +199,22 @@
 	w.check(t, false, bad)
 }
 
+// Guards against a new planner that knows of no completed request and quarantines sound parts: a host that knows objects.
+func TestKnownSoundPartsAreClearedByOtherTable(t *testing.T) {
+	w, other := newWorld(), newWorld()
+	other.complete(common)
+	for range crashesForParts {
+		w.crash(common, bad)
+		w.crash(common)
+	}
+	w.check(t, true, common)
+	other.now = w.now
+	other.table.Merge(other.now, w.table.Verdicts(w.now))
+	other.check(t, false, common)
+	w.table.Merge(w.now, other.table.Verdicts(other.now))
+	w.check(t, false, common)
+}
+
 // Guards against verdicts that are never forgotten because tables report them to each other in turn.
 func TestOldVerdictsAreForgotten(t *testing.T) {
 	w, other := newWorld(), newWorld()
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -16,6 +16,8 @@
 	Generation uint32        `cbor:"2,keyasint"`
 	Left       time.Duration `cbor:"3,keyasint,omitempty"` // time until a request is let through; negative after it
 	Length     time.Duration `cbor:"4,keyasint,omitempty"` // length of the quarantine
+	// TurnedBad says that requests with the content were completed before the crashes, which then don't clear it.
+	TurnedBad bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Quarantined reports whether requests with the content are refused.
@@ -27,6 +29,7 @@
 	generation uint32
 	until      time.Time
 	length     time.Duration
+	turnedBad  bool
 	probing    bool // a request was let through, and its outcome isn't known
 }
 
@@ -42,7 +45,7 @@
 }
 
 // quarantine quarantines a content unless it is already.
-func (t *Table) quarantine(now time.Time, c Content) {
+func (t *Table) quarantine(now time.Time, c Content, turnedBad bool) {
 	if len(c.Parts) == 0 && c.Request == 0 {
 		return
 	}
@@ -56,6 +59,7 @@
 		return
 	}
 	v.generation++
+	v.turnedBad = turnedBad
 	v.length = minQuarantine
 	v.until = now.Add(v.length)
 	v.probing = false
@@ -93,7 +97,7 @@
 		}
 	}
 	for _, rest := range remaining {
-		t.quarantine(now, rest)
+		t.quarantine(now, rest, false)
 	}
 }
 
@@ -104,6 +108,7 @@
 	for _, v := range t.verdicts {
 		verdicts = append(verdicts, Verdict{
 			Content: v.content, Generation: v.generation, Left: v.until.Sub(now), Length: v.length,
+			TurnedBad: v.turnedBad,
 		})
 	}
 	return verdicts
@@ -121,7 +126,7 @@
 }
 
 // Merge takes over the verdicts of another table that are newer than its own. It leaves out those that are too old, which
-// the other table is about to forget.
+// the other table is about to forget, and clears the parts of which this table knows completed requests.
 func (t *Table) Merge(now time.Time, verdicts []Verdict) {
 	for i := range verdicts {
 		other := &verdicts[i]
@@ -131,7 +136,25 @@
 		}
 		t.verdicts[key] = &verdict{
 			content: other.Content, generation: other.Generation, length: min(other.Length, maxQuarantine),
-			until: now.Add(min(other.Left, maxQuarantine)),
+			until: now.Add(min(other.Left, maxQuarantine)), turnedBad: other.TurnedBad,
 		}
+		t.objectTo(now, other)
 	}
 }
+
+// objectTo clears the parts of another table's verdict of which this table knows completed requests.
+func (t *Table) objectTo(now time.Time, v *Verdict) {
+	if v.TurnedBad || !v.Quarantined() {
+		return
+	}
+	var known Content
+	for _, part := range v.Content.Parts {
+		if t.isCleared(part) {
+			known.Parts = append(known.Parts, part)
+		}
+	}
+	if len(known.Parts) == 0 {
+		return
+	}
+	t.clearVerdicts(now, &known)
+}
