soak: the check of the recovery waits for crashed replicas

A replica that is still down is a fault that hasn't ended. The share that must be served is unchanged.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -349,8 +350,11 @@
 // checkRecovery sends recoveryRequests after the faults have ended, and fails the test if fewer than recoveryShare of
 // them are served.
 func (c *checker) checkRecovery(seed uint64) {
-	time.Sleep(time.Second)
 	d := c.deployment
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end) && slices.ContainsFunc(d.replicas, (*replica.Replica).Down); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
 	c.refusals = make(map[string]int)
 	var served atomic.Int64
 	var wg sync.WaitGroup
--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -109,6 +109,13 @@
 	time.AfterFunc(downtime, p.comeBack)
 }
 
+// Down reports whether the replica has crashed and isn't back.
+func (p *Replica) Down() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
 // comeBack listens again after a crash. It retries until the address is free.
 func (p *Replica) comeBack() {
 	for !p.relisten() {
