eventlog: the last line before Close is written

Traced: if a line is queued and the log closed between the two looks at the queue, the second one picks either at random, and the line is lost, as is a host's last line. TestCloseWritesLastLine repeats it.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -129,6 +129,11 @@
 	case line := <-l.queue:
 		return line, true
 	case <-l.closing:
+	}
+	select {
+	case line := <-l.queue:
+		return line, true
+	default:
 		return nil, false
 	}
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -78,3 +78,17 @@
 			slog.Int64("config_version", 3))
 	}
 }
+
+// Guards against a line that is lost because the log is closed right after it was queued.
+func TestCloseWritesLastLine(t *testing.T) {
+	const tries = 3000
+	for i := range tries {
+		var out bytes.Buffer
+		log := New(&out, "h")
+		log.Event("last")
+		log.Close()
+		if out.Len() == 0 {
+			t.Fatalf("the line of log %d of %d is lost", i, tries)
+		}
+	}
+}
