--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -34,6 +34,8 @@
 	Valid     bool          // the response has the headers that a response of a backend server must have
 	Leaving   bool          // the server announces that it leaves and takes no new requests
 	Pause     time.Duration // the server wants no requests from this host for so long; 0 if it doesn't say so
+	Limited   bool          // the server limits the rate of requests to Limit, until a response doesn't say so
+	Limit     float64       // requests a second that it takes from all hosts together; only if Limited
 	Length    int64         // length of the body in bytes; -1 if unknown
 }
 
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -104,6 +104,10 @@
 		a.relay.Log.Event("replica_asks_for_pause", slog.String("replica", server.ID),
 			slog.String("request_id", a.call.ID), eventlog.Milliseconds("retry_after_ms", head.Pause))
 	}
+	if head.Limited {
+		a.relay.Log.Event("replica_names_limit", slog.String("replica", server.ID),
+			slog.String("request_id", a.call.ID), slog.Float64("per_second", head.Limit))
+	}
 }
 
 // disconnectPause returns the pause after which callers are expected to disconnect from a stream. It applies before the
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -36,6 +36,7 @@
 	OnReturn  func()        // if not nil, called when the replica is back as a new incarnation
 
 	leaving      atomic.Bool
+	limit        atomic.Value // string: see NameLimit
 	starts       atomic.Int64 // calls of Restart
 	mu           sync.Mutex
 	reservations map[string]reservation // by ID
@@ -57,21 +58,29 @@
 // firstBorn is the start time of a replica that was not restarted, in Unix milliseconds.
 const firstBorn = 1700000000000
 
-// Restart makes the replica a new incarnation, which doesn't leave. It doesn't interrupt its requests.
+// Restart makes the replica a new incarnation, which doesn't leave and names no limit. It doesn't interrupt its requests.
 func (p *Replica) Restart() {
 	p.starts.Add(1)
 	p.leaving.Store(false)
+	p.limit.Store("")
 }
 
 // SetLeaving sets whether the replica announces in all its responses that it leaves. It serves on meanwhile.
 func (p *Replica) SetLeaving(leaving bool) { p.leaving.Store(leaving) }
 
+// NameLimit sets the limit, in requests a second, that the replica names in all its responses; it names none if perSecond
+// is empty. It doesn't enforce the limit.
+func (p *Replica) NameLimit(perSecond string) { p.limit.Store(perSecond) }
+
 // ServeHTTP serves health checks on /health, memory commands on /order and requests that entry hosts forward on all
 // other paths.
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if p.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit, _ := p.limit.Load().(string); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	switch r.URL.Path {
 	case "/health":
 		w.Header().Set("Instance-Id", p.ID)
