ratelimit, planner, placement, relay: the limit that a replica names holds for all hosts together

Cause: what a replica says of requests to come was read for leaving and pauses only, and a pause is one host's memory; no part of the product could hold a rate for all hosts. Class: a bound on all hosts together that each host knows only for itself.

Now the planner spends a token bucket for each limited replica, for the share of all hosts that follow it; planners that are cut off from each other, or take over from each other, so spend parts of one limit, and a host that places alone has none. Plans for limited replicas hold for half a second from when the planner sent them, by a clock that a freeze doesn't stop. A higher limit, or none, counts only from responses to requests sent after the lower one was known. Beyond the limit callers wait if they will still be in time, and are otherwise told at once when to return, one after the other. Limited replicas help with no other prompt. A response 421 of another replica no longer counts as a statement of the planned one.

Ruled out: a limit per host (the division by hosts leaves each a first request at once), and a mark in the list of replicas (it only ever rises).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,6 @@
 	cache     *feed.Cache
 	placement *placement.Client
 	pool      *backend.Pool
-	started   time.Time // by the boot-time clock
 	metrics   *metrics.Root
 	budget    *budget.Budget // retry budget
 	relay     *relay.Relay
@@ -134,23 +133,8 @@
 	return nil
 }
 
-// budgetHosts returns how many hosts share the retry budget. A host that has just started may not know most of the
-// others yet; until discoveryTime has passed, it assumes at least assumedHosts, so that its share is not too large.
-func (g *Gateway) budgetHosts() int {
-	const (
-		discoveryTime = 6 * time.Second
-		assumedHosts  = 200
-	)
-	hosts := g.placement.HostCount()
-	if steady.Now().Sub(g.started) < discoveryTime {
-		return max(hosts, assumedHosts)
-	}
-	return hosts
-}
-
 // initComponents creates the components of the host and connects them to one another.
 func (g *Gateway) initComponents() {
-	g.started = steady.Now()
 	self := roster.Member{Address: g.Settings.PeerAddress, Weight: g.Settings.CPUCores}
 	g.metrics = metrics.New()
 	scope := g.metrics.Scope
@@ -166,7 +150,7 @@
 	g.cache.MaxAge = g.placement.MaxStateAge
 	g.cache.OnChange = g.placement.ApplyState
 	g.budget = &budget.Budget{
-		Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow, Hosts: g.budgetHosts,
+		Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow, Hosts: g.placement.HostCount,
 	}
 	dialed := scope.Counter("backend_connections")
 	g.pool = &backend.Pool{Codec: g.HeaderCodec, OnDial: func() { dialed.Inc(1) }}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -12,16 +12,16 @@
 )
 
 const (
-	limitWindow  = 4 * time.Second // span of time over which the requests to a limited replica are counted
-	limitNotice  = 3 * time.Second // time from the first naming of a limit until it must hold
-	limitFactor  = 1.5             // allowed multiple of what the limit allows in limitWindow
-	limitExtra   = 5               // requests allowed in addition
-	limitCallers = 24
+	limitWindow  = 4 * time.Second        // span of time over which the requests to a limited replica are counted
+	limitNotice  = 3 * time.Second        // time from the first naming of a limit until it must hold
+	limitFactor  = 1.5                    // allowed multiple of what the limit allows in limitWindow
+	limitExtra   = 5                      // requests allowed in addition
+	limitCallers = 8                      // few enough for the slots of one replica
+	loadInterval = 100 * time.Millisecond // pause between two requests of a caller
+	// A host that has just started assumes for this time that it shares limits with many others.
+	limitStart = 6 * time.Second
 )
 
-// loadInterval is the pause between two requests of a caller in load.
-const loadInterval = 100 * time.Millisecond
-
 // load sends requests for path to all hosts in turn for the given time, and returns the responses.
 func (c *cluster) load(path string, d time.Duration) []response {
 	var mu sync.Mutex
@@ -87,7 +87,7 @@
 		loads.Add(1)
 		go func() {
 			defer loads.Done()
-			c.load(path, limitNotice)
+			c.load(path, limitStart)
 			for _, resp := range c.load(path, limitWindow+time.Second) {
 				if resp.status != http.StatusOK {
 					t.Errorf("%s: status %d, error %v: %s", path, resp.status, resp.err, resp.body)
@@ -96,7 +96,7 @@
 		}()
 	}
 	time.Sleep(limitNotice)
-	since := time.Now()
+	since := time.Now() // the limits must hold from now on, also while the hosts have just started
 	loads.Wait()
 	for _, r := range limited {
 		received := c.log.Received(r.ID, since)
@@ -116,7 +116,7 @@
 	for _, r := range c.replicas[4:] {
 		r.NameLimit(strconv.Itoa(perSecond))
 	}
-	c.load("/lookups/1", limitNotice)
+	c.load("/lookups/1", limitStart)
 	since := time.Now()
 	returns := make(map[string]bool)
 	refused := 0
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 )
@@ -30,11 +31,14 @@
 		{Request: &planner.Request{
 			ID: "r1", Host: "h", Service: "s", PromptTokens: 4960, FirstTarget: time.Second, ExcludedReplicas: []string{"x"},
 		}},
-		{Result: &planner.Result{ID: "r1", Host: "h", Plan: &planner.Plan{
+		{Result: &Result{Stamp: 5, SinceStamp: time.Second, Result: planner.Result{ID: "r1", Host: "h", Plan: &planner.Plan{
 			Replica: r, Helpers: []planner.Helper{{Replica: "i-2", Address: address, ReservedTokens: 5}},
-			FirstEventTime: time.Second,
+			FirstEventTime: time.Second, RateLimited: true,
+		}}}},
+		{Result: &Result{Result: planner.Result{
+			ID: "r1", Refusal: &planner.Refusal{Cause: planner.CauseNoSlot, RetryAfter: time.Second},
 		}}},
-		{Result: &planner.Result{ID: "r1", Refusal: &planner.Refusal{Cause: planner.CauseNoSlot, RetryAfter: time.Second}}},
+		{Limits: []ratelimit.Statement{{Replica: "i-1", Born: 17, Limited: true, PerSecond: 2.5, Age: time.Second}}},
 		{Queued: "r1"},
 		{Ended: &Progress{ID: "r1", Outcome: planner.OutcomeCompleted}},
 		{PlacementSync: &PlacementSync{Complete: true, Placements: []planner.Placement{
@@ -88,3 +92,19 @@
 		}
 	})
 }
+
+// Results of planners of the earlier version, which don't say when they were sent, are read.
+func TestResultOfEarlierVersionIsRead(t *testing.T) {
+	type earlierMessage struct {
+		Result *planner.Result `cbor:"3,keyasint,omitempty"`
+	}
+	sent := earlierMessage{Result: &planner.Result{ID: "r1", Plan: &planner.Plan{FirstEventTime: time.Second}}}
+	frame, err := cbor.Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Message
+	if err := cbor.Unmarshal(frame, &m); err != nil || m.Result == nil || !reflect.DeepEqual(m.Result.Result, *sent.Result) {
+		t.Errorf("%+v, error %v", m.Result, err)
+	}
+}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -6,6 +6,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
+	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 )
@@ -14,7 +15,7 @@
 type Message struct {
 	Heartbeat     *Heartbeat       `cbor:"1,keyasint,omitempty"` // heartbeat, in both directions
 	Request       *planner.Request `cbor:"2,keyasint,omitempty"` // placement request to the planner
-	Result        *planner.Result  `cbor:"3,keyasint,omitempty"` // placement result from the planner
+	Result        *Result          `cbor:"3,keyasint,omitempty"` // placement result from the planner
 	Queued        string           `cbor:"4,keyasint,omitempty"` // id of a placement request that waits at the planner
 	Started       *Progress        `cbor:"5,keyasint,omitempty"` // notifies the planner of a request's first event
 	Ended         *Progress        `cbor:"6,keyasint,omitempty"` // notifies the planner of a request's end
@@ -26,6 +27,18 @@
 	Leaving        *Leaving   `cbor:"10,keyasint,omitempty"` // notifies the planner that a replica leaves
 	// Crashes reports to a new planner which attempts broke off.
 	Crashes []quarantine.Crash `cbor:"11,keyasint,omitempty"`
+	// Limits reports to the planner what replicas have said of their limits.
+	Limits []ratelimit.Statement `cbor:"12,keyasint,omitempty"`
+}
+
+// Result is a placement result with the time at which the planner sent it, as far as the receiver's clock tells it.
+type Result struct {
+	planner.Result
+	// Stamp is that of the newest heartbeat that the planner had received from the receiver; 0 if there was none.
+	Stamp int64 `cbor:"5,keyasint,omitempty"`
+	// SinceStamp is the time since the planner received that heartbeat. The result was sent at Stamp plus SinceStamp or
+	// later.
+	SinceStamp time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Leaving notifies the planner that a replica has announced in a response that it leaves.
@@ -63,7 +76,12 @@
 	// last heartbeat had the same digest.
 	VerdictDigest uint64               `cbor:"13,keyasint,omitempty"`
 	Verdicts      []quarantine.Verdict `cbor:"14,keyasint,omitempty"`
-	NoReply       bool                 `cbor:"8,keyasint,omitempty"` // must not be replied to: a reply, or an unrequested report
+	// LimitDigest identifies what the sender knows of the limits of replicas; Limits are these statements, unless the
+	// receiver's last heartbeat had the same digest.
+	LimitDigest uint64                `cbor:"15,keyasint,omitempty"`
+	Limits      []ratelimit.Statement `cbor:"16,keyasint,omitempty"`
+	Follows     bool                  `cbor:"17,keyasint,omitempty"` // the receiver is the sender's planner
+	NoReply     bool                  `cbor:"8,keyasint,omitempty"`  // must not be replied to: a reply, or an unrequested report
 }
 
 // SetVersions sets the fields that identify the sender's configuration and replicas.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -53,7 +53,9 @@
 	// Requests of other hosts that handlePlacementRequest is submitting and that have no result yet, by "HOST/ID";
 	// empty between messages.
 	inSubmit  map[string]bool
+	startedAt time.Time            // when Init was called
 	hostCount hostCount            // as this host or its planner has counted
+	followers followers            // of this host as planner
 	inbound   map[*peerLink]bool   // connections that this host accepted
 	hostLink  map[string]*peerLink // the newest of them from each host, by peerLink.host
 }
@@ -74,6 +76,7 @@
 	membersDigest uint64    // of the members that were last sent
 	membersSentAt time.Time // when the list of members was last sent
 	verdictDigest uint64    // of the other host's verdicts on what crashes replicas, as its last heartbeat said
+	limitDigest   uint64    // of what the other host knows of the limits of replicas, as its last heartbeat said
 }
 
 // pendingRequest is a placement request without a result. It is kept so that a new planner can be asked for one.
@@ -131,7 +134,10 @@
 	c.inbound = make(map[*peerLink]bool)
 	c.hostLink = make(map[string]*peerLink)
 	c.plannerAddress = c.self()
-	c.plannerSince = steady.Now()
+	c.startedAt = steady.Now()
+	c.plannerSince = c.startedAt
+	c.hostCount.memory = hostCountMemory
+	c.followers = newFollowers()
 }
 
 func (c *Client) self() netip.AddrPort { return c.Roster.Self().Address }
@@ -146,11 +152,13 @@
 	return p
 }
 
-// HostCount returns the number of entry hosts, this one included, that this host knows or its planner has reported.
+// HostCount returns the number of entry hosts, this one included, that this host knows or its planner has reported. A host
+// that has just started may not know most of the others yet; until discoveryTime has passed, it assumes at least
+// assumedHosts, so that its share of what all hosts share isn't too large.
 func (c *Client) HostCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.Roster.Size(), c.hostCount.count)
+	return c.assumeHosts(steady.Now(), max(c.Roster.Size(), c.hostCount.count))
 }
 
 // Members returns the addresses of the entry hosts that this host knows: its own first, then the others in order of
@@ -451,11 +459,12 @@
 	for _, result := range c.localPlanner.Decide(now) {
 		delete(c.inSubmit, result.Host+"/"+result.ID)
 		if result.Host == c.self().String() {
+			result.SendBefore = now.Add(limitedPlanTime)
 			c.deliver(result)
 			continue
 		}
 		if p := c.hostLink[result.Host]; p != nil {
-			p.link.Send(&link.Message{Result: &result})
+			p.link.Send(&link.Message{Result: newLinkResult(now, p, result)})
 		}
 	}
 }
--- /dev/null
+++ b/internal/placement/followers.go
@@ -0,0 +1,42 @@
+package placement
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// For how long a host counts as a follower after the newest message of its planner that its heartbeat knows of.
+	followTime = 1500 * time.Millisecond
+	// How long a larger number of hosts counts after some can't be heard any more. They may go on beside this host, cut off
+	// from it, and send requests to the same replicas.
+	cutMemory = 5 * time.Minute
+)
+
+// followers is the share of all entry hosts that follow this one as their planner.
+type followers struct {
+	until map[string]time.Time // by host: when it no longer counts
+	hosts hostCount            // all hosts, those that may be cut off from this one included
+}
+
+func newFollowers() followers {
+	return followers{until: make(map[string]time.Time), hosts: hostCount{memory: cutMemory}}
+}
+
+// record takes over from a host's heartbeat whether it follows this one. The heartbeat repeats a stamp that this host sent
+// at echoed; a host that was frozen may read it long after it was sent.
+func (f *followers) record(host string, echoed time.Time, follows bool) {
+	if !follows {
+		delete(f.until, host)
+		return
+	}
+	f.until[host] = echoed.Add(followTime)
+}
+
+// share returns which share of the given number of hosts follows this one, itself included. Of planners that are cut off
+// from each other, or take over from each other, each so spends its part of a common limit.
+func (f *followers) share(now time.Time, hosts int) float64 {
+	maps.DeleteFunc(f.until, func(_ string, until time.Time) bool { return !now.Before(until) })
+	following := 1 + len(f.until)
+	return min(float64(following)/float64(max(hosts, 1)), 1)
+}
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -43,6 +43,8 @@
 	if p.lastStamp != 0 && heartbeat.VerdictDigest != p.verdictDigest {
 		heartbeat.Verdicts = table.Verdicts(now)
 	}
+	heartbeat.Follows = p.address == c.plannerAddress
+	c.addLimits(now, p, heartbeat)
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
 }
 
@@ -107,6 +109,7 @@
 		c.hostLink[p.host] = p
 	}
 	c.localPlanner.Quarantine().Merge(now, heartbeat.Verdicts)
+	c.takeLimits(now, p, heartbeat)
 	p.verdictDigest = heartbeat.VerdictDigest
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
--- a/internal/placement/hostcount_test.go
+++ b/internal/placement/hostcount_test.go
@@ -6,7 +6,7 @@
 )
 
 func TestHostCountOutlastsChangeOfPlanner(t *testing.T) {
-	var h hostCount
+	h := hostCount{memory: hostCountMemory}
 	now := time.Unix(1000, 0)
 	h.record(now, 295)
 	for _, count := range []int{1, 40, 200} {
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -154,6 +154,7 @@
 	if ownPlanner {
 		c.hostCount.record(now, c.Roster.Size())
 	}
+	c.updateLimitShare(now)
 	c.Metrics.Gauge("hosts").Update(float64(c.Roster.Size()))
 	c.Metrics.Gauge("asks_waiting").Update(float64(c.localPlanner.Waiting()))
 	for _, address := range c.Roster.Contacts(now) {
@@ -227,6 +228,7 @@
 	c.leavePlanner()
 	c.plannerAddress = m.Address
 	c.plannerSince = now
+	c.updateLimitShare(now)
 	if p := c.linkToPlanner(); p != nil {
 		c.syncPlanner(now, p)
 		return
@@ -254,6 +256,9 @@
 	for _, r := range c.Cache.LeavingReplicas() {
 		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
 	}
+	if limits := c.localPlanner.Limits().Statements(now); len(limits) > 0 {
+		p.link.Send(&link.Message{Limits: limits})
+	}
 	if crashes := c.localPlanner.Quarantine().Crashes(now); len(crashes) > 0 {
 		p.link.Send(&link.Message{Crashes: crashes})
 	}
@@ -295,7 +300,7 @@
 	case m.Request != nil:
 		c.handlePlacementRequest(now, p, *m.Request)
 	case m.Result != nil:
-		c.deliver(*m.Result)
+		c.deliverFromPlanner(m.Result)
 	case m.Queued != "":
 		c.notifyQueued(m.Queued)
 	case m.ExtraWaitQuery != nil:
@@ -314,6 +319,8 @@
 		c.Cache.MarkLeaving(m.Leaving.Replica, m.Leaving.Born)
 	case m.PlacementSync != nil:
 		c.takePlacements(now, host, m.PlacementSync)
+	case len(m.Limits) > 0:
+		c.mergeLimits(now, m.Limits)
 	case len(m.Crashes) > 0:
 		for i := range m.Crashes {
 			c.localPlanner.Quarantine().Crashed(now, m.Crashes[i])
--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -159,7 +159,7 @@
 	c := choice{primary: candidates[primary], imposedLoss: candidates[primary].imposedLoss}
 	prefillEnd := c.primary.prefillEnd
 	for i := 0; i < len(candidates) && len(c.helpers) < engines-1; i++ {
-		if i == primary {
+		if i == primary || p.limits.Limited(candidates[i].server.replica) {
 			continue
 		}
 		c.helpers = append(c.helpers, candidates[i].server)
@@ -169,7 +169,7 @@
 		prefillEnd = max(prefillEnd, c.primary.prefillStart+candidates[i].prefillEnd)
 	}
 	reservations, ok := splitReservation(req, c.primary.server, c.helpers)
-	if !ok {
+	if !ok || len(c.helpers) < engines-1 {
 		return choice{}, nil, false
 	}
 	c.firstEvent = prefillEnd + extraPassTime(c.primary.server, req.PromptTokens/engines)
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -55,6 +55,7 @@
 func (p *Planner) recordPlacement(now time.Time, req *Request, c choice, reservations []int) *Plan {
 	p.quarantine.LetThrough(now, req.content())
 	s := c.primary.server
+	limited := p.limits.Take(now, s.replica)
 	j := &job{
 		key:          jobKey{req.Host, req.ID},
 		request:      *req,
@@ -74,7 +75,7 @@
 	if s.model != nil {
 		p.addPrefill(now, j, math.MaxInt64)
 	}
-	plan := &Plan{Replica: s.replica, FirstEventTime: c.firstEvent, PassTime: c.primary.passTime}
+	plan := &Plan{Replica: s.replica, FirstEventTime: c.firstEvent, PassTime: c.primary.passTime, RateLimited: limited}
 	for i, h := range c.helpers {
 		helper := Helper{Replica: h.replica.ID, Address: h.replica.Address}
 		if reservations != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -12,6 +12,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
+	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
@@ -40,6 +41,8 @@
 	jobs          map[jobKey]*job
 	waiting       []waitingRequest
 	quarantine    *quarantine.Table          // contents that crash replicas
+	limits        *ratelimit.Table           // limits that replicas have named
+	returns       map[string]time.Time       // by service: until when callers refused for limits were asked to return
 	mayProbe      bool                       // see SetProbing
 	shortRates    map[string]*shortRateMeter // of short prompts, by service
 	results       []Result                   // results of the current call of Decide
@@ -69,6 +72,8 @@
 		sortedServers: make(map[string][]*server),
 		jobs:          make(map[jobKey]*job),
 		quarantine:    quarantine.New(),
+		limits:        &ratelimit.Table{},
+		returns:       make(map[string]time.Time),
 		shortRates:    make(map[string]*shortRateMeter),
 	}
 }
@@ -100,8 +105,9 @@
 }
 
 // SetReplicas sets the active replicas. It keeps the state of replicas that it already knows with the same Born, and
-// forgets replicas that are not in the list. The time is not used.
-func (p *Planner) SetReplicas(_ time.Time, replicas []replica.Replica) {
+// forgets replicas that are not in the list.
+func (p *Planner) SetReplicas(now time.Time, replicas []replica.Replica) {
+	p.limits.Retain(now, replicas)
 	kept := make(map[string]bool, len(replicas))
 	for _, r := range replicas {
 		kept[r.ID] = true
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -41,6 +41,9 @@
 	Helpers        []Helper        `cbor:"2,keyasint,omitempty"`
 	FirstEventTime time.Duration   `cbor:"3,keyasint,omitempty"` // predicted time until the response or its first event
 	PassTime       time.Duration   `cbor:"4,keyasint,omitempty"` // predicted duration of the engine's next pass
+	// RateLimited says that the primary replica limits the rate of its requests. The plan is then one of those that the
+	// limit allows, and holds for a short time only.
+	RateLimited bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Cause is the reason for a refusal.
@@ -52,6 +55,7 @@
 	CauseNoSlot    Cause = "busy"        // no slot will be free in time
 	CauseCrashes   Cause = "crashes"     // too many attempts with the request's fingerprint broke off
 	CauseTooLarge  Cause = "too_large"   // no set of replicas has enough memory
+	CauseLimited   Cause = "limited"     // all replicas that may be used limit the rate of their requests
 	CauseOutOfTime Cause = "out_of_time" // the deadline passed while the request waited
 )
 
@@ -68,6 +72,9 @@
 	Host    string   `cbor:"2,keyasint,omitempty"`
 	Plan    *Plan    `cbor:"3,keyasint,omitempty"`
 	Refusal *Refusal `cbor:"4,keyasint,omitempty"`
+	// SendBefore is when a plan with RateLimited ends to hold, by the clock of the host that requested it; it isn't
+	// transmitted.
+	SendBefore time.Time `cbor:"-"`
 }
 
 // Outcome is how a placed request ended at its backend server.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -30,6 +30,7 @@
 type serviceQueue struct {
 	ahead          int             // requests of this round that got no server, refused ones included
 	shortNotPlaced bool            // a short prompt that excludes no replica found no server in this round
+	limitAhead     int             // requests of this round that wait for the limits of replicas
 	longWaiting    bool            // a long prompt that can still meet its target found no engines
 	endTimes       []time.Duration // times from now until its jobs are expected to end, ascending; nil until computed
 	longQueue      *longQueue      // nil until computed
@@ -53,6 +54,10 @@
 		return r.planner.refuse(&req, refusal)
 	}
 	q := r.queue(req.Service)
+	servers = r.planner.withinLimits(r.now, servers)
+	if len(servers) == 0 {
+		return !onTime && r.waitForLimit(w, &req, q)
+	}
 	if q.shortNotPlaced && !w.long {
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
@@ -95,7 +100,7 @@
 // prompts expected in that time.
 func (r *round) slotsScarce(service string, q *serviceQueue) bool {
 	freeSlots := 0
-	for _, s := range r.planner.sortedServers[service] {
+	for _, s := range r.planner.unlimitedServers(service) {
 		if s.usable(r.now) {
 			freeSlots += s.slots() - len(s.jobs)
 		}
@@ -138,7 +143,7 @@
 func (r *round) newLongQueue(service string) *longQueue {
 	usable := 0
 	l := &longQueue{}
-	for _, s := range r.planner.sortedServers[service] {
+	for _, s := range r.planner.unlimitedServers(service) {
 		if !s.usable(r.now) {
 			continue
 		}
@@ -166,7 +171,7 @@
 		return q.endTimes
 	}
 	q.endTimes = []time.Duration{}
-	for _, s := range r.planner.sortedServers[service] {
+	for _, s := range r.planner.unlimitedServers(service) {
 		for _, j := range s.jobs {
 			q.endTimes = append(q.endTimes, max(0, predictedEnd(j).Sub(r.now)))
 		}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,6 +21,7 @@
 	resume    bool           // the stream was begun in an earlier attempt
 	lastEvent int64          // with resume: id of the last event that the caller has
 
+	sentAt        time.Time         // when the call was sent
 	exchange      *backend.Exchange // nil until the head of the response has come
 	pause         time.Duration     // that the server has asked this host for
 	start         []byte            // start of the body that a hedge has read
@@ -44,6 +45,10 @@
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
 	}
+	if len(parameters.Helpers) > 0 && !a.relay.maySend(a.placement) {
+		return planner.OutcomeRefused, errors.New("the server may not get the call any more")
+	}
+	a.sentAt = steady.Now()
 	x, err := a.relay.Pool.Open(ctx, a.call, parameters, maxSilence, extraWait)
 	if err != nil {
 		return outcomeOf(err), err
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -99,6 +99,9 @@
 func (p *racePlanner) ExtraWait(context.Context, string) time.Duration { return 0 }
 func (p *racePlanner) Leaving(replica.Replica)                         {}
 func (p *racePlanner) IsLeaving(replica.Replica) bool                  { return false }
+func (p *racePlanner) MaySend(planner.Result) bool                     { return true }
+
+func (p *racePlanner) NamedLimit(replica.Replica, time.Time, bool, float64) {}
 
 type noMemory struct{}
 
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -11,7 +12,6 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
-	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
@@ -68,7 +68,7 @@
 			return result, err
 		}
 		r.logPlan(c, result.Plan, now.Sub(requestedAt))
-		if r.mayReceive(result.Plan.Replica) {
+		if r.maySend(result) {
 			return result, nil
 		}
 		r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, 0)
@@ -77,10 +77,11 @@
 	}
 }
 
-// mayReceive reports whether a call may be sent to s: s doesn't leave and hasn't asked this host for a pause. The planner
-// may not know that yet.
-func (r *Relay) mayReceive(s replica.Replica) bool {
-	return !r.PlannerClient.IsLeaving(s) && !r.pauses.Paused(steady.Now(), s)
+// maySend reports whether a call may be sent as planned: its server doesn't leave, hasn't asked this host for a pause, and
+// its limit allows the call. The planner may not know that yet, or the plan may be old.
+func (r *Relay) maySend(result planner.Result) bool {
+	s := result.Plan.Replica
+	return !r.PlannerClient.IsLeaving(s) && !r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
 }
 
 func (r *Relay) logPlan(c *call.Call, p *planner.Plan, askedFor time.Duration) {
@@ -91,8 +92,12 @@
 		slog.Int64("config_version", c.ConfigVersion))
 }
 
-// noteRequests takes over what the head of a response says about further requests to its server.
+// noteRequests takes over what the head of a response says about further requests to its server. A response of another
+// server than the planned one says nothing about that one.
 func (a *attempt) noteRequests(head *backend.ResponseHead) {
+	if head.Status == http.StatusMisdirectedRequest && head.NotRun {
+		return
+	}
 	server := a.placement.Plan.Replica
 	if head.Leaving {
 		a.relay.PlannerClient.Leaving(server)
@@ -104,9 +109,8 @@
 		a.relay.Log.Event("replica_asks_for_pause", slog.String("replica", server.ID),
 			slog.String("request_id", a.call.ID), eventlog.Milliseconds("retry_after_ms", head.Pause))
 	}
-	if head.Limited {
-		a.relay.Log.Event("replica_names_limit", slog.String("replica", server.ID),
-			slog.String("request_id", a.call.ID), slog.Float64("per_second", head.Limit))
+	if head.Limited || head.Valid || head.NotRun {
+		a.relay.PlannerClient.NamedLimit(server, a.sentAt, head.Limited, head.Limit)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,7 +25,9 @@
 // PlannerClient is what the relay needs of the client of the planner, which is placement.Client: Place requests a
 // placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
 // server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have failed.
-// Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has.
+// Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has. NamedLimit reports what a
+// response to a request that was sent at sentAt has said of the limit of its server's requests a second; MaySend reports
+// whether the limit still allows to send what the planner has placed.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
 	Started(id string)
@@ -33,6 +35,8 @@
 	ExtraWait(ctx context.Context, id string) time.Duration
 	Leaving(r replica.Replica)
 	IsLeaving(r replica.Replica) bool
+	NamedLimit(r replica.Replica, sentAt time.Time, limited bool, perSecond float64)
+	MaySend(result planner.Result) bool
 }
 
 // MemoryReserver reserves memory at the engine with the given address. Reserve also renews a reservation that the
