--- /dev/null
+++ b/internal/relay/limit_test.go
@@ -0,0 +1,209 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/turmericshunt/turmericshunt/internal/backend"
+	"github.com/turmericshunt/turmericshunt/internal/budget"
+	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/relay"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/steady"
+	"github.com/turmericshunt/turmericshunt/platform"
+)
+
+// unawarePlanner always places requests at the first replica that they don't exclude, whatever replicas have said.
+type unawarePlanner struct {
+	replicas []replica.Replica
+	held     chan struct{} // if not nil, the next plan is handed over once it is closed
+
+	mu      sync.Mutex
+	limited map[string]bool // replicas that have named a limit to the host
+	leaving map[string]bool // replicas that have told the host that they leave
+	stated  []float64       // limits that were reported; -1 for none
+}
+
+func (p *unawarePlanner) Place(_ context.Context, req planner.Request) (planner.Result, error) {
+	p.mu.Lock()
+	held := p.held
+	p.held = nil
+	p.mu.Unlock()
+	if held != nil {
+		defer func() { <-held }()
+	}
+	for _, r := range p.replicas {
+		if !slices.Contains(req.ExcludedReplicas, r.ID) {
+			return planner.Result{ID: req.ID, Plan: &planner.Plan{Replica: r}}, nil
+		}
+	}
+	refusal := &planner.Refusal{Cause: planner.CauseNoReplica, RetryAfter: time.Second}
+	return planner.Result{ID: req.ID, Refusal: refusal}, nil
+}
+
+func (p *unawarePlanner) Started(string)                                  {}
+func (p *unawarePlanner) Ended(string, planner.Outcome, time.Duration)    {}
+func (p *unawarePlanner) ExtraWait(context.Context, string) time.Duration { return 0 }
+
+func (p *unawarePlanner) Leaving(r replica.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving[r.ID] = true
+}
+
+func (p *unawarePlanner) IsLeaving(r replica.Replica) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving[r.ID]
+}
+
+func (p *unawarePlanner) NamedLimit(r replica.Replica, _ time.Time, limited bool, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limited[r.ID] = limited
+	if !limited {
+		perSecond = -1
+	}
+	p.stated = append(p.stated, perSecond)
+}
+
+func (p *unawarePlanner) MaySend(result planner.Result) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.limited[result.Plan.Replica.ID]
+}
+
+// statingReplica counts its requests and sets the given headers in its responses, which have the given status.
+type statingReplica struct {
+	status int
+	header http.Header
+
+	mu       sync.Mutex
+	requests int
+}
+
+func (s *statingReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.requests++
+	s.mu.Unlock()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Signature", "s")
+	for name, values := range s.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(s.status)
+	_, _ = io.WriteString(w, "x")
+}
+
+// statingWorld is a relay with two replicas, the first of which states something about further requests.
+func statingWorld(t *testing.T, status int, header http.Header) (*relay.Relay, *unawarePlanner, []*statingReplica) {
+	t.Helper()
+	replicas := []*statingReplica{{status: status, header: header}, {status: http.StatusOK}}
+	p := &unawarePlanner{limited: make(map[string]bool), leaving: make(map[string]bool)}
+	for i, s := range replicas {
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
+		p.replicas = append(p.replicas, replica.Replica{
+			ID: string(rune('a' + i)), Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+		})
+	}
+	return &relay.Relay{
+		Pool: &backend.Pool{Codec: platform.HeaderCodec{}}, PlannerClient: p, Memory: noMemory{},
+		Budget: &budget.Budget{Ratio: 1, Slack: 1000, Window: time.Second, Hosts: func() int { return 1 }},
+		Marker: platform.HeaderCodec{}, Log: eventlog.New(io.Discard, "h"), Metrics: tally.NoopScope,
+	}, p, replicas
+}
+
+// serveOne serves one call and returns the status of its response.
+func serveOne(r *relay.Relay, id string) int {
+	w := httptest.NewRecorder()
+	r.Serve(context.Background(), w, &call.Call{
+		ID: id, Method: http.MethodGet, Host: "shop.example", Target: "/x", Received: steady.Now(), Service: "desk",
+		Header:        http.Header{"Request-Id": {id}},
+		CallerTimeout: 5 * time.Second, RouteTimeout: 5 * time.Second, RetryMode: call.RetryFromStart, MaxAttempts: 3,
+	})
+	return w.Code
+}
+
+// A replica says that it leaves, wants a pause or limits its requests, on heads of any status, and the planner goes on
+// placing there: the host itself sends it nothing more. Guards each of these layers of the host alone (incident LIMIT).
+func TestHostHeedsWhatReplicaSays(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		header http.Header
+	}{
+		{"leaves", http.StatusOK, http.Header{"Server-Leaving": {"1"}}},
+		{"leaves, with an error", http.StatusInternalServerError, http.Header{"Server-Leaving": {"1"}}},
+		{"wants a pause", http.StatusServiceUnavailable, http.Header{"Not-Executed": {"1"}, "Retry-After": {"30"}}},
+		{"limits", http.StatusOK, http.Header{"Server-Limit": {"2.5"}}},
+		{"limits, not found", http.StatusNotFound, http.Header{"Server-Limit": {"2.5"}}},
+		{"limits, with an error", http.StatusInternalServerError, http.Header{"Server-Limit": {"2.5"}}},
+		{"limits, not run", http.StatusServiceUnavailable, http.Header{"Not-Executed": {"1"}, "Server-Limit": {"2.5"}}},
+		{"limits, busy", http.StatusTooManyRequests, http.Header{"Not-Executed": {"1"}, "Server-Limit": {"0"}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r, _, replicas := statingWorld(t, test.status, test.header)
+			for _, id := range []string{"r1", "r2", "r3"} {
+				serveOne(r, id)
+			}
+			if replicas[0].requests != 1 || replicas[1].requests < 2 {
+				t.Errorf("the replica got %d requests, the other one %d", replicas[0].requests, replicas[1].requests)
+			}
+		})
+	}
+}
+
+// A host has asked for a plan when the planned replica asks it for a pause, in a response to another request. Guards
+// against sending the plan that comes later.
+func TestPlanInHandIsDroppedForPause(t *testing.T) {
+	r, p, replicas := statingWorld(t, http.StatusServiceUnavailable, http.Header{"Not-Executed": {"1"}, "Retry-After": {"30"}})
+	held := make(chan struct{})
+	p.held = held
+	served := make(chan int)
+	go func() { served <- serveOne(r, "r1") }()
+	for asked := false; !asked; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		asked = p.held == nil
+		p.mu.Unlock()
+	}
+	serveOne(r, "r2")
+	close(held)
+	if status := <-served; status != http.StatusOK || replicas[0].requests != 1 {
+		t.Errorf("status %d; the replica got %d requests, want 1", status, replicas[0].requests)
+	}
+}
+
+// A response 421 comes from another server than the planned one, to which its statements don't apply.
+func TestMisdirectedResponseStatesNothing(t *testing.T) {
+	r, p, _ := statingWorld(t, http.StatusMisdirectedRequest, http.Header{
+		"Not-Executed": {"1"}, "Server-Limit": {"1"}, "Server-Leaving": {"1"},
+	})
+	serveOne(r, "r1")
+	if p.limited["a"] || p.leaving["a"] {
+		t.Error("a statement of another server counts for the planned one")
+	}
+}
+
+// The end of a limit is noticed by responses without it, but not by those that are no valid response of a replica.
+func TestEndOfLimitIsReported(t *testing.T) {
+	r, p, _ := statingWorld(t, http.StatusOK, nil)
+	serveOne(r, "r1")
+	r2, p2, _ := statingWorld(t, http.StatusOK, http.Header{"Content-Encoding": {"gzip"}})
+	serveOne(r2, "r2")
+	if !slices.Equal(p.stated, []float64{-1}) || len(p2.stated) != 1 {
+		t.Errorf("stated %v by a valid response, %v by one that isn't and a valid one; want one each", p.stated, p2.stated)
+	}
+}
