backend: a late copy of an earlier response that names no call isn't the response to the next one

On a connection in use again, an error response without a Request-Id was taken for the response to the call in progress, and for a call without an ID any response without one. A server's late second copy of a refusal so became the next caller's refusal. Now such a response counts as no response there, so that the call may have run; on a new connection it is taken as before. Calls without an ID get new connections. TestLateCopyWithoutIDIsNoResponse failed before, for calls with and without an ID.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -35,6 +35,7 @@
 	reader    *bufio.Reader
 	address   netip.AddrPort
 	idleSince time.Time     // on the boot-time clock
+	used      bool          // it has carried an earlier call
 	maxIdle   time.Duration // how long it may stay idle; if not positive, it isn't reused
 
 	// Limits of the exchange that uses the connection.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -27,8 +27,11 @@
 // others are responses to other calls on the same connection, and are skipped.
 const maxResponsesRead = 3
 
+// errNoCallNamed is the error of a response that may be a late copy of the response to an earlier call.
+var errNoCallNamed = errors.New("the response names no call, and the connection was used before")
+
 // sendAndReadHead sends the request and reads the head of the response to it. A response with an error status that
-// names no call is taken as the response to this call.
+// names no call is taken as the response to this call if it is the first on its connection.
 func (x *Exchange) sendAndReadHead(ctx context.Context, head []byte, maxSilence time.Duration) error {
 	x.conn.setMaxSilence(maxSilence)
 	x.conn.headLeft = maxHeadBytes
@@ -41,7 +44,11 @@
 		if err := x.readHead(); err != nil {
 			return x.wrapError(ctx, "read answer", err)
 		}
-		if x.Head.RequestID == x.call.ID || x.Head.RequestID == "" && x.Head.Status >= http.StatusBadRequest {
+		namesNone := x.Head.RequestID == ""
+		switch {
+		case namesNone && x.conn.used:
+			return x.wrapError(ctx, "read answer", errNoCallNamed)
+		case x.Head.RequestID == x.call.ID, namesNone && x.Head.Status >= http.StatusBadRequest:
 			x.conn.headLeft = -1
 			return nil
 		}
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -148,3 +148,61 @@
 		t.Errorf("got %v after %d calls of extraWait", err, extraWaitCalls)
 	}
 }
+
+// Guards against a late second copy of an earlier response, which names no call, that is taken for the response to the
+// next call on the connection.
+func TestLateCopyWithoutIDIsNoResponse(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		id   string // of the second call
+	}{{"a call with an ID", "r2"}, {"a call without one", ""}} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		go func() {
+			for {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					reader := bufio.NewReader(c)
+					for n := 0; ; n++ {
+						r, err := http.ReadRequest(reader)
+						if err != nil {
+							return
+						}
+						if n > 0 {
+							_, _ = io.WriteString(c, refusal)
+						}
+						if r.RequestURI == "/first" {
+							_, _ = io.WriteString(c, refusal)
+							continue
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+test.id+"\r\nContent-Length: 2\r\n\r\nok")
+					}
+				}()
+			}
+		}()
+		pool := &Pool{Codec: minimalCodec{}}
+		a := &Attempt{Replica: replica.Replica{ID: "i", Address: listener.Addr().(*net.TCPAddr).AddrPort()}}
+		first, err := pool.Open(context.Background(), &call.Call{ID: "r1", Method: "GET", Target: "/first"}, a, testWait, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := first.ReadAll(context.Background(), 10); err != nil {
+			t.Fatal(err)
+		}
+		first.Finish()
+		second, err := pool.Open(context.Background(), &call.Call{ID: test.id, Method: "GET", Target: "/second"}, a, testWait, nil)
+		switch {
+		case err == nil && second.Head.Status != http.StatusOK:
+			t.Errorf("%s: got status %d, the response to the call before it", test.name, second.Head.Status)
+		case err != nil && !err.(*Error).Sent:
+			t.Errorf("%s: %v says that the call wasn't sent", test.name, err)
+		}
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,13 +25,16 @@
 	idle map[netip.AddrPort][]*conn
 }
 
-// Open sends c and returns the exchange once the head of the response has been read. The server may be silent for
+// Open sends c, on a new connection if c has no ID, and returns the exchange once the head of the response has been read. The server may be silent for
 // maxSilence, until Exchange.SetMaxSilence is called; 0 means no limit. After it, extraWait, if not nil, returns how much
 // longer the server may be silent; 0 ends the exchange. Errors are of type *Error.
 func (p *Pool) Open(ctx context.Context, c *call.Call, a *Attempt, maxSilence time.Duration,
 	extraWait func() time.Duration,
 ) (*Exchange, error) {
-	cn := p.takeIdle(a.Replica.Address)
+	var cn *conn
+	if c.ID != "" {
+		cn = p.takeIdle(a.Replica.Address)
+	}
 	if cn == nil {
 		var err error
 		cn, err = dial(ctx, a.Replica.Address, dialTimeout)
@@ -81,6 +84,7 @@
 // its server already, or if the connection must not stay idle at all.
 func (p *Pool) putIdle(cn *conn) {
 	cn.idleSince = steady.Now()
+	cn.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
