service: each call of a plain service opens its own connection

Idempotent calls shared kept connections, and responses of plain services name no call: a late second copy of a response was the next caller's response. Calls that must not be repeated had connections of their own already. TestLateCopyIsNoResponse failed before (/2 got the response to /1). A connection costs one more round trip.

--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -26,25 +26,10 @@
 func (p *Pool) init() {
 	p.once.Do(func() {
 		dialer := &net.Dialer{Timeout: dialTimeout}
-		p.noKeepAlive = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-		p.keepAlive = &http.Transport{
-			DialContext: dialer.DialContext, DisableCompression: true,
-			MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idleConnTimeout,
-		}
+		p.transport = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	})
 }
 
-// transport returns the transport for call. For a call that is not idempotent, it is one that never retries by itself.
-//
-// If a kept-alive connection breaks, net/http by itself sends the request again, even a POST if it has an idempotency
-// key. It never does so on a new connection.
-func (p *Pool) transport(call *Call) *http.Transport {
-	if call.Idempotent {
-		return p.keepAlive
-	}
-	return p.noKeepAlive
-}
-
 // exchange sends call to s once and returns the response.
 func (p *Pool) exchange(ctx context.Context, call *Call, s protocol.Server) (Response, *Error) {
 	var mayBeSent atomic.Bool
@@ -55,15 +40,12 @@
 	if err != nil {
 		return Response{}, &Error{Op: "call", Kind: KindNotSent, Err: err}
 	}
-	resp, err := p.transport(call).RoundTrip(req)
+	resp, err := p.transport.RoundTrip(req)
 	if err != nil {
 		kind := KindNotSent
 		if mayBeSent.Load() {
 			kind = KindBroken
 		}
-		if !errors.Is(err, context.Canceled) {
-			p.keepAlive.CloseIdleConnections() // they may carry no data any more although new connections work
-		}
 		return Response{}, &Error{Op: "call", Kind: kind, Err: errors.WithStack(err)}
 	}
 	defer resp.Body.Close()
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -17,9 +17,7 @@
 const (
 	maxAttempts      = 3 // servers that a call tries
 	dialTimeout      = time.Second
-	maxResponseBytes = 16 << 20         // of a response body
-	idleConnTimeout  = 30 * time.Second // after which an idle connection is closed
-	idlePerServer    = 32               // idle connections kept for each server
+	maxResponseBytes = 16 << 20 // of a response body
 )
 
 type (
@@ -53,12 +51,14 @@
 	TakeRetry func() bool
 	Seed      uint64 // of the random choice between servers that are equal otherwise
 
-	once        sync.Once
-	noKeepAlive *http.Transport                      // opens a new connection for each call
-	keepAlive   *http.Transport                      // keeps connections alive between calls
-	updateMu    sync.Mutex                           // serializes SetServers
-	table       atomic.Pointer[map[string][]*server] // servers by the name of their service
-	calls       atomic.Uint64                        // number of calls; part of the random seed of each call
+	once sync.Once
+	// transport opens a new connection for each call. On a kept one, a late second copy of an earlier response would be
+	// taken for the response to the call, since responses of plain services name no call, and net/http would by itself
+	// send a request again if the connection breaks, even a POST if it has an idempotency key.
+	transport *http.Transport
+	updateMu  sync.Mutex                           // serializes SetServers
+	table     atomic.Pointer[map[string][]*server] // servers by the name of their service
+	calls     atomic.Uint64                        // number of calls; part of the random seed of each call
 }
 
 // SetServers replaces the servers of a service. A server that stays keeps its recorded health. Calls in progress at a
--- a/internal/service/pool_test.go
+++ b/internal/service/pool_test.go
@@ -1,12 +1,14 @@
 package service
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -134,7 +136,7 @@
 		p := &Pool{}
 		p.init()
 		if tt.keepAlive {
-			p.noKeepAlive = p.keepAlive
+			p.transport = &http.Transport{}
 		}
 		p.SetServers("s", []protocol.Server{s})
 		call := &Call{
@@ -208,3 +210,43 @@
 		t.Errorf("got %v", h)
 	}
 }
+
+// Guards against a late second copy of a response, sent when its connection is in use again, that the next call gets.
+func TestLateCopyIsNoResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go sendLateCopies(c)
+		}
+	}()
+	p := &Pool{}
+	p.SetServers("stock", []protocol.Server{{Name: "s", Address: netip.MustParseAddrPort(l.Addr().String())}})
+	for _, path := range []string{"/1", "/2", "/3"} {
+		resp, err := p.Do(context.Background(), &Call{Service: "stock", Method: http.MethodGet, Path: path, Idempotent: true})
+		if err != nil || string(resp.Body) != path {
+			t.Errorf("%s: got response %q, error %v", path, resp.Body, err)
+		}
+	}
+}
+
+// sendLateCopies responds to each request with its path, and before that with what it has sent last.
+func sendLateCopies(c net.Conn) {
+	last := ""
+	for reader := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, last)
+		last = "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(r.URL.Path)) + "\r\n\r\n" + r.URL.Path
+		_, _ = io.WriteString(c, last)
+	}
+}
