--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -47,7 +47,8 @@
 	replicas      []*replica.Replica
 	replicaRelays []*relay.Relay // between entry hosts and replicas, in the order of replicas
 	hosts         []*host
-	config        string // text of the sample configuration
+	config        string       // text of the sample configuration
+	limits        *namedLimits // that replicas have named
 
 	mu            sync.Mutex
 	random        *rand.Rand // for the replicas' faults
@@ -120,7 +121,7 @@
 	}
 	d := &deployment{
 		t: t, binary: binary, dir: t.TempDir(), store: &metastore.Store{}, requestLog: &replica.RequestLog{},
-		config: string(sample),
+		config: string(sample), limits: &namedLimits{byID: make(map[string][]namedLimit)},
 		random: rand.New(rand.NewPCG(seed, 2)), revokedAt: make(map[string]time.Time),
 	}
 	var storeAddress netip.AddrPort
@@ -139,7 +140,11 @@
 		replicaRelay, address := startRelay(t, listen(t, r))
 		r.Address = address
 		r.CrashesOn, r.OnCrash = isCrashingPart, replicaRelay.Refuse
-		r.OnReturn = func() { replicaRelay.Accept(); d.store.Put("servers/"+r.ID, r.Entry("ready")) }
+		r.OnReturn = func() {
+			d.limits.restarted(r.ID)
+			replicaRelay.Accept()
+			d.store.Put("servers/"+r.ID, r.Entry("ready"))
+		}
 		names[address] = r.ID
 		d.replicas = append(d.replicas, r)
 		d.replicaRelays = append(d.replicaRelays, replicaRelay)
@@ -194,6 +199,7 @@
 // restartReplica makes a replica that leaves a new incarnation, which the store lists.
 func (d *deployment) restartReplica(r *replica.Replica) {
 	r.Restart()
+	d.limits.restarted(r.ID)
 	d.store.Put("servers/"+r.ID, r.Entry("ready"))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,7 +40,7 @@
 
 // TestSoak injects random, overlapping faults under load. It guards against these failures: a caller gets an incomplete
 // response or that of another request; an order runs twice; a request runs although its response said that it did not;
-// a request with a revoked key runs; a request does not end in time; a host that stops closes a connection without a
+// a request with a revoked key runs; a replica gets more requests than the limit that it has named; a request does not end in time; a host that stops closes a connection without a
 // response to a request that it has read; or the system does not recover after the faults.
 func TestSoak(t *testing.T) {
 	binary := buildBinary(t)
@@ -77,6 +77,7 @@
 		d.injectStoreAndReplicaFaults(rand.New(rand.NewPCG(seed, 4)), *faultDuration)
 	}()
 	c.startBrokenReplicas(seed, &wg)
+	c.startLimits(seed, &wg)
 	c.startKeepAlive(seed, &wg, stop)
 	d.inject(rand.New(rand.NewPCG(seed, 1)), *faultDuration)
 	close(stop)
@@ -86,6 +87,7 @@
 	}
 	c.checkRecovery(seed)
 	c.checkReplicas()
+	d.limits.check(t, d.requestLog)
 	t.Logf("%d requests, %d served, %d refused; replicas crashed %d times", c.sent.Load(), c.served.Load(),
 		c.refused.Load(), len(d.requestLog.Crashes(crashingPart)))
 }
--- a/internal/standin/replica/plain.go
+++ b/internal/standin/replica/plain.go
@@ -55,8 +55,12 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-		id, Signature(id), len(text), text)
+	limit := ""
+	if value := w.Header().Get(headerLimit); value != "" {
+		limit = headerLimit + ": " + value + "\r\n"
+	}
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, Signature(id), limit, len(text), text)
 	_, _ = buffered.WriteString(response + response)
 	_ = buffered.Flush()
 	time.Sleep(200 * time.Millisecond)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -55,6 +55,9 @@
 		p.Service, p.Address.String(), p.FailureDomain, p.Slots, state, firstBorn+p.starts.Load())
 }
 
+// headerLimit is the header in which a replica names its limit.
+const headerLimit = "Server-Limit"
+
 // firstBorn is the start time of a replica that was not restarted, in Unix milliseconds.
 const firstBorn = 1700000000000
 
@@ -79,7 +82,7 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	if limit, _ := p.limit.Load().(string); limit != "" {
-		w.Header().Set("Server-Limit", limit)
+		w.Header().Set(headerLimit, limit)
 	}
 	switch r.URL.Path {
 	case "/health":
