drain, ingress, host: a planned stop answers requests on connections that were accepted

http.Server.Shutdown drops each request whose head is read after it was called, on connections that were accepted before, and the connections in the listener's queue. serve called it as soon as the balancer's delay was over, under load; gateway at the end of its stop, and then waited 50 ms only. Callers saw a closed connection without an answer. Now the listener's queue is accepted and first requests are awaited for up to a second before Shutdown.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,9 +40,11 @@
 	minStopTime = 2500 * time.Millisecond
 	// stopMargin is how long before the end of the grace period the host cuts off the responses that are incomplete.
 	stopMargin = 700 * time.Millisecond
-	// stopPollInterval is how often a stopping host checks whether requests are in flight. It also limits the
-	// shutdown of the callers' server at the end.
+	// stopPollInterval is how often a stopping host checks whether requests are in flight.
 	stopPollInterval = 50 * time.Millisecond
+	// lastRequestTime is how long a host that has closed its listener responds to the requests on connections that it had
+	// accepted.
+	lastRequestTime = 2 * time.Second
 )
 
 // Store is the client of the platform's store that the gateway needs.
@@ -275,7 +277,8 @@
 		}
 		time.Sleep(stopPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopPollInterval)
+	ctx, cancel := context.WithTimeout(context.Background(),
+		max(min(lastRequestTime, deadline.Sub(steady.Now())), stopPollInterval))
 	defer cancel()
 	if err := g.ingress.Stop(ctx); err != nil {
 		g.Log.Warn("answers_cut", slog.Int("under_way", g.relay.InFlight()))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/certificate"
 	"github.com/turmericshunt/turmericshunt/internal/controller"
 	"github.com/turmericshunt/turmericshunt/internal/dispatch"
+	"github.com/turmericshunt/turmericshunt/internal/drain"
 	"github.com/turmericshunt/turmericshunt/internal/engine"
 	"github.com/turmericshunt/turmericshunt/internal/entry"
 	"github.com/turmericshunt/turmericshunt/internal/fleet"
@@ -89,8 +90,8 @@
 	viewPublisher *viewPublisher
 	controller    *controller.Controller
 
-	callerServer   *http.Server
-	operatorServer *http.Server
+	callerServer   *drain.Server
+	operatorServer *drain.Server
 	started        atomic.Bool
 
 	configurationKnown atomic.Bool // the configuration has been fetched at startup; see startConfiguration
@@ -229,17 +230,23 @@
 	h.operatorServer = newHTTPServer((&admin.Server{
 		Configuration: h.config, Host: h, Metrics: h.metrics.Handler, Operators: operators, ClientCerts: s.Operators.TLS.CAFile != "",
 	}).Handler())
-	if err := configureTLS(h.callerServer, s.Callers.TLS); err != nil {
+	if err := configureTLS(h.callerServer.HTTP, s.Callers.TLS); err != nil {
 		return err
 	}
-	return configureTLS(h.operatorServer, s.Operators.TLS)
+	return configureTLS(h.operatorServer.HTTP, s.Operators.TLS)
 }
 
 // headerTimeout is how long a client may take to send a request's header.
 const headerTimeout = 10 * time.Second
 
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
+// firstRequestTime is how long a stopping host waits for the first requests on connections that it has accepted.
+const firstRequestTime = time.Second
+
+func newHTTPServer(handler http.Handler) *drain.Server {
+	return &drain.Server{FirstRequestTime: firstRequestTime, HTTP: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}}
 }
 
 // configureTLS makes server use TLS with the given files; it does nothing if no certificate file is set.
@@ -256,18 +263,13 @@
 }
 
 // serve returns a role that serves HTTP until its context ends. It returns an *Error if the server fails.
-func serve(server *http.Server, listener net.Listener) func(context.Context) error {
+func serve(server *drain.Server, listener net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		var err error
-		if server.TLSConfig != nil {
-			err = server.ServeTLS(listener, "", "")
-		} else {
-			err = server.Serve(listener)
-		}
+		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
-			// Shutdown was called. Returning now would end all other roles, which is up to the stop role.
+			// Stop was called. Returning now would end all other roles, which is up to the stop role.
 			<-ctx.Done()
 			return nil
 		}
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -19,13 +19,13 @@
 	<-ctx.Done()
 	h.Log.Info("host stopping", "active_requests", h.entry.Active())
 	h.stopping.Store(true)
-	h.callerServer.SetKeepAlivesEnabled(false)
+	h.callerServer.BeginStop()
 	time.Sleep(time.Duration(h.Settings.Timing.BalancerDelay))
 	stopCtx, cancel := context.WithTimeout(context.Background(), time.Duration(h.Settings.Timing.StopTimeout))
 	defer cancel()
 	h.members.Leave()
 	h.edgeTasks.notify()
-	if err := h.callerServer.Shutdown(stopCtx); err != nil {
+	if err := h.callerServer.Stop(stopCtx); err != nil {
 		h.Log.Warn("stop timeout reached; closing open streams", "active_requests", h.entry.Active())
 	}
 	if err := h.orders.Stop(stopCtx); err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -12,10 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/drain"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
@@ -39,6 +41,8 @@
 	// How long a host that is stopping still admits requests; it refuses those that arrive later. The gateway's
 	// minStopTime is as long.
 	stoppingTime = 2500 * time.Millisecond
+	// How long a host that has closed its listener waits for the first requests on connections that it had accepted.
+	firstRequestTime = time.Second
 )
 
 // Decoder decodes the request line and header of a caller's request.
@@ -60,7 +64,7 @@
 	Log     *eventlog.Log
 	Metrics tally.Scope
 
-	server          *http.Server
+	server          *drain.Server
 	stoppingSince   atomic.Int64 // boot-time clock at the call of BeginStop, in nanoseconds; 0 before
 	active          atomic.Int64 // requests being served
 	revocationLimit atomic.Int64 // how long a revoked key may still be used, in nanoseconds; 0 for no limit
@@ -72,7 +76,7 @@
 // Run serves callers on listener until Stop is called; it returns nil in that case.
 func (g *Ingress) Run(listener net.Listener) error {
 	err := g.server.Serve(listener)
-	if err == http.ErrServerClosed {
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
@@ -80,13 +84,13 @@
 
 // Init creates the server. It must be called before Run.
 func (g *Ingress) Init() {
-	g.server = &http.Server{
+	g.server = &drain.Server{FirstRequestTime: firstRequestTime, HTTP: &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(serverErrorLog{g.Log}, "", 0),
-	}
+	}}
 }
 
 // serverErrorLog writes the messages of net/http, including panics with their stacks, to the log.
@@ -107,11 +111,12 @@
 // BeginStop begins to stop the host: each response is the last on its connection, and idle connections are closed.
 func (g *Ingress) BeginStop() {
 	g.stoppingSince.Store(steady.Now().UnixNano())
-	g.server.SetKeepAlivesEnabled(false)
+	g.server.BeginStop()
 }
 
-// Stop closes the listener and waits until all responses are written or ctx ends.
-func (g *Ingress) Stop(ctx context.Context) error { return g.server.Shutdown(ctx) }
+// Stop closes the listener and waits until the requests on connections that were accepted have their responses, or ctx
+// ends.
+func (g *Ingress) Stop(ctx context.Context) error { return g.server.Stop(ctx) }
 
 // Active returns the number of requests being served.
 func (g *Ingress) Active() int { return int(g.active.Load()) }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -24,12 +24,12 @@
 	log := eventlog.New(&out, "h")
 	g := &Ingress{Log: log}
 	g.Init()
-	g.server.ErrorLog.Printf("http: panic serving %s: %s", "10.0.0.1:1", "the cause")
+	g.server.HTTP.ErrorLog.Printf("http: panic serving %s: %s", "10.0.0.1:1", "the cause")
 	log.Close()
 	if text := out.String(); !strings.Contains(text, `"event":"server_error"`) || !strings.Contains(text, "the cause") {
 		t.Errorf("logged %q", text)
 	}
-	if g.server.Handler != http.Handler(g) {
+	if g.server.HTTP.Handler != http.Handler(g) {
 		t.Error("the server doesn't serve the ingress")
 	}
 }
