placement, replica: a host that has restarted knows which replicas have announced that they leave

The restarted host reads the store, which still lists the replica as ready, and its read is newer than the lists of the other hosts that have the mark. They sent the mark to a new planner only. Now both ends of a new connection report the marks, one that comes before the first list is kept, and a host counts as ready once another one has answered it, or after a second alone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -244,9 +244,12 @@
 	return l, nil
 }
 
+// ready reports whether this host should get new connections from callers.
+func (g *Gateway) ready() bool { return g.ingress.Ready() && g.placement.Introduced() }
+
 // serveReady responds to a readiness check: 200 if this host accepts new connections from callers, otherwise 503.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.ingress.Ready() {
+	if !g.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -31,7 +31,7 @@
 		Host:            g.Settings.Host,
 		FailureDomain:   g.Settings.FailureDomain,
 		Version:         g.Version,
-		Ready:           g.ingress.Ready(),
+		Ready:           g.ready(),
 		InFlight:        g.relay.InFlight(),
 		Planner:         g.placement.Planner(),
 		IsPlanner:       g.placement.IsPlanner(),
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -43,6 +43,10 @@
 	replicas []*replica.Replica
 	hosts    []*host
 	version  int // of the configuration in the store
+
+	storeAddress netip.AddrPort
+	peers        []netip.AddrPort // peer addresses of the hosts
+	seeds        int              // how many of peers are the hosts' seeds
 }
 
 // host is an entry host of a cluster.
@@ -50,8 +54,9 @@
 	settings *site.Settings
 	gateway  *gateway.Gateway
 	stop     context.CancelFunc
-	done     chan error  // receives the error of Run when the host has stopped
-	logs     *syncBuffer // the host's log
+	done     chan error    // receives the error of Run when the host has stopped
+	stopped  chan struct{} // closed after that
+	logs     *syncBuffer   // the host's log
 }
 
 // syncBuffer is a buffer that several goroutines can use at the same time.
@@ -143,7 +148,8 @@
 func newClusterWithSeeds(t *testing.T, hosts int, f *faultInjector, seedCount int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: &metastore.Store{}, log: &replica.RequestLog{}}
-	storeAddress := serve(t, c.store)
+	c.storeAddress = serve(t, c.store)
+	c.seeds = seedCount
 	clock := &replica.Clock{Fleet: &passes.Fleet{Params: engineParameters}}
 	replicaIDs := make(map[netip.AddrPort]string)
 	for i := range 7 {
@@ -166,35 +172,43 @@
 		c.store.Put("servers/"+r.ID, r.Entry("ready"))
 	}
 	c.configure([]string{testKey})
-	var peers []netip.AddrPort
 	for range hosts {
-		peers = append(peers, freePort(t))
+		c.peers = append(c.peers, freePort(t))
 	}
 	for i := range hosts {
-		c.startHost(i, storeAddress, peers, seedCount)
+		c.hosts = append(c.hosts, c.startHost(i))
 	}
 	c.awaitReady()
 	return c
 }
 
-// startHost starts the host that has peers[i] as its peer address and the first seedCount of peers as seeds.
-func (c *cluster) startHost(i int, store netip.AddrPort, peers []netip.AddrPort, seedCount int) {
+// restart stops host i gracefully, starts it again at its peer address and waits until it is ready.
+func (c *cluster) restart(i int) {
+	c.t.Helper()
+	c.hosts[i].stop()
+	<-c.hosts[i].stopped
+	c.hosts[i] = c.startHost(i)
+	c.eventually("the host is ready again", c.hosts[i].ready)
+}
+
+// startHost starts the host with the index i and returns it.
+func (c *cluster) startHost(i int) *host {
 	s := &site.Settings{
 		Host: fmt.Sprintf("front-%d", i), FailureDomain: "a", CallerAddress: freePort(c.t), ReadinessAddress: freePort(c.t),
 		MetricsAddress: freePort(c.t),
-		PeerAddress:    peers[i], Seeds: peers[:min(seedCount, len(peers))], StoreAddress: store, CPUCores: 1,
+		PeerAddress:    c.peers[i], Seeds: c.peers[:min(c.seeds, len(c.peers))], StoreAddress: c.storeAddress, CPUCores: 1,
 		MemoryBytes: 500 << 20, GracePeriod: 5 * time.Second, RevocationTime: 3 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
 	}
 	logs := &syncBuffer{}
 	log := eventlog.New(logs, s.Host)
 	ctx, stop := context.WithCancel(context.Background())
-	h := &host{settings: s, stop: stop, done: make(chan error, 1), logs: logs, gateway: &gateway.Gateway{
-		Settings: s, Store: platform.NewStore(store, func(error) {}), Memory: platform.NewMemory(),
+	h := &host{settings: s, stop: stop, done: make(chan error, 1), stopped: make(chan struct{}), logs: logs, gateway: &gateway.Gateway{
+		Settings: s, Store: platform.NewStore(c.storeAddress, func(error) {}), Memory: platform.NewMemory(),
 		HeaderCodec: platform.HeaderCodec{}, DecodeConfiguration: platform.DecodeConfiguration, Log: log, Version: "test",
 	}}
-	c.hosts = append(c.hosts, h)
 	go func() {
+		defer close(h.stopped)
 		err := h.gateway.Run(ctx)
 		if err != nil {
 			c.t.Errorf("%s: %v", s.Host, err)
@@ -204,8 +218,9 @@
 	}()
 	c.t.Cleanup(func() {
 		stop()
-		<-h.done
+		<-h.stopped
 	})
+	return h
 }
 
 // configure stores the next version of the configuration, whose only workspace has the given keys.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -27,6 +27,8 @@
 	// says that the request is queued, this host plans the request itself. If it does not answer a query about a silent
 	// request, the extra wait is 0.
 	plannerTimeout = 80 * time.Millisecond
+	// How long a host that has just started waits to hear from another one before it counts as ready.
+	introductionTime = time.Second
 	// Appended to the id of a placement request that this host plans because another host's planner did not reply.
 	bypassIDSuffix = "~"
 )
@@ -56,6 +58,8 @@
 	startedAt time.Time            // when Init was called
 	hostCount hostCount            // as this host or its planner has counted
 	followers followers            // of this host as planner
+	// Another host has answered a heartbeat of this one, and so has reported what replicas have announced.
+	introduced bool
 	inbound   map[*peerLink]bool   // connections that this host accepted
 	hostLink  map[string]*peerLink // the newest of them from each host, by peerLink.host
 }
@@ -198,6 +202,14 @@
 	return c.Roster.Isolated(steady.Now(), limit)
 }
 
+// Introduced reports whether this host has heard what others know of the replicas, or has run for so long without
+// hearing from any host that there seems to be none.
+func (c *Client) Introduced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.introduced || steady.Now().Sub(c.startedAt) > introductionTime
+}
+
 // IsPlanner reports whether this host is its own planner; if so, it may plan for other hosts too.
 func (c *Client) IsPlanner() bool {
 	c.mu.Lock()
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -111,6 +111,10 @@
 	c.localPlanner.Quarantine().Merge(now, heartbeat.Verdicts)
 	c.takeLimits(now, p, heartbeat)
 	p.verdictDigest = heartbeat.VerdictDigest
+	if p.lastStamp == 0 {
+		c.reportLeaving(p)
+	}
+	c.introduced = c.introduced || heartbeat.Echo != 0
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
 	if p.address == c.plannerAddress {
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -253,9 +253,7 @@
 		placed.plannerBypassed = false
 	}
 	p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Complete: true, Placements: c.currentPlacements(now)}})
-	for _, r := range c.Cache.LeavingReplicas() {
-		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
-	}
+	c.reportLeaving(p)
 	if limits := c.localPlanner.Limits().Statements(now); len(limits) > 0 {
 		p.link.Send(&link.Message{Limits: limits})
 	}
@@ -265,6 +263,14 @@
 	c.resubmit(now)
 }
 
+// reportLeaving reports to another host the replicas that have announced that they leave. A host that has restarted reads
+// them from the store as if they hadn't.
+func (c *Client) reportLeaving(p *peerLink) {
+	for _, r := range c.Cache.LeavingReplicas() {
+		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
+	}
+}
+
 // currentPlacements returns the placed requests in progress with their remaining times.
 func (c *Client) currentPlacements(now time.Time) []planner.Placement {
 	placements := make([]planner.Placement, 0, len(c.placed))
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -71,10 +71,15 @@
 }
 
 // MarkLeaving marks the replica with the given id, if it started at born, as leaving, and returns the change. It returns
-// false if it is marked already or not in the list in this incarnation. The mark lasts until the replica starts again.
+// false if it is marked already or not in the list in this incarnation; the mark of one that isn't listed yet is kept. The
+// mark lasts until the replica starts again.
 func (l *List) MarkLeaving(now time.Time, id string, born int64) (Change, bool) {
 	r, ok := l.replicas[id]
-	if !ok || r.Born != born || r.Leaving {
+	if !ok || r.Born < born {
+		l.leaving[id] = incarnation{born: born, since: now}
+		return Change{}, false
+	}
+	if r.Born != born || r.Leaving {
 		return Change{}, false
 	}
 	r.Leaving = true
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -199,3 +199,18 @@
 		t.Error("the digest doesn't change when a replica announces that it leaves")
 	}
 }
+
+// A host that has restarted hears from others that a replica leaves before it has read the list, which says nothing of it.
+func TestMarkBeforeFirstReadIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewList()
+	l.MarkLeaving(now, "i-1", 7)
+	l.MarkLeaving(now, "i-2", 6)
+	l.Update(now.Add(time.Second), []Replica{{ID: "i-1", Born: 7}, {ID: "i-2", Born: 7}})
+	if r, _ := l.Get("i-1"); !r.Leaving {
+		t.Error("a replica that leaves takes requests at a host that has restarted")
+	}
+	if r, _ := l.Get("i-2"); r.Leaving {
+		t.Error("the mark of an earlier incarnation holds")
+	}
+}
