relay: a comment in a stream is no progress

A replica that stalled in the middle of a stream but sent a comment now and then counted as going on: each comment began the limit of its silence anew and canceled the hedge, so that the stream ended at the caller's deadline, incomplete. A hedge that had sent a comment only even took the place of the silent server. Now only an event with a new id is progress, or one with data in a stream without ids. TestStalledStreamWithKeepAlivesIsResumed failed before (cut after 9.98 s).

--- a/internal/gateway/silenceparts_test.go
+++ b/internal/gateway/silenceparts_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -151,3 +152,26 @@
 	change()
 	all.Wait()
 }
+
+// A replica stalls in the middle of a stream, but sends a comment now and then. Guards against taking that for progress:
+// the stream must go on at another replica long before the caller's deadline.
+func TestStalledStreamWithKeepAlivesIsResumed(t *testing.T) {
+	t.Parallel()
+	f := &faultInjector{}
+	c := newCluster(t, 1, f)
+	defer c.logOnFailure()
+	var stalled sync.Map // IDs of requests that have stalled
+	f.set(func(_ string, r *http.Request) replica.Fault {
+		if _, again := stalled.LoadOrStore(r.Header.Get("Request-Id"), true); again {
+			return replica.FaultNone
+		}
+		return replica.FaultKeepAlive
+	})
+	const longest = 6 * time.Second
+	resp := c.post(0, "/quotes/1", "q")
+	resp.body = strings.ReplaceAll(resp.body, replica.KeepAlive, "")
+	c.wantResponse(resp, completeStream(resp.id))
+	if resp.took > longest {
+		t.Errorf("the response took %v, want %v at most", resp.took, longest)
+	}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -17,11 +17,14 @@
 	hasLastID bool
 	pending   []byte // start of an event that isn't complete
 	forwarded int    // accepted events with an id
+	steps     int    // accepted events by which the stream has got further
 }
 
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEnd  = []byte("\n\n")
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+	lineData  = []byte("\ndata:")
 )
 
 // add appends bytes of the stream and returns the events that are now complete and that the caller doesn't have yet. It
@@ -50,6 +53,10 @@
 func (e *eventFilter) accept(event []byte) bool {
 	id, ok := eventID(event)
 	if !ok {
+		// In a stream with ids, an event without one is no progress, nor is a comment in any.
+		if e.forwarded == 0 && (bytes.HasPrefix(event, dataField) || bytes.Contains(event, lineData)) {
+			e.steps++
+		}
 		return true
 	}
 	if e.hasLastID && id <= e.lastID {
@@ -58,6 +65,7 @@
 	e.lastID = id
 	e.hasLastID = true
 	e.forwarded++
+	e.steps++
 	return true
 }
 
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -100,13 +99,17 @@
 		return a.readResponse(ctx)
 	}
 	buffer := make([]byte, readBufferSize)
-	for !bytes.Contains(a.start, eventEnd) {
+	events := eventFilter{lastID: a.lastEvent, hasLastID: a.resume}
+	for events.steps == 0 {
 		n, err := a.exchange.Read(buffer)
 		a.start = append(a.start, buffer[:n]...)
+		_, filterErr := events.add(buffer[:n])
 		switch {
-		case bytes.Contains(a.start, eventEnd):
-		case errors.Is(err, io.EOF) && len(a.start) == 0 && !a.resume:
+		case events.steps > 0:
+		case errors.Is(err, io.EOF) && events.complete() && !a.resume:
 			return "", nil // a stream without events
+		case filterErr != nil:
+			return planner.OutcomeBroken, filterErr
 		case err != nil:
 			failure := a.exchange.ReadError(ctx, err)
 			return outcomeOf(failure), failure
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -234,16 +234,22 @@
 			// What came with the error is later than the event after which the hedge has resumed the stream.
 			return planner.OutcomeSilent, a.exchange.ReadError(t.ctx, err)
 		}
+		steps := t.events.steps
 		complete, filterErr := t.events.add(buffer[:n])
-		if len(complete) > 0 {
+		further := t.events.steps > steps
+		if further {
 			if !started {
 				started = true
 				t.recordFirstEvent(a.placement.ID)
 			}
 			t.cancelHedge()
+		}
+		if len(complete) > 0 {
 			if err := t.forwardEvents(x.Head, complete); err != nil {
 				return planner.OutcomeCanceled, err
 			}
+		}
+		if further {
 			x.SetMaxSilence(maxSilence) // after the write, which a slow caller may hold up
 		}
 		switch {
--- a/internal/standin/replica/fault.go
+++ b/internal/standin/replica/fault.go
@@ -28,8 +28,15 @@
 	FaultEndlessHead         // sends the head of a response without end
 	FaultEndlessIntermediate // sends intermediate responses (1xx) without end
 	FaultEndlessBody         // sends the head of a valid response and a body without end; it is no stream of events
+	FaultKeepAlive           // sends only KeepAlive, at intervals, after the third event; model replicas only
 )
 
+// KeepAlive is what a replica with FaultKeepAlive sends: a comment, which is no event.
+const KeepAlive = ": keep-alive\n\n"
+
+// keepAliveInterval is the pause between two of them.
+const keepAliveInterval = 200 * time.Millisecond
+
 // AskedPause is the Retry-After of a replica with FaultAskPause.
 const AskedPause = 1500 * time.Millisecond
 
--- a/internal/standin/replica/stream.go
+++ b/internal/standin/replica/stream.go
@@ -60,6 +60,10 @@
 				p.crash(part)
 				panic(http.ErrAbortHandler)
 			}
+			if fault == FaultKeepAlive && e.Number == 4 {
+				sendKeepAlives(w, r)
+				return
+			}
 			if !p.sendEvent(w, fault, e.Number, EventText(id, lastEvent+e.Number)) {
 				return
 			}
@@ -72,6 +76,15 @@
 	}
 }
 
+// sendKeepAlives sends comments until the client closes the connection.
+func sendKeepAlives(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		_, _ = io.WriteString(w, KeepAlive)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(keepAliveInterval)
+	}
+}
+
 // sendEvent sends the event with the given number, counted from 1 in this response, in the way that fault asks for. It
 // returns false if the response ends in the middle of the event.
 func (p *Replica) sendEvent(w http.ResponseWriter, fault Fault, number int, text string) bool {
