relay, placement: a panic beside a request ends that request's work only; the placement client by subject

Now both recover, log and count it: the hedge counts as refused or broken, the reservation ends with its lease. TestPanicBesideRequestEndsNoOther ended the test process before. The other goroutines of the gateway work for no single request; one that panics would leave the host in a state that nobody knows, so the process ends and is started again.

--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -198,10 +198,11 @@
 		}
 		first.Finish()
 		second, err := pool.Open(context.Background(), &call.Call{ID: test.id, Method: "GET", Target: "/second"}, a, testWait, nil)
+		var failure *Error
 		switch {
 		case err == nil && second.Head.Status != http.StatusOK:
 			t.Errorf("%s: got status %d, the response to the call before it", test.name, second.Head.Status)
-		case err != nil && !err.(*Error).Sent:
+		case err != nil && !(errors.As(err, &failure) && failure.Sent):
 			t.Errorf("%s: %v says that the call wasn't sent", test.name, err)
 		}
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -43,7 +43,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && l.closing {
-		_ = l.Listener.Close()
+		_ = l.Close()
 		return nil, net.ErrClosed
 	}
 	return c, err
@@ -56,7 +56,7 @@
 	l.closing = true
 	tcp, ok := l.Listener.(*net.TCPListener)
 	if !ok || tcp.SetDeadline(time.Now().Add(queueTime)) != nil {
-		_ = l.Listener.Close()
+		_ = l.Close()
 	}
 }
 
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -1,11 +1,8 @@
 package placement
 
 import (
-	"context"
-	"log/slog"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,21 +14,12 @@
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
-	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
-const (
-	// The maximum time that another host's planner may take to reply. If it neither decides on a placement request nor
-	// says that the request is queued, this host plans the request itself. If it does not answer a query about a silent
-	// request, the extra wait is 0.
-	plannerTimeout = 80 * time.Millisecond
-	// How long a host that has just started waits to hear from another one before it counts as ready.
-	introductionTime = time.Second
-	// Appended to the id of a placement request that this host plans because another host's planner did not reply.
-	bypassIDSuffix = "~"
-)
+// introductionTime is how long a host that has just started waits to hear from another one before it counts as ready.
+const introductionTime = time.Second
 
 // Client is a placement client, an entry host's client of its planner: it submits placement requests and reports how
 // the placed requests progress. Its exported fields must be set before Init and Run.
@@ -55,13 +43,13 @@
 	// Requests of other hosts that handlePlacementRequest is submitting and that have no result yet, by "HOST/ID";
 	// empty between messages.
 	inSubmit  map[string]bool
-	startedAt time.Time            // when Init was called
-	hostCount hostCount            // as this host or its planner has counted
-	followers followers            // of this host as planner
+	startedAt time.Time // when Init was called
+	hostCount hostCount // as this host or its planner has counted
+	followers followers // of this host as planner
 	// Another host has answered a heartbeat of this one, and so has reported what replicas have announced.
 	introduced bool
-	inbound   map[*peerLink]bool   // connections that this host accepted
-	hostLink  map[string]*peerLink // the newest of them from each host, by peerLink.host
+	inbound    map[*peerLink]bool   // connections that this host accepted
+	hostLink   map[string]*peerLink // the newest of them from each host, by peerLink.host
 }
 
 // peerLink is a connection to another host, with what the heartbeats on it have reported.
@@ -83,50 +71,6 @@
 	limitDigest   uint64    // of what the other host knows of the limits of replicas, as its last heartbeat said
 }
 
-// pendingRequest is a placement request without a result. It is kept so that a new planner can be asked for one.
-type pendingRequest struct {
-	request     planner.Request
-	requestedAt time.Time  // when the times in request applied
-	replies     chan reply // has room for the notice that the request is queued and for the result
-	queued      bool       // the notice has been passed on
-}
-
-// newPendingRequest returns a request without a reply, whose times applied at requestedAt.
-func newPendingRequest(req planner.Request, requestedAt time.Time) *pendingRequest {
-	return &pendingRequest{request: req, requestedAt: requestedAt, replies: make(chan reply, 2)}
-}
-
-// requestAt returns the request with its remaining times at now.
-func (p *pendingRequest) requestAt(now time.Time) planner.Request {
-	req := p.request
-	req.SubtractElapsed(now.Sub(p.requestedAt))
-	return req
-}
-
-// placedRequest is a placed request in progress. It is kept so that the request can be reported to a new planner.
-type placedRequest struct {
-	placement       planner.Placement
-	requestedAt     time.Time // when the placement was requested; placementAt deducts the time since then
-	replica         replica.Replica
-	firstEvent      time.Time // when the planner has predicted the first event
-	writingSince    time.Time // when the first event arrived; zero before
-	plannerBypassed bool      // planned here in place of another host's planner that did not reply
-}
-
-// placementAt returns the placement with its remaining times at now.
-func (p *placedRequest) placementAt(now time.Time) planner.Placement {
-	placement := p.placement
-	placement.Request.SubtractElapsed(now.Sub(p.requestedAt))
-	placement.FirstEvent = max(p.firstEvent.Sub(now), 1)
-	return placement
-}
-
-// reply is the planner's reply to a placement request: the result, or notice that the request is queued.
-type reply struct {
-	result planner.Result
-	queued bool // the request waits at the planner; the result follows
-}
-
 // Init makes the client ready for use; it must be called before any other method.
 func (c *Client) Init() {
 	c.localPlanner = planner.New(xxhash.Sum64String(c.self().String()))
@@ -254,253 +198,3 @@
 		c.sendHeartbeat(now, p, false)
 	}
 }
-
-// Place submits a placement request to the planner and returns its result. If another host's planner does not reply in
-// time, this host plans the request in its place. The ID in the result is the one to pass to Started, ExtraWait and
-// Ended; it differs from req.ID only in that case. Place returns an error only if ctx ends first.
-func (c *Client) Place(ctx context.Context, req planner.Request) (planner.Result, error) {
-	requestedAt := steady.Now()
-	req.Host = c.self().String()
-	pending := newPendingRequest(req, requestedAt)
-	c.mu.Lock()
-	c.pending[req.ID] = pending
-	remote := c.submit(req)
-	c.mu.Unlock()
-	result, ok := c.await(ctx, pending.replies, remote)
-	if !ok && ctx.Err() == nil {
-		c.Metrics.Counter("planner_passed_over").Inc(1)
-		c.Log.Warn("planner_passed_over", slog.String("request_id", req.ID), slog.String("planner", c.Planner().String()),
-			eventlog.Milliseconds("waited_ms", steady.Now().Sub(requestedAt)))
-		pending = c.bypassPlanner(pending)
-		req = pending.request
-		result, ok = c.await(ctx, pending.replies, false)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, req.ID)
-	if !ok {
-		c.reportEnded(link.Progress{ID: req.ID, Outcome: planner.OutcomeCanceled})
-		return planner.Result{}, ctx.Err()
-	}
-	if result.Plan != nil {
-		c.track(req, result, pending.requestedAt)
-	}
-	return result, nil
-}
-
-// submit submits a placement request to the planner or, if that is on another host and not connected, to the local one.
-// It reports whether the request was sent to another host.
-func (c *Client) submit(req planner.Request) bool {
-	if p := c.linkToPlanner(); p != nil && !p.link.Closed() {
-		p.link.Send(&link.Message{Request: &req})
-		return true
-	}
-	now := steady.Now()
-	c.localPlanner.Submit(now, req)
-	c.sendResults(now)
-	return false
-}
-
-// resubmit submits all placement requests without a result to the planner, which is a new one.
-func (c *Client) resubmit(now time.Time) {
-	for _, pending := range c.pending {
-		c.submit(pending.requestAt(now))
-	}
-}
-
-// bypassPlanner submits a placement request to the local planner under a new id, with its remaining times, and returns
-// it.
-func (c *Client) bypassPlanner(pending *pendingRequest) *pendingRequest {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, pending.request.ID)
-	now := steady.Now()
-	req := pending.requestAt(now)
-	req.ID += bypassIDSuffix
-	bypassing := newPendingRequest(req, now)
-	c.pending[req.ID] = bypassing
-	c.localPlanner.Submit(now, req)
-	c.sendResults(now)
-	return bypassing
-}
-
-// await returns the result of a placement request. It returns false if ctx ends, if the peer sent an invalid result,
-// with neither plan nor refusal, or if, for a remote planner, no reply comes within plannerTimeout. Once the planner
-// has said that the request is queued, only ctx limits the wait.
-func (c *Client) await(ctx context.Context, replies chan reply, remote bool) (planner.Result, bool) {
-	var timeout <-chan time.Time
-	if remote {
-		timer := time.NewTimer(plannerTimeout)
-		defer timer.Stop()
-		timeout = timer.C
-	}
-	for {
-		select {
-		case r := <-replies:
-			if !r.queued {
-				return r.result, r.result.Plan != nil || r.result.Refusal != nil
-			}
-			timeout = nil
-		case <-timeout:
-			return planner.Result{}, false
-		case <-ctx.Done():
-			return planner.Result{}, false
-		}
-	}
-}
-
-// track keeps a placed request so that it can be reported to a new planner. If this host planned the request instead of
-// another host's planner, it reports the placement to that planner at once.
-func (c *Client) track(req planner.Request, result planner.Result, requestedAt time.Time) {
-	now := steady.Now()
-	placed := &placedRequest{
-		placement:   planner.Placement{Request: req, Replica: result.Plan.Replica.ID, Helpers: result.Plan.Helpers},
-		requestedAt: requestedAt,
-		replica:     result.Plan.Replica,
-		firstEvent:  now.Add(result.Plan.FirstEventTime),
-	}
-	c.placed[req.ID] = placed
-	if !strings.HasSuffix(req.ID, bypassIDSuffix) {
-		return
-	}
-	placed.plannerBypassed = true
-	if p := c.linkToPlanner(); p != nil {
-		placements := []planner.Placement{placed.placementAt(now)}
-		p.link.Send(&link.Message{PlacementSync: &link.PlacementSync{Placements: placements}})
-	}
-}
-
-// Started notifies the planner that the first event of the request with the given id has arrived.
-func (c *Client) Started(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	placed := c.placed[id]
-	if placed == nil {
-		return
-	}
-	placed.placement.Decoding = true
-	now := steady.Now()
-	placed.writingSince = now
-	if c.plannerAddress == c.self() || placed.plannerBypassed {
-		c.localPlanner.Started(now, c.self().String(), id)
-		c.sendResults(now)
-	}
-	if p := c.linkToPlanner(); p != nil {
-		p.link.Send(&link.Message{Started: &link.Progress{ID: id}})
-	}
-}
-
-// ExtraWait asks the planner for the extra wait of the silent request with the given id: how much longer its backend
-// server may send nothing. It returns 0 if the server seems to be gone, or if the planner does not answer in time.
-func (c *Client) ExtraWait(ctx context.Context, id string) time.Duration {
-	c.mu.Lock()
-	placed := c.placed[id]
-	p := c.linkToPlanner()
-	if placed == nil || placed.plannerBypassed || p == nil {
-		defer c.mu.Unlock()
-		return c.localPlanner.ExtraWait(steady.Now(), c.self().String(), id)
-	}
-	wait := make(chan time.Duration, 1)
-	c.extraWaits[id] = wait
-	p.link.Send(&link.Message{ExtraWaitQuery: &link.ExtraWait{ID: id}})
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.extraWaits, id)
-	}()
-	timer := time.NewTimer(plannerTimeout)
-	defer timer.Stop()
-	select {
-	case extraWait := <-wait:
-		return extraWait
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return 0
-}
-
-// Ended notifies the planner how the request with the given id ended and stops tracking the request. The pause is the
-// one that the backend server has asked for, 0 for none.
-func (c *Client) Ended(id string, outcome planner.Outcome, pause time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if placed := c.placed[id]; placed != nil {
-		c.recordOutcome(steady.Now(), placed, outcome)
-		delete(c.placed, id)
-	}
-	c.reportEnded(link.Progress{ID: id, Outcome: outcome, Pause: pause})
-}
-
-// Leaving marks r as leaving on this host and, through the planner, on all others.
-func (c *Client) Leaving(r replica.Replica) {
-	if !c.Cache.MarkLeaving(r.ID, r.Born) {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p := c.linkToPlanner(); p != nil {
-		p.link.Send(&link.Message{Leaving: &link.Leaving{Replica: r.ID, Born: r.Born}})
-	}
-}
-
-// IsLeaving reports whether this incarnation of r has announced that it leaves.
-func (c *Client) IsLeaving(r replica.Replica) bool { return c.Cache.IsLeaving(r) }
-
-// reportEnded notifies the local planner, which ignores ids that it does not know, and the planner on another host, if
-// that one plans for this host.
-func (c *Client) reportEnded(ended link.Progress) {
-	now := steady.Now()
-	c.endLocal(now, c.self().String(), ended)
-	c.sendResults(now)
-	if p := c.linkToPlanner(); p != nil {
-		p.link.Send(&link.Message{Ended: &ended})
-	}
-}
-
-// endLocal notifies the local planner how a request of host ended.
-func (c *Client) endLocal(now time.Time, host string, ended link.Progress) {
-	if ended.Pause > 0 {
-		c.localPlanner.Pause(now, host, ended.ID, ended.Pause)
-	}
-	c.localPlanner.Ended(now, host, ended.ID, ended.Outcome)
-}
-
-// sendResults sends the results on which the local planner can decide now to the hosts that requested them.
-func (c *Client) sendResults(now time.Time) {
-	for _, result := range c.localPlanner.Decide(now) {
-		delete(c.inSubmit, result.Host+"/"+result.ID)
-		if result.Host == c.self().String() {
-			result.SendBefore = now.Add(limitedPlanTime)
-			c.deliver(result)
-			continue
-		}
-		if p := c.hostLink[result.Host]; p != nil {
-			p.link.Send(&link.Message{Result: newLinkResult(now, p, result)})
-		}
-	}
-}
-
-// deliver passes a result to the request that waits for it. If the result is a plan, no request waits for it and the
-// request is not placed already, deliver reports the request as canceled, so that the planner frees what it planned.
-func (c *Client) deliver(result planner.Result) {
-	pending := c.pending[result.ID]
-	if pending == nil {
-		if result.Plan != nil && c.placed[result.ID] == nil {
-			c.reportEnded(link.Progress{ID: result.ID, Outcome: planner.OutcomeCanceled})
-		}
-		return
-	}
-	delete(c.pending, result.ID)
-	pending.replies <- reply{result: result}
-}
-
-// notifyQueued passes on once that the planner keeps the request with the given id waiting.
-func (c *Client) notifyQueued(id string) {
-	pending := c.pending[id]
-	if pending == nil || pending.queued {
-		return
-	}
-	pending.queued = true
-	pending.replies <- reply{queued: true}
-}
--- a/internal/placement/limitfleet_test.go
+++ b/internal/placement/limitfleet_test.go
@@ -49,9 +49,8 @@
 	id        int
 	planner   *planner.Planner
 	followers followers
-	group     int       // hosts of other groups can't be reached
-	follows   *simHost  // its planner
-	heardAt   time.Time // stamp of this host that its planner's newest heartbeat repeated
+	group     int      // hosts of other groups can't be reached
+	follows   *simHost // its planner
 	frozenTo  time.Time
 	stamps    map[*simHost]simStamp // newest heartbeat from each host
 	plans     map[string]func(planner.Result)
--- a/internal/planner/limit_test.go
+++ b/internal/planner/limit_test.go
@@ -74,13 +74,14 @@
 			t.Errorf("%s: %d requests in 20 s, limit 3 a second", id, n)
 		}
 	}
-	inSecond := make(map[time.Duration]int)
+	const slot = 100 * time.Millisecond
+	inSlot := make(map[int]int)
 	for _, at := range refused {
-		inSecond[at/(100*time.Millisecond)]++
+		inSlot[int(at/slot)]++
 	}
-	for at, n := range inSecond {
+	for i, n := range inSlot {
 		if n > 12 {
-			t.Errorf("%d callers return within 100 ms of %v", n, at*100*time.Millisecond)
+			t.Errorf("%d callers return within %v, after %d times that", n, slot, i)
 		}
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,7 @@
 	start         []byte            // start of the body that a hedge has read
 	response      *response         // the complete response, if it isn't a stream and was read
 	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
+	ended         bool              // end was called
 }
 
 // begin sends the call and reads the head of the response. It returns an error, and the outcome of the attempt, unless
@@ -101,6 +102,7 @@
 
 // end ends the attempt and reports its outcome to the planner.
 func (a *attempt) end(outcome planner.Outcome) {
+	a.ended = true
 	if a.exchange != nil {
 		a.exchange.Abort()
 	}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -61,6 +61,11 @@
 // run places and begins the attempt and hands over the result. If ctx ends before, it ends the attempt.
 func (h *hedge) run(ctx context.Context, template attempt, req planner.Request) {
 	a := &template
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.finishPanicked(ctx, a, cause)
+		}
+	}()
 	placement, err := a.relay.place(ctx, a.call, req)
 	if err != nil {
 		return
@@ -78,15 +83,33 @@
 	if result.err != nil {
 		a.end(result.outcome)
 	}
+	h.handOver(ctx, result)
+}
+
+// handOver hands over the result, or ends an attempt that has begun if ctx ends before.
+func (h *hedge) handOver(ctx context.Context, result hedgeResult) {
 	select {
 	case h.result <- result:
 	case <-ctx.Done():
 		if result.hasBegun() {
-			a.end(planner.OutcomeCanceled)
+			result.attempt.end(planner.OutcomeCanceled)
 		}
 	}
 }
 
+// finishPanicked ends a hedge that has panicked. The panic would otherwise end the process, and all other requests with it.
+func (h *hedge) finishPanicked(ctx context.Context, a *attempt, cause any) {
+	a.relay.logPanic(a.call.ID, cause)
+	if a.placement.Plan == nil {
+		h.handOver(ctx, hedgeResult{attempt: a, refusal: &planner.Refusal{}})
+		return
+	}
+	if !a.ended {
+		a.end(planner.OutcomeCanceled)
+	}
+	h.handOver(ctx, hedgeResult{attempt: a, outcome: planner.OutcomeBroken, err: errors.Errorf("panic: %v", cause)})
+}
+
 // beginBody begins the attempt and waits for the first event or for the complete response, if that isn't a stream.
 func (a *attempt) beginBody(ctx context.Context) (planner.Outcome, error) {
 	if outcome, err := a.begin(ctx, 0, nil); err != nil {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -28,7 +28,9 @@
 // unawarePlanner always places requests at the first replica that they don't exclude, whatever replicas have said.
 type unawarePlanner struct {
 	replicas []replica.Replica
-	held     chan struct{} // if not nil, the next plan is handed over once it is closed
+	helpers  []planner.Helper // of each plan
+	held     chan struct{}    // if not nil, the next plan is handed over once it is closed
+	panics   bool             // Place panics for requests that exclude a replica
 
 	mu      sync.Mutex
 	limited map[string]bool // replicas that have named a limit to the host
@@ -41,12 +43,15 @@
 	held := p.held
 	p.held = nil
 	p.mu.Unlock()
+	if p.panics && len(req.ExcludedReplicas) > 0 {
+		panic("placement of " + req.ID)
+	}
 	if held != nil {
 		defer func() { <-held }()
 	}
 	for _, r := range p.replicas {
 		if !slices.Contains(req.ExcludedReplicas, r.ID) {
-			return planner.Result{ID: req.ID, Plan: &planner.Plan{Replica: r}}, nil
+			return planner.Result{ID: req.ID, Plan: &planner.Plan{Replica: r, Helpers: p.helpers}}, nil
 		}
 	}
 	refusal := &planner.Refusal{Cause: planner.CauseNoReplica, RetryAfter: time.Second}
@@ -92,12 +97,15 @@
 
 	mu       sync.Mutex
 	requests int
+	delay    time.Duration // before the response
 }
 
 func (s *statingReplica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.requests++
+	delay := s.delay
 	s.mu.Unlock()
+	time.Sleep(delay)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Response-Signature", "s")
 	for name, values := range s.header {
@@ -207,3 +215,28 @@
 		t.Errorf("stated %v by a valid response, %v by one that isn't and a valid one; want one each", p.stated, p2.stated)
 	}
 }
+
+// panickingMemory panics in each command.
+type panickingMemory struct{ noMemory }
+
+func (panickingMemory) Release(context.Context, netip.AddrPort, string) error { panic("release") }
+
+// Guards against a panic in a goroutine that works for one request and ends the process: that of a hedge, and that of a
+// memory reservation.
+func TestPanicBesideRequestEndsNoOther(t *testing.T) {
+	r, p, replicas := statingWorld(t, http.StatusOK, nil)
+	replicas[0].mu.Lock()
+	replicas[0].delay = time.Second // a hedge begins before the response
+	replicas[0].mu.Unlock()
+	p.panics = true
+	if status := serveOne(r, "r1"); status != http.StatusOK {
+		t.Errorf("status %d after a panic of the hedge", status)
+	}
+	r, p, _ = statingWorld(t, http.StatusOK, nil)
+	r.Memory = panickingMemory{}
+	p.helpers = []planner.Helper{{Replica: "b", Address: p.replicas[1].Address, ReservedTokens: 10}}
+	if status := serveOne(r, "r2"); status != http.StatusOK {
+		t.Errorf("status %d beside a panic of a reservation", status)
+	}
+	time.Sleep(50 * time.Millisecond) // until the reservation is released
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -65,6 +65,11 @@
 
 // maintainReservation renews a reservation until ctx ends and then releases it.
 func (r *Relay) maintainReservation(ctx context.Context, requestID string, res reservation) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.logPanic(requestID, cause) // the reservation expires with its lease
+		}
+	}()
 	for wait.For(ctx, renewalInterval); ctx.Err() == nil; wait.For(ctx, renewalInterval) {
 		// The renewal doesn't use ctx: if it were canceled, it might arrive at the engine after the release.
 		if err := r.reserveOrRenew(context.Background(), res); err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -155,6 +156,13 @@
 		Counter("requests").Inc(1)
 }
 
+// logPanic logs and counts a panic in a goroutine that works for one request.
+func (r *Relay) logPanic(requestID string, cause any) {
+	r.Metrics.Counter("panics").Inc(1)
+	r.Log.Warn("request_panicked", slog.String("request_id", requestID), slog.Any("cause", cause),
+		slog.String("stack", string(debug.Stack())))
+}
+
 // promptLengthClass returns the value of the metrics label for the length of the call's prompt.
 func promptLengthClass(c *call.Call) string {
 	const (
