--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -202,7 +202,7 @@
 		switch {
 		case err == nil && second.Head.Status != http.StatusOK:
 			t.Errorf("%s: got status %d, the response to the call before it", test.name, second.Head.Status)
-		case err != nil && !(errors.As(err, &failure) && failure.Sent):
+		case err != nil && (!errors.As(err, &failure) || !failure.Sent):
 			t.Errorf("%s: %v says that the call wasn't sent", test.name, err)
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -103,7 +103,7 @@
 		crash := &t.crashes[i]
 		crash.completed = crash.completed || c.Request != 0 && crash.Content.Request == c.Request
 	}
-	t.clearVerdicts(now, &c)
+	t.clearVerdicts(now, &c, true)
 }
 
 // isCleared reports whether a request with the part was completed.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -250,3 +250,14 @@
 	other.crash(bad)
 	other.check(t, true, bad)
 }
+
+// A part has turned bad after requests with it were completed. Guards against its quarantine being ended by what a host
+// knows of those earlier requests, when it objects to another verdict that holds the part.
+func TestObjectionLeavesPartsThatTurnedBad(t *testing.T) {
+	w := newWorld()
+	w.complete(1)
+	w.table.Merge(w.now, []Verdict{{Content: Content{Parts: []uint64{1}}, Generation: 1, Left: time.Second, TurnedBad: true}})
+	w.check(t, true, 1)
+	w.table.Merge(w.now, []Verdict{{Content: Content{Parts: []uint64{1, 2}}, Generation: 1, Left: time.Second}})
+	w.check(t, true, 1)
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -78,12 +78,13 @@
 	}
 }
 
-// clearVerdicts ends the quarantine of contents that a completed request holds. Where it holds only some of the parts
-// that are quarantined together, the others remain.
-func (t *Table) clearVerdicts(now time.Time, c *Content) {
+// clearVerdicts ends the quarantine of contents that a completed request holds, and also of those that have turned bad if
+// the request was completed only now. Where it holds only some of the parts that are quarantined together, the others
+// remain.
+func (t *Table) clearVerdicts(now time.Time, c *Content, completedNow bool) {
 	var remaining []Content
 	for _, v := range t.verdicts {
-		if !v.quarantined() {
+		if !v.quarantined() || v.turnedBad && !completedNow {
 			continue
 		}
 		if c.holds(&v.content) {
@@ -156,5 +157,5 @@
 	if len(known.Parts) == 0 {
 		return
 	}
-	t.clearVerdicts(now, &known)
+	t.clearVerdicts(now, &known, false)
 }
