--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -187,12 +187,13 @@
 	if len(held) < crashesForParts {
 		return e
 	}
+	replicas := t.explainedReplicas()
 	for _, c := range crashes {
 		if t.commonCause(c.at, held) {
 			continue
 		}
 		explained, byPart := t.explains(&c.Content, part)
-		if explained && !byPart || !explained && t.explainedBeside(c) {
+		if explained && !byPart || !explained && replicas[c.Replica] {
 			continue
 		}
 		e.requests[c.Content.Request] = true
@@ -259,20 +260,20 @@
 	return explained, byPart
 }
 
-// explainedBeside reports whether a quarantine explains the crash of c's replica by another request there.
-func (t *Table) explainedBeside(c *Crash) bool {
-	for i := range t.crashes {
-		other := &t.crashes[i]
-		if other.Replica != c.Replica || !other.Early || other.survived {
+// explainedReplicas returns the replicas whose crashes quarantines of parts explain, by any request at the crash.
+func (t *Table) explainedReplicas() map[string]bool {
+	explained := make(map[string]bool)
+	for _, v := range t.verdicts {
+		if !v.quarantined() || v.content.Request != 0 {
 			continue
 		}
-		for _, v := range t.verdicts {
-			if v.quarantined() && v.content.Request == 0 && other.Content.holds(&v.content) && !c.Content.holds(&v.content) {
-				return true
+		for i := range t.crashes {
+			if c := &t.crashes[i]; c.Early && !c.survived && c.Content.holds(&v.content) {
+				explained[c.Replica] = true
 			}
 		}
 	}
-	return false
+	return explained
 }
 
 // crashesWith returns the early crashes of requests with the part that came after the last completed one, and the replicas
