placement, ratelimit: a planner that has just started finds out soon whether limits still hold

Nothing was sent to replicas whose limits had ended meanwhile, so nobody noticed, and callers were refused. Now a planner has no share for 1.5 s, or while it still finds hosts, and then that of the hosts it knows; planners that get a share begin with one request for each limited replica, all together.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -106,7 +106,11 @@
 func (c *Client) HostCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.assumeHosts(steady.Now(), max(c.Roster.Size(), c.hostCount.count))
+	count := max(c.Roster.Size(), c.hostCount.count)
+	if steady.Now().Sub(c.startedAt) < discoveryTime {
+		return max(count, assumedHosts)
+	}
+	return count
 }
 
 // Members returns the addresses of the entry hosts that this host knows: its own first, then the others in order of
--- a/internal/placement/followers.go
+++ b/internal/placement/followers.go
@@ -11,18 +11,44 @@
 	// How long a larger number of hosts counts after some can't be heard any more. They may go on beside this host, cut off
 	// from it, and send requests to the same replicas.
 	cutMemory = 5 * time.Minute
+	// How long after its start a host doesn't know how many others there are, and how long after it has found another one.
+	settleTime = 1500 * time.Millisecond
+	growthTime = time.Second
 )
 
 // followers is the share of all entry hosts that follow this one as their planner.
 type followers struct {
 	until map[string]time.Time // by host: when it no longer counts
 	hosts hostCount            // all hosts, those that may be cut off from this one included
+	grown time.Time            // when hosts was last found to be larger
 }
 
 func newFollowers() followers {
 	return followers{until: make(map[string]time.Time), hosts: hostCount{memory: cutMemory}}
 }
 
+// recordHosts takes over the number of hosts that this one knows at now.
+func (f *followers) recordHosts(now time.Time, count int) {
+	before := f.hosts.count
+	f.hosts.record(now, count)
+	if f.hosts.count > before {
+		f.grown = now
+	}
+}
+
+// knowsHosts reports whether this host, which started at the given time, seems to know all others: it has run for settleTime
+// and, if it has just started, found no further one lately.
+func (f *followers) knowsHosts(now, started time.Time) bool {
+	switch uptime := now.Sub(started); {
+	case uptime < settleTime:
+		return false
+	case uptime < discoveryTime:
+		return now.Sub(f.grown) >= growthTime
+	default:
+		return true
+	}
+}
+
 // record takes over from a host's heartbeat whether it follows this one. The heartbeat repeats a stamp that this host sent
 // at echoed; a host that was frozen may read it long after it was sent.
 func (f *followers) record(host string, echoed time.Time, follows bool) {
--- a/internal/placement/hostcount.go
+++ b/internal/placement/hostcount.go
@@ -26,11 +26,3 @@
 		h.reportedAt = now
 	}
 }
-
-// assumeHosts returns the number of hosts to assume, of which this host knows count.
-func (c *Client) assumeHosts(now time.Time, count int) int {
-	if now.Sub(c.startedAt) < discoveryTime {
-		return max(count, assumedHosts)
-	}
-	return count
-}
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -53,10 +53,10 @@
 
 // updateLimitShare sets the share of the limits that the local planner may spend: that of the hosts that it plans for.
 func (c *Client) updateLimitShare(now time.Time) {
-	c.followers.hosts.record(now, max(c.Roster.Size(), c.hostCount.count))
+	c.followers.recordHosts(now, max(c.Roster.Size(), c.hostCount.count))
 	share := 0.0
-	if c.plannerAddress == c.self() {
-		share = c.followers.share(now, c.assumeHosts(now, c.followers.hosts.count))
+	if c.plannerAddress == c.self() && c.followers.knowsHosts(now, c.startedAt) {
+		share = c.followers.share(now, c.followers.hosts.count)
 	}
 	c.localPlanner.Limits().SetShare(now, share, now.Add(limitShareTime))
 }
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -145,3 +145,30 @@
 		t.Errorf("%v requests a second after two minutes alone, want 1: a fourth of the limit", rate)
 	}
 }
+
+// Guards against a planner that has just started and spends limits as if the few hosts that it has found were all, and
+// against one that leaves them unspent although it knows its hosts.
+func TestStartedPlannerSpendsLimitsOnceItKnowsHosts(t *testing.T) {
+	f := newFollowers()
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		at    time.Duration
+		count int
+		want  bool
+	}{
+		{0, 1, false},
+		{time.Second, 1, false},
+		{1400 * time.Millisecond, 9, false},
+		{1600 * time.Millisecond, 9, false},
+		{2500 * time.Millisecond, 9, true},
+		{3 * time.Second, 10, false},
+		{5 * time.Second, 10, true},
+		{7 * time.Second, 11, true},
+	} {
+		now := start.Add(test.at)
+		f.recordHosts(now, test.count)
+		if got := f.knowsHosts(now, start); got != test.want {
+			t.Errorf("after %v with %d hosts: knows them: %v, want %v", test.at, test.count, got, test.want)
+		}
+	}
+}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -35,12 +35,21 @@
 	filledAt  time.Time
 }
 
-// SetShare sets which share of each limit this table may spend, until the given time; after it, the share is 0.
+// SetShare sets which share of each limit this table may spend, until the given time; after it, the share is 0. A table that
+// had no share gets as much of a token for each server: one request for all tables together, which shows whether the limit
+// still holds.
 func (t *Table) SetShare(now time.Time, share float64, until time.Time) {
+	hadNone := t.share == 0
 	for _, r := range t.rows {
 		t.fill(now, r)
 	}
 	t.share, t.shareUntil = share, until
+	if !hadNone {
+		return
+	}
+	for _, r := range t.rows {
+		r.tokens = min(r.tokens+share, t.room(r))
+	}
 }
 
 // Named records what a response said of its server's limit: that it is perSecond requests a second or, if limited isn't
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -143,3 +143,19 @@
 		t.Error("a limit that was lifted holds at the other host")
 	}
 }
+
+// Several tables that get shares of a limit at the same time, or one after the other, have one token together at once: a new
+// planner finds out whether the limit still holds.
+func TestNewSharesHoldOneTokenTogether(t *testing.T) {
+	sum := 0.0
+	for _, share := range []float64{0.5, 0.3, 0.2} {
+		table := &Table{}
+		table.Named(start, server, start, true, 0)
+		table.SetShare(at(time.Hour), share, at(2*time.Hour))
+		table.SetShare(at(time.Hour), share, at(2*time.Hour))
+		sum += table.Tokens(at(time.Hour), server)
+	}
+	if sum < 0.99 || sum > 1.01 {
+		t.Errorf("%v tokens at once, want 1", sum)
+	}
+}
