--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -87,7 +86,6 @@
 	}
 	slices.Sort(due)
 	due = slices.Compact(due)
-	t.sortByCoverage(due)
 	// What is certain comes first, since it explains crashes.
 	for _, doubtful := range []bool{false, true} {
 		for _, part := range due {
@@ -96,26 +94,6 @@
 	}
 }
 
-// sortByCoverage sorts parts so that those come first that were at the crashes of most replicas, but those last that all
-// requests at crashes hold: requests that broke off beside the one that crashed their replica hold these, too.
-func (t *Table) sortByCoverage(parts []uint64) {
-	all := 0
-	for i := range t.crashes {
-		if c := &t.crashes[i]; c.Early && !c.survived {
-			all++
-		}
-	}
-	order := make(map[uint64]int, len(parts))
-	for _, part := range parts {
-		crashes, held := t.crashesWith(part)
-		order[part] = -len(held)
-		if len(crashes) == all {
-			order[part] = 0
-		}
-	}
-	slices.SortStableFunc(parts, func(a, b uint64) int { return cmp.Compare(order[a], order[b]) })
-}
-
 // Crashes returns the attempts of the last minute that broke off, for another table.
 func (t *Table) Crashes(now time.Time) []Crash {
 	t.sweep(now)
@@ -187,13 +165,12 @@
 	if len(held) < crashesForParts {
 		return e
 	}
-	replicas := t.explainedReplicas()
 	for _, c := range crashes {
 		if t.commonCause(c.at, held) {
 			continue
 		}
 		explained, byPart := t.explains(&c.Content, part)
-		if explained && !byPart || !explained && replicas[c.Replica] {
+		if explained && !byPart {
 			continue
 		}
 		e.requests[c.Content.Request] = true
@@ -260,22 +237,6 @@
 	return explained, byPart
 }
 
-// explainedReplicas returns the replicas whose crashes quarantines of parts explain, by any request at the crash.
-func (t *Table) explainedReplicas() map[string]bool {
-	explained := make(map[string]bool)
-	for _, v := range t.verdicts {
-		if !v.quarantined() || v.content.Request != 0 {
-			continue
-		}
-		for i := range t.crashes {
-			if c := &t.crashes[i]; c.Early && !c.survived && c.Content.holds(&v.content) {
-				explained[c.Replica] = true
-			}
-		}
-	}
-	return explained
-}
-
 // crashesWith returns the early crashes of requests with the part that came after the last completed one, and the replicas
 // at which they were.
 func (t *Table) crashesWith(part uint64) ([]*Crash, map[string]bool) {
