--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -91,6 +91,7 @@
 		return
 	}
 	p.down = true
+	p.Log.addCrash(part) // before a caller can see the crash
 	p.reservations = nil
 	_ = p.listener.Close()
 	for c := range p.connections {
@@ -98,7 +99,6 @@
 	}
 	clear(p.connections)
 	p.mu.Unlock()
-	p.Log.addCrash(part)
 	if p.OnCrash != nil {
 		p.OnCrash()
 	}
