--- a/internal/planner/limit.go
+++ b/internal/planner/limit.go
@@ -42,10 +42,10 @@
 	return unlimited
 }
 
-// waitForLimit keeps the request w waiting, of which req is the present form, if a replica's limit allows it in time, and
-// refuses it otherwise. It reports whether it refused the request.
-func (r *round) waitForLimit(w *waitingRequest, req *Request, q *serviceQueue) bool {
-	rate, tokens := r.planner.limitedCapacity(r.now, req)
+// waitForLimit keeps the request w waiting, of which req is the present form, if the limit of one of the servers that it may
+// use allows it in time, and refuses it otherwise. It reports whether it refused the request.
+func (r *round) waitForLimit(w *waitingRequest, req *Request, q *serviceQueue, usable []*server) bool {
+	rate, tokens := r.planner.limitedCapacity(r.now, usable)
 	missing := float64(q.limitAhead) + 1 - tokens
 	if rate > 0 && missing/rate <= r.planner.maxLimitWait(w, req).Seconds() {
 		q.limitAhead++
@@ -67,10 +67,10 @@
 	return min(req.FirstTarget, req.firstEventTimeout()) - runTime
 }
 
-// limitedCapacity returns the requests a second that the limits of the servers that a request may use allow together, and
-// the tokens that they hold for these.
-func (p *Planner) limitedCapacity(now time.Time, req *Request) (rate, tokens float64) {
-	for _, s := range p.usableServers(now, req) {
+// limitedCapacity returns the requests a second that the limits of the servers allow together, and the tokens that they hold
+// for these.
+func (p *Planner) limitedCapacity(now time.Time, servers []*server) (rate, tokens float64) {
+	for _, s := range servers {
 		rate += p.limits.Rate(now, s.replica)
 		tokens += p.limits.Tokens(now, s.replica)
 	}
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -54,9 +54,10 @@
 		return r.planner.refuse(&req, refusal)
 	}
 	q := r.queue(req.Service)
-	servers = r.planner.withinLimits(r.now, servers)
+	usable := servers
+	servers = r.planner.withinLimits(r.now, usable)
 	if len(servers) == 0 {
-		return !onTime && r.waitForLimit(w, &req, q)
+		return !onTime && r.waitForLimit(w, &req, q, usable)
 	}
 	if q.shortNotPlaced && !w.long {
 		return !onTime && r.waitOrRefuse(w, &req, q)
