review: case 2, requests that wait for a slot are cut off by a planned stop

Cause: a host that stops ends its process while requests that it has read wait for a plan, and refuses none of them. Change: the case.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,7 +21,8 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken, or an error if the case couldn't run.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"early-reset": earlyReset,
+	"early-reset":     earlyReset,
+	"waiting-at-stop": waitingAtStop,
 }
 
 func main() {
