review: case 3, a part behind the sixteenth of a prompt crashes replicas without end

Cause: the adapter passes on the first 16 parts of a prompt only, so that the quarantine never sees the others. Change: the case.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,6 +22,8 @@
 // cases holds the cases by name. Each returns whether the rule was broken, or an error if the case couldn't run.
 var cases = map[string]func(w *world) (broken bool, err error){
 	"early-reset":     earlyReset,
+	"forgotten":       forgottenQuarantine,
+	"many-parts":      manyParts,
 	"waiting-at-stop": waitingAtStop,
 }
 
