review: case 5, all requests hold a part that crashes replicas; the stand-ins tidied

Cause: a quarantine that most requests hold lasts two seconds at first, and a request is let through after each. Change: the case, from an entry; stand-ins with ports below the outgoing ones, ended by signals, clean for the linter.

--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return &answer{err: err, took: time.Since(began)}
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(began.Add(r.timeout + 2*time.Second))
 	go func() { _, _ = c.Write(r.bytes()) }()
 	return readAnswer(bufio.NewReader(c), r, began)
--- a/review/_standin/earlyreset.go
+++ b/review/_standin/earlyreset.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	file := os.NewFile(uintptr(fd), "listener")
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	l, err := net.FileListener(file)
 	if err != nil {
 		return nil, err
@@ -87,7 +87,7 @@
 
 // serve answers one request: the head and half of the body, then the rest or a reset.
 func (p *slowReplica) serve(c *net.TCPConn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	reader := bufio.NewReaderSize(c, 4096)
 	r, err := http.ReadRequest(reader)
 	if err != nil {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes.
@@ -24,6 +26,7 @@
 	"early-reset":     earlyReset,
 	"forgotten":       forgottenQuarantine,
 	"many-parts":      manyParts,
+	"all-bad":         allBad,
 	"waiting-at-stop": waitingAtStop,
 }
 
@@ -48,6 +51,14 @@
 		return exitNotRun
 	}
 	defer w.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		w.note("the case was stopped")
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(w)
 	switch {
 	case err != nil:
--- a/review/_standin/waiting.go
+++ b/review/_standin/waiting.go
@@ -20,22 +20,18 @@
 	gracePeriod    = 8 * time.Second
 )
 
-// waitingAtStop stops a host with SIGTERM while requests that it has read wait for a free slot of a replica.
-func waitingAtStop(w *world) (bool, error) {
+// slottedOrders returns the handler of a replica that runs as many orders at once as it has slots and queues the others. It
+// drops an order from its queue when the connection is closed.
+func (w *world) slottedOrders() func(p *plainReplica, rw http.ResponseWriter, r *http.Request) {
 	slots := make(chan bool, waitingSlots)
-	replica, err := w.startReplica("i-1", func(p *plainReplica, rw http.ResponseWriter, r *http.Request) {
+	return func(p *plainReplica, rw http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("Request-Id")
 		select {
 		case slots <- true:
-		default:
-			w.note("replica %s: request %s queues", p.id, id)
-			select {
-			case slots <- true:
-			case <-r.Context().Done():
-				w.note("replica %s: request %s dropped from the queue, its connection was closed", p.id, id)
-				return
-			}
+		case <-r.Context().Done():
+			w.note("replica %s: request %s dropped from the queue, its connection was closed", p.id, id)
+			return
 		}
 		defer func() { <-slots }()
 		p.begin(w, r)
@@ -46,7 +42,40 @@
 		time.Sleep(work)
 		w.note("replica %s: request %s has run", p.id, id)
 		succeed(rw, id, "done "+id+"\n")
-	})
+	}
+}
+
+// orderClients sends orders to one host and keeps the answers.
+type orderClients struct {
+	w       *world
+	host    *host
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	answers map[string]*answer // by the id of the request
+}
+
+// start sends n orders in the background, whose ids begin with prefix.
+func (o *orderClients) start(prefix string, n int) {
+	for i := range n {
+		id := fmt.Sprintf("%s%06x", prefix, i)
+		o.wg.Add(1)
+		go func() {
+			defer o.wg.Done()
+			o.w.note("client: request %s to %s, which it gives %v", id, o.host.name, waitingTimeout)
+			a := send(o.host.front, &request{
+				method: http.MethodPost, path: "/orders/" + id, id: id, timeout: waitingTimeout, body: []byte("two dies"),
+			})
+			o.w.note("client: request %s: %s", id, a)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.answers[id] = a
+		}()
+	}
+}
+
+// waitingAtStop stops a host with SIGTERM while requests that it has read wait for a free slot of a replica.
+func waitingAtStop(w *world) (bool, error) {
+	replica, err := w.startReplica("i-1", w.slottedOrders())
 	if err != nil {
 		return false, err
 	}
@@ -60,30 +89,10 @@
 	}
 	time.Sleep(3 * time.Second)
 	stopped := w.hosts[0]
-	var wg sync.WaitGroup
-	answers := make(map[string]*answer)
-	var mu sync.Mutex
-	order := func(id string, h *host) {
-		defer wg.Done()
-		r := &request{
-			method: http.MethodPost, path: "/orders/" + id, id: id, timeout: waitingTimeout, body: []byte("two moulds"),
-		}
-		w.note("client: request %s to %s, which it gives %v", id, h.name, waitingTimeout)
-		a := send(h.front, r)
-		w.note("client: request %s: %s", id, a)
-		mu.Lock()
-		answers[id] = a
-		mu.Unlock()
-	}
-	for i := range waitingSlots {
-		wg.Add(1)
-		go order(fmt.Sprintf("aa%06x", i), stopped)
-	}
+	orders := &orderClients{w: w, host: stopped, answers: make(map[string]*answer)}
+	orders.start("aa", waitingSlots)
 	time.Sleep(500 * time.Millisecond)
-	for i := range waitingBehind {
-		wg.Add(1)
-		go order(fmt.Sprintf("bb%06x", i), stopped)
-	}
+	orders.start("bb", waitingBehind)
 	time.Sleep(termDelay)
 	if w.trouble {
 		w.note("SIGTERM to %s", stopped.name)
@@ -92,20 +101,18 @@
 		}
 		time.AfterFunc(gracePeriod, func() { _ = stopped.command.Process.Kill() })
 	}
-	wg.Wait()
+	orders.wg.Wait()
 	lost := 0
-	for i := range waitingBehind {
-		id := fmt.Sprintf("bb%06x", i)
-		a := answers[id]
+	for id, a := range orders.answers {
 		if a.status != 0 && a.complete {
 			continue
 		}
 		if !w.trouble {
 			return false, fmt.Errorf("without the disruption: %s", a)
 		}
-		if a.took < waitingTimeout && replica.runs(id) == 0 {
+		if strings.HasPrefix(id, "bb") && a.took < waitingTimeout && replica.runs(id) == 0 {
 			lost++
-			w.note("LOST: request %s was read, never passed on, and its connection ended without an answer", id)
+			w.note("LOST: request %s was read, no replica ran it, and its connection ended without an answer", id)
 		}
 	}
 	w.note("sum: %d of %d requests that waited ended without an answer", lost, waitingBehind)
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +35,7 @@
 	folder       string // for settings and logs
 	began        time.Time
 	mu           sync.Mutex // guards record
+	closeOnce    sync.Once
 	record       *os.File
 }
 
@@ -83,8 +86,10 @@
 	}
 }
 
-// close ends all hosts and removes the temporary folder.
-func (w *world) close() {
+// close ends all hosts and removes the temporary folder. It does nothing when it is called again.
+func (w *world) close() { w.closeOnce.Do(w.end) }
+
+func (w *world) end() {
 	for _, h := range w.hosts {
 		if h.command != nil {
 			_ = h.command.Process.Signal(syscall.SIGCONT)
@@ -109,18 +114,28 @@
 	_ = w.record.Close()
 }
 
+// The ports of hosts are below those that the system gives to outgoing connections.
+const (
+	firstPort = 18000
+	portRange = 12000
+)
+
 // freePorts returns n ports that are free now.
 func freePorts(n int) ([]int, error) {
 	ports := make([]int, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portRange {
+		if len(ports) == n {
+			return ports, nil
+		}
+		port := firstPort + rand.IntN(portRange)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		defer func() { _ = l.Close() }()
+		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, errors.New("too few free ports")
 }
 
 const settingsText = `nodeName = "%s"
@@ -206,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	h.command = exec.Command("target/turmericshunt", "gateway")
 	h.command.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TURMERICSHUNT_SETTINGS=" + h.settings,
