--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -28,6 +28,7 @@
 	"many-parts":      manyParts,
 	"all-bad":         allBad,
 	"waiting-at-stop": waitingAtStop,
+	"large-bodies":    largeBodies,
 }
 
 func main() {
