review: all sound requests of a caller are refused for another part that crashes replicas

Cause: of two parts that explain the same crashes equally well, the quarantine takes the one with the smaller hash, and nothing can clear it afterwards.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Prompts of 19 shared parts, the 18th of which crashes replicas: exits with 1 if more than three requests with it reach
-# replicas later than 3 s after the fifth crash. TROUBLE=0: the part crashes nothing. BAD_AFTER=3: the part is the fourth, for
-# comparison.
+# A part of prompts that crashes replicas comes in one session after the other, each with a document of its own: exits with 1 if
+# more than three requests with the part reach replicas later than 3 s after the fifth crash. TROUBLE=0: the part crashes nothing.
+# SESSIONS=1: one session only, for comparison.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-exec timeout 110 target/review/standin many-parts review/5
+exec timeout 115 target/review/standin bad-sessions review/5
--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -34,14 +34,19 @@
 	method, path, id string
 	timeout          time.Duration // that the client waits
 	header           http.Header   // further headers
+	key              string        // apiKey if empty
 	body             []byte
 }
 
 // bytes returns the request as it is sent.
 func (r *request) bytes() []byte {
 	var b bytes.Buffer
+	key := apiKey
+	if r.key != "" {
+		key = r.key
+	}
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nTimeout-Remaining: %d\r\nAuthorization: Bearer %s\r\n",
-		r.method, r.path, callHost, r.id, r.timeout.Milliseconds(), apiKey)
+		r.method, r.path, callHost, r.id, r.timeout.Milliseconds(), key)
 	if len(r.body) > 0 || r.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.body))
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -31,6 +31,7 @@
 	"large-bodies":    largeBodies,
 	"query-crash":     queryCrash,
 	"bad-sessions":    badSessions,
+	"blamed":          blamed,
 }
 
 func main() {
--- a/review/_standin/manyparts.go
+++ b/review/_standin/manyparts.go
@@ -101,6 +101,11 @@
 
 // startEngines starts model replicas that crash on the bad part, if crashes is set.
 func (w *world) startEngines(crashes bool, bad *badArrivals) error {
+	return w.startEnginesWith(func() bool { return crashes }, func(*http.Request) {}, bad)
+}
+
+// startEnginesWith starts model replicas that crash on the bad part while crashes says so, and call arrives for each request.
+func (w *world) startEnginesWith(crashes func() bool, arrives func(*http.Request), bad *badArrivals) error {
 	names := make(map[netip.AddrPort]string)
 	clock := &replica.Clock{Fleet: &passes.Fleet{Params: passes.SampleEngine()}}
 	for i := range partsReplicas {
@@ -109,6 +114,7 @@
 			EngineNames: func() map[netip.AddrPort]string { return names }, Downtime: replicaDowntime,
 		}
 		p.Fault = func(r *http.Request) replica.Fault {
+			arrives(r)
 			if strings.Contains(r.Header.Get("Prompt-Prefix"), badPart) {
 				bad.mu.Lock()
 				bad.arrivals = append(bad.arrivals, time.Now())
@@ -117,17 +123,15 @@
 			}
 			return replica.FaultNone
 		}
-		if crashes {
-			p.CrashesOn = func(part string) bool { return part == badPart }
-			p.OnCrash = func() {
-				bad.mu.Lock()
-				bad.crashes = append(bad.crashes, time.Now())
-				n := len(bad.crashes)
-				bad.mu.Unlock()
-				w.note("replica %s: crash %d", p.ID, n)
-			}
-			p.OnReturn = func() { w.store.Put("servers/"+p.ID, p.Entry("ready")) }
+		p.CrashesOn = func(part string) bool { return part == badPart && crashes() }
+		p.OnCrash = func() {
+			bad.mu.Lock()
+			bad.crashes = append(bad.crashes, time.Now())
+			n := len(bad.crashes)
+			bad.mu.Unlock()
+			w.note("replica %s: crash %d", p.ID, n)
 		}
+		p.OnReturn = func() { w.store.Put("servers/"+p.ID, p.Entry("ready")) }
 		address, err := p.Listen()
 		if err != nil {
 			return err
--- a/review/_standin/sessions.go
+++ b/review/_standin/sessions.go
@@ -28,9 +28,14 @@
 
 // startWith sends a prompt with the given parts to a host in the background.
 func (q *quickClients) startWith(id, kind, parts string, h *host) {
+	q.startFor(apiKey, id, kind, parts, h)
+}
+
+// startFor is startWith for the holder of a key.
+func (q *quickClients) startFor(key, id, kind, parts string, h *host) {
 	q.wg.Go(func() {
 		a := send(h.front, &request{
-			method: http.MethodPost, path: "/quick/" + id, id: id, timeout: 10 * time.Second, body: []byte(id),
+			method: http.MethodPost, path: "/quick/" + id, id: id, key: key, timeout: 10 * time.Second, body: []byte(id),
 			header: http.Header{"Model": {"m"}, "Token-Usage": {"2720,300"}, "Prompt-Prefix": {parts}},
 		})
 		q.w.note("client: %s request %s to %s: %s", kind, id, h.name, a)
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -22,6 +22,7 @@
 	readyTimeout = 15 * time.Second // until all hosts that were started count as ready
 	endTimeout   = 3 * time.Second  // until a host that was told to stop is killed
 	apiKey       = "review-key"
+	otherKey     = "other-key" // of another tenant
 	callHost     = "review.example"
 )
 
@@ -319,7 +320,10 @@
 			{"name": "quote-llm", "healthPath": "/health", "maxConnections": 819, "engine": engine},
 			{"name": "order-desk", "healthPath": "/health", "maxConnections": 248},
 		},
-		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []object{{"name": "tenant-1", "apiKeys": []string{apiKey}, "priority": 1}},
+		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []object{
+			{"name": "tenant-1", "apiKeys": []string{apiKey}, "priority": 1},
+			{"name": "tenant-2", "apiKeys": []string{otherKey}, "priority": 1},
+		},
 	}
 }
