--- a/review/_standin/largebodies.go
+++ b/review/_standin/largebodies.go
@@ -32,6 +32,8 @@
 	memoryCheck       = 10 * time.Millisecond
 	memoryRestartTime = 500 * time.Millisecond // until the platform starts a process again that it has killed
 	mostLostRequests  = 3
+
+	largePath = "/order/b" // of an order; that of the small request is another
 )
 
 // memoryWatch is the platform's watch over the memory of the hosts: it kills a process with more than memoryLimitBytes and
@@ -178,15 +180,16 @@
 			n++
 			o := &largeOrder{id: fmt.Sprintf("order-%d", n), host: h}
 			orders = append(orders, o)
-			sent.Go(func() { w.sendLargeOrder(o) })
+			sent.Go(func() { w.sendLargeOrder(o, largeBodyBytes) })
 		}
 	}
 	sent.Wait()
 	return orders
 }
 
-// sendLargeOrder opens a connection with a small request, which is answered, and sends an order on it.
-func (w *world) sendLargeOrder(o *largeOrder) {
+// sendLargeOrder opens a connection with a small request, which is answered, and sends an order with a body of so many bytes
+// on it.
+func (w *world) sendLargeOrder(o *largeOrder, bodyBytes int) {
 	c, err := net.DialTimeout("tcp", o.host.front, time.Second)
 	if err != nil {
 		o.answer = &answer{err: err}
@@ -198,7 +201,7 @@
 	reader := bufio.NewReader(c)
 	small := &request{method: http.MethodPost, path: "/order/a", id: o.id + "-first", timeout: largeTimeout}
 	large := &request{
-		method: http.MethodPost, path: "/order/b", id: o.id, timeout: largeTimeout, body: make([]byte, largeBodyBytes),
+		method: http.MethodPost, path: largePath, id: o.id, timeout: largeTimeout, body: make([]byte, bodyBytes),
 	}
 	for _, r := range []*request{small, large} {
 		began := time.Now()
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -32,6 +32,7 @@
 	"query-crash":     queryCrash,
 	"bad-sessions":    badSessions,
 	"blamed":          blamed,
+	"endless":         endless,
 }
 
 func main() {
