--- a/review/_standin/endless.go
+++ b/review/_standin/endless.go
@@ -15,7 +15,7 @@
 	endlessSlots    = 24
 	endlessWork     = 4 * time.Second // of a sound replica on one order
 	endlessTimeout  = 15 * time.Second
-	endlessInterval = 90 * time.Millisecond // between two orders at one host
+	endlessInterval = 75 * time.Millisecond // between two orders at one host
 	endlessBegin    = 8 * time.Second
 	endlessTrouble  = 20 * time.Second
 	endlessLength   = 36 * time.Second // until the last order is sent
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -223,18 +223,18 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	h.command = exec.Command("target/turmericshunt", "gateway")
-	h.command.Env = []string{
+	command := exec.Command("target/turmericshunt", "gateway")
+	command.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TURMERICSHUNT_SETTINGS=" + h.settings,
 	}
-	h.command.Stdout, h.command.Stderr = log, log
-	if err := h.command.Start(); err != nil {
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
 		return err
 	}
+	h.command = command
 	h.startedAt = time.Now()
 	ended := make(chan struct{})
 	h.ended = ended
-	command := h.command
 	go func() {
 		err := command.Wait()
 		w.note("%s: process %d ended: %v", h.name, command.Process.Pid, err)
