duplex: a connection says how it ended once, for its reader and its writer

In a tunnel that was the write to the replica, which dropped the error; the read then saw an orderly end and sent frameEnd.

backend guessed with a wait of 50 ms; service (serve) has the same through net/http. duplex.Conn keeps the first failure of either direction, and a read returns the end only after the write in progress.

Ruled out: engine (frames of its own), platform and store clients (bodies with a length).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -13,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericshunt/turmericshunt/internal/duplex"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 )
 
@@ -34,7 +34,7 @@
 
 // conn is a connection to one server.
 type conn struct {
-	net       netconn.Conn
+	net       *duplex.Conn
 	reader    *bufio.Reader
 	address   netip.AddrPort
 	idleSince time.Time     // on the boot-time clock
@@ -53,7 +53,7 @@
 
 // newConn returns a connection to the server at address that has carried no call.
 func newConn(c netconn.Conn, address netip.AddrPort) *conn {
-	cn := &conn{net: c, address: address, maxIdle: defaultMaxIdle, headLeft: -1}
+	cn := &conn{net: &duplex.Conn{Conn: c}, address: address, maxIdle: defaultMaxIdle, headLeft: -1}
 	cn.reader = bufio.NewReaderSize(cn, readBufSize)
 	return cn
 }
@@ -177,19 +177,13 @@
 // has ended; otherwise it is nil.
 func (c *conn) writeRequest(head, body []byte) (<-chan error, error) {
 	if len(body) <= maxInlineBody {
-		buffers := net.Buffers{head, body}
-		_, err := buffers.WriteTo(c.net)
+		_, err := c.net.Write(append(head, body...))
 		return nil, err
 	}
 	if _, err := c.net.Write(head); err != nil {
 		return nil, err
 	}
-	done := make(chan error, 1)
-	go func() {
-		_, err := c.net.Write(body)
-		done <- err
-	}()
-	return done, nil
+	return c.net.StartWrite(body), nil
 }
 
 // discardBody reads the body of a response to another call to its end. It returns io.ErrShortBuffer if the body has
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -99,31 +99,7 @@
 	if x.resp.ContentLength == 0 {
 		return 0, io.EOF
 	}
-	n, err := x.resp.Body.Read(b)
-	if errors.Is(err, io.EOF) && !x.framed() {
-		if sendErr := x.sendError(); sendErr != nil {
-			return n, sendErr
-		}
-	}
-	return n, err
-}
-
-// sendErrorWait is how long after the end of a connection the error of sending the request's body may become known.
-const sendErrorWait = 50 * time.Millisecond
-
-// sendError returns the error with which sending the body in the background has ended, if it has. The system reports the
-// failure of a connection only once, to the read or to the write; the other one then sees an orderly end.
-func (x *Exchange) sendError() error {
-	if x.bodySent == nil {
-		return nil
-	}
-	select {
-	case err := <-x.bodySent:
-		x.bodySent = nil
-		return err
-	case <-time.After(sendErrorWait):
-		return nil
-	}
+	return x.resp.Body.Read(b)
 }
 
 // Direct reports whether the exchange goes to the server without another host between.
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericshunt/turmericshunt/internal/duplex"
+	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/protocol"
 	"github.com/turmericshunt/turmericshunt/pkg/outcome"
 )
@@ -25,11 +27,20 @@
 
 func (p *Pool) init() {
 	p.once.Do(func() {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		p.transport = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+		p.transport = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	})
 }
 
+// dial connects to a backend server.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &duplex.Conn{Conn: netconn.TCP{TCPConn: c.(*net.TCPConn)}}, nil
+}
+
 // exchange sends call to s once and returns the response.
 func (p *Pool) exchange(ctx context.Context, call *Call, s protocol.Server) (Response, *Error) {
 	var mayBeSent atomic.Bool
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -19,7 +19,7 @@
 
 	// The frames of what the server has sent begin with their length, as a big-endian integer of frameHeaderBytes.
 	frameHeaderBytes = 2
-	frameEnd         = 0      // in place of a length: the server has ended its connection
+	frameEnd         = 0      // in place of a length: the server has ended its connection, which had not failed
 	frameGoingAway   = 0xFFFF // in place of a length: the host between stops soon
 	maxFrameBytes    = 16 << 10
 )
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericshunt/turmericshunt/internal/duplex"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 )
 
@@ -63,11 +64,12 @@
 		return
 	}
 	defer s.remove(t)
-	server, err := s.Connect(context.Background(), address)
+	direct, err := s.Connect(context.Background(), address)
 	if err != nil {
 		_, _ = c.Write([]byte{byte(statusUnreachable)})
 		return
 	}
+	server := &duplex.Conn{Conn: direct}
 	defer func() { _ = server.Close() }()
 	if _, err := c.Write([]byte{byte(statusConnected)}); err != nil {
 		return
@@ -142,8 +144,7 @@
 		n, err := t.tcp.Read(buffer)
 		if n > 0 {
 			if _, writeErr := server.Write(buffer[:n]); writeErr != nil {
-				// What the server has sent may still be read; its connection tells how it ends.
-				return
+				return // what the server has sent may still be read
 			}
 		}
 		if err != nil {
