relay, gateway: a planned stop is a deadline of each request

Only the deadline and the caller's patience reached the planner; the stop did not.

BeginStop limits the deadline of all placement requests, and places those that wait anew; EndUnanswered ends what has no part of a response an eighth of the grace period before its end, with 503 if it has not run, else 504. Responses that have begun go on until a twelfth is left (8 s: 7.33 s after the signal, 7.3 s before).

Ruled out: a refusal of all that waits at the signal, which would give up requests that are served in time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,8 +42,10 @@
 	// the host is not ready before its connections are refused. It is as long as the stoppingTime of package ingress,
 	// after which requests are refused.
 	minStopTime = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace period the host cuts off the responses that are incomplete.
-	stopMargin = 700 * time.Millisecond
+	// A host ends the requests without a response when one part in answerMarginPart of the grace period is left, and cuts off the
+	// responses that are incomplete when one in cutMarginPart is.
+	answerMarginPart = 8
+	cutMarginPart    = 12
 	// stopPollInterval is how often a stopping host checks whether requests are in flight.
 	stopPollInterval = 50 * time.Millisecond
 	// isolationTime is how long a host that reaches no replica must have heard of no other host until it isn't ready.
@@ -300,23 +302,29 @@
 }
 
 // stopGracefully reports the stop to the other hosts and the load balancer, waits until the requests in flight are
-// completed, and closes the callers' server. It waits for minStopTime at least, and cuts off the requests that are
-// still in flight stopMargin before the end of the grace period.
+// completed, and closes the callers' server. It waits for minStopTime at least. Toward the end of the grace period it ends the
+// requests without a response, and then cuts off the responses that are incomplete.
 func (g *Gateway) stopGracefully() {
-	stopStarted := steady.Now()
+	started := steady.Now()
+	grace := g.Settings.GracePeriod
+	answerBy, cutAt := started.Add(grace-grace/answerMarginPart), started.Add(grace-grace/cutMarginPart)
 	g.Log.Event("host_stopping", slog.Int("under_way", g.relay.InFlight()))
+	g.relay.BeginStop(answerBy)
 	g.placement.AnnounceStop()
 	g.ingress.BeginStop()
 	g.tunnels.BeginStop()
-	deadline := stopStarted.Add(g.Settings.GracePeriod - stopMargin)
-	for now := stopStarted; now.Before(deadline); now = steady.Now() {
-		if now.Sub(stopStarted) > minStopTime && g.ingress.Active() == 0 && g.tunnels.Active() == 0 {
+	for now := started; now.Before(answerBy); now = steady.Now() {
+		if now.Sub(started) > minStopTime && g.ingress.Active() == 0 && g.tunnels.Active() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
 	}
+	if !steady.Now().Before(answerBy) {
+		g.Log.Event("unanswered_ended", slog.Int("under_way", g.relay.InFlight()))
+		g.relay.EndUnanswered()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(),
-		max(min(lastRequestTime, deadline.Sub(steady.Now())), stopPollInterval))
+		max(min(lastRequestTime, cutAt.Sub(steady.Now())), stopPollInterval))
 	defer cancel()
 	if err := g.ingress.Stop(ctx); err != nil {
 		g.Log.Warn("answers_cut", slog.Int("under_way", g.relay.InFlight()))
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -40,3 +40,63 @@
 	}
 	c.eventually("the host has stopped", func() bool { return len(h.done) == 1 })
 }
+
+// newOccupiedCluster starts a cluster whose only replica of the plain service has the given slots, which never respond.
+func newOccupiedCluster(t *testing.T, hosts, slots int) *cluster {
+	c, _ := newScriptedHosts(t, hosts, 2, func(_ int, _ *http.Request, conn net.Conn) { untilClosed(conn) })
+	doc := c.configuration()
+	for _, route := range doc["routes"].([]any) {
+		route.(map[string]any)["timeoutMs"] = 15000
+	}
+	c.putConfiguration(doc)
+	for _, r := range c.replicas {
+		r.Slots = slots
+		c.store.Put("servers/"+r.ID, r.Entry("ready"))
+	}
+	c.leaveOnly("i-4", "desk", "gone")
+	c.eventually("the configuration is active", func() bool {
+		for _, h := range c.hosts {
+			if h.status().Configuration.Version != int64(c.version) {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+// Guards against requests without an answer after a planned stop: one that waits for a slot was cut off with the host's
+// process, though a refusal would have been true at any time, and one whose replica is silent got no error either.
+func TestPlannedStopAnswersRequestsThatWait(t *testing.T) {
+	t.Parallel()
+	const slots = 2
+	for _, hosts := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			t.Parallel()
+			c := newOccupiedCluster(t, hosts, slots)
+			defer c.logOnFailure()
+			responses := make(chan response)
+			for range slots {
+				go func() { responses <- c.post(0, "/orders/runs", "o") }()
+			}
+			c.eventually("the slots are taken", func() bool { return c.hosts[0].status().InFlight == slots })
+			for range slots {
+				go func() { responses <- c.post(0, "/orders/waits", "o") }()
+			}
+			c.eventually("requests wait", func() bool { return c.hosts[0].status().InFlight == 2*slots })
+			h := c.hosts[0]
+			stopped := time.Now()
+			h.stop()
+			statuses := make(map[int]int)
+			for range 2 * slots {
+				statuses[(<-responses).status]++
+			}
+			if d := time.Since(stopped); d > h.settings.GracePeriod {
+				t.Errorf("the last response came after %v, want it within %v", d, h.settings.GracePeriod)
+			}
+			if statuses[http.StatusServiceUnavailable] != slots || statuses[http.StatusGatewayTimeout] != slots {
+				t.Errorf("statuses %v, want %d refusals and as many time-outs", statuses, slots)
+			}
+		})
+	}
+}
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 )
@@ -24,7 +27,7 @@
 	t.relay.Metrics.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
 	t.relay.recordEnd(t.call, "refused", slog.String("cause", string(r.Cause)),
 		eventlog.Milliseconds("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.mayHaveRun()),
-		slog.Bool("cut", t.headWritten))
+		slog.Bool("cut", t.headWritten.Load()))
 	t.finishIncomplete(http.StatusBadGateway, r.RetryAfter, string(r.Cause))
 }
 
@@ -33,25 +36,28 @@
 func (t *transfer) finishFailed(o planner.Outcome, limit string) {
 	t.closeHedge()
 	t.relay.recordEnd(t.call, "failed", slog.String("cause", string(o)), slog.String("limit", limit), slog.Int("runs", t.progress.runs),
-		slog.Int("refusals", t.progress.refused), slog.Int("unreachable", t.progress.unreachable), slog.Bool("cut", t.headWritten))
+		slog.Int("refusals", t.progress.refused), slog.Int("unreachable", t.progress.unreachable), slog.Bool("cut", t.headWritten.Load()))
 	t.finishIncomplete(http.StatusBadGateway, defaultRetryAfter, string(o))
 }
 
 // finishExpired ends a call whose context has ended. It panics with http.ErrAbortHandler if the caller has
-// disconnected; otherwise the deadline has passed and the caller gets a response.
+// disconnected; otherwise the deadline has passed, or the host stops, and the caller gets a response.
 func (t *transfer) finishExpired() {
 	t.closeHedge()
 	outcome := "timeout"
 	disconnected := t.callerCtx.Err() != nil
-	if disconnected {
+	switch {
+	case disconnected:
 		outcome = "canceled"
+	case errors.Is(t.ctx.Err(), context.Canceled):
+		outcome = "stopped"
 	}
 	t.relay.recordEnd(t.call, outcome, slog.Bool("ran", t.progress.mayHaveRun()), slog.Int("events", t.events.forwarded),
-		slog.Bool("cut", t.headWritten && !disconnected))
+		slog.Bool("cut", t.headWritten.Load() && !disconnected))
 	if disconnected {
 		panic(http.ErrAbortHandler)
 	}
-	t.finishIncomplete(http.StatusGatewayTimeout, defaultRetryAfter, "timeout")
+	t.finishIncomplete(http.StatusGatewayTimeout, defaultRetryAfter, outcome)
 }
 
 // finishIncomplete ends a call that was not completed. It aborts the connection if a response has begun, and otherwise
@@ -59,7 +65,7 @@
 // has not run, a refusal with Retry-After.
 func (t *transfer) finishIncomplete(status int, retryAfter time.Duration, cause string) {
 	switch {
-	case t.headWritten:
+	case t.headWritten.Load():
 		t.relay.Metrics.Tagged(map[string]string{"cause": cause}).Counter("responses_cut").Inc(1)
 		panic(http.ErrAbortHandler)
 	case t.serverFailure != nil:
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -56,27 +56,39 @@
 }
 
 // place asks the planner for a server for c until it names one that may receive the call, refuses the call or ctx ends.
-// It sets the ID of the request.
+// It sets the ID of the request. When the host begins to stop, it asks again.
 func (r *Relay) place(ctx context.Context, c *call.Call, req planner.Request) (planner.Result, error) {
 	for {
 		requestedAt := steady.Now()
-		req.ID = strconv.FormatUint(r.lastPlacementID.Add(1), 36)
-		result, err := r.PlannerClient.Place(ctx, req)
+		result, err := r.placeOnce(ctx, requestedAt, req)
 		now := steady.Now()
 		r.Metrics.Timer("planning").Record(now.Sub(requestedAt))
-		if err != nil || result.Plan == nil {
+		switch {
+		case err != nil && ctx.Err() == nil: // the stop has begun
+		case err != nil || result.Plan == nil:
 			return result, err
+		default:
+			r.logPlan(c, result.Plan, now.Sub(requestedAt))
+			if r.maySend(result) {
+				return result, nil
+			}
+			r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, planner.Pause{})
+			req.ExcludedReplicas = append(req.ExcludedReplicas, result.Plan.Replica.ID)
 		}
-		r.logPlan(c, result.Plan, now.Sub(requestedAt))
-		if r.maySend(result) {
-			return result, nil
-		}
-		r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, planner.Pause{})
-		req.ExcludedReplicas = append(req.ExcludedReplicas, result.Plan.Replica.ID)
 		req.SubtractElapsed(now.Sub(requestedAt))
 	}
 }
 
+// placeOnce asks the planner for a server until it has decided, ctx ends or the host begins to stop. The times in req are
+// relative to now.
+func (r *Relay) placeOnce(ctx context.Context, now time.Time, req planner.Request) (planner.Result, error) {
+	ctx, cancel := r.stop.untilBegun(ctx)
+	defer cancel()
+	r.stop.limit(now, &req)
+	req.ID = strconv.FormatUint(r.lastPlacementID.Add(1), 36)
+	return r.PlannerClient.Place(ctx, req)
+}
+
 // maySend reports whether a call may be sent as planned: its server doesn't leave, hasn't asked this host for a pause, and
 // its limit allows the call. The planner may not know that yet, or the plan may be old.
 func (r *Relay) maySend(result planner.Result) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,7 @@
 	Metrics       tally.Scope
 
 	pauses          pause.Table   // that backend servers have asked this host for
+	stop            hostStop      // planned stop of this host
 	lastPlacementID atomic.Uint64 // number from which the ID of the last placement request was made
 	inFlight        atomic.Int64  // calls without a complete response
 }
@@ -97,6 +98,12 @@
 		t.events.lastID = c.LastEvent
 		t.events.hasLastID = true
 	}
+	unregister := r.stop.onUnansweredEnd(func() {
+		if !t.headWritten.Load() {
+			cancel()
+		}
+	})
+	defer unregister()
 	t.run()
 }
 
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,7 +39,7 @@
 	events           eventFilter     // spans the attempts, so that a resumed stream repeats no event
 	fingerprint      uint64          // equal for calls that do the same work; recognizes those that crash replicas
 	excludedReplicas []string        // IDs of replicas at which an attempt did not complete the call
-	headWritten      bool            // the head of the response has been written to the caller
+	headWritten      atomic.Bool     // the head of the response has been written to the caller
 	retryGranted     bool            // the budget has granted the next retry
 	serverFailure    *response       // last response with a 5xx status; forwarded if the call isn't completed
 	firstEventDelay  time.Duration   // from receipt of the call to the first event or the complete response; 0 before
@@ -204,7 +205,7 @@
 	if outcome, err := a.readResponse(t.ctx); err != nil {
 		return outcome, err
 	}
-	if t.headWritten {
+	if t.headWritten.Load() {
 		return planner.OutcomeFailed,
 			errors.Errorf("status %d: not a stream, but a stream has begun", a.exchange.Head.Status)
 	}
@@ -220,7 +221,7 @@
 	if t.call.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
 	}
-	t.headWritten = true
+	t.headWritten.Store(true)
 	t.writer.WriteHeader(resp.head.Status)
 	// If the caller has disconnected, its context ends; a write error needs no handling here.
 	_, _ = t.writer.Write(resp.body)
@@ -286,13 +287,13 @@
 
 // writeStreamHead writes the head of the response unless it has been written, for instance in an earlier attempt.
 func (t *transfer) writeStreamHead(head *backend.ResponseHead) {
-	if t.headWritten {
+	if t.headWritten.Load() {
 		return
 	}
 	h := t.writer.Header()
 	maps.Copy(h, head.Header)
 	h.Del("Content-Length")
-	t.headWritten = true
+	t.headWritten.Store(true)
 	t.writer.WriteHeader(head.Status)
 }
 
