--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/site"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
+	"github.com/turmericshunt/turmericshunt/pkg/hoststatus"
 )
 
 // Requests of plain services, and streams with and without helper replicas, reach the replica as the caller sent them
@@ -304,6 +305,13 @@
 	c.store.Put("servers/bad-1", []byte("\x00\x01"))
 	c.store.Put("servers/bad-2", []byte(`{"service":"desk","address":"nowhere","slots":1,"state":"ready"}`))
 	c.store.Put("servers/bad-3", []byte(`{"service":"desk","address":"127.0.0.1:1","slots":"many","state":"ready"}`))
+	c.store.Put("servers/bad-4", []byte(`{"service":"desk","address":"127.0.0.1:1","slots":9223372036854775807,"state":"ready"}`))
+	c.store.Put("servers/bad-5", []byte(`{"service":"desk","address":"127.0.0.1:70000","slots":1,"state":"ready"}`))
+	c.store.Put("servers/bad-6", []byte(strings.Repeat(`{"a":`, 100_000)))
+	c.store.Put("servers/"+c.replicas[4].ID, c.replicas[4].Entry("draining"))
+	c.eventually("the list is still followed", func() bool {
+		return slices.ContainsFunc(c.hosts[0].status().Replicas, func(r hoststatus.Replica) bool { return r.ID == "i-4" && r.Draining })
+	})
 	time.Sleep(time.Second)
 	for range 10 {
 		if resp := c.get(0, "/lookups/1", nil); resp.status != http.StatusOK {
