soak: stops beside silent replicas and changes, each host with an address of its own

New hooks: the program connects to other hosts through Paths.DialHost, so that a test can cut them; the stand-in relay can pause.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -44,7 +44,7 @@
 			}
 			log := eventlog.New(os.Stdout, s.Host)
 			defer log.Close()
-			replicas := &dialer.Dialer{Connect: p.ConnectReplica}
+			replicas := &dialer.Dialer{Connect: p.ConnectReplica, ConnectHost: p.ConnectHost}
 			g := &gateway.Gateway{
 				Settings:            s,
 				Store:               platform.NewStore(s.StoreAddress, logInvalidEntry(log)),
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -68,6 +68,8 @@
 	Stdin   io.Reader           // nil means os.Stdin
 	// ConnectReplica opens the TCP connections of "gateway" to replicas; nil means package net.
 	ConnectReplica func(ctx context.Context, address netip.AddrPort) (*net.TCPConn, error)
+	// ConnectHost opens those to other hosts; nil means package net.
+	ConnectHost func(ctx context.Context, address netip.AddrPort) (*net.TCPConn, error)
 
 	retryDelay time.Duration // shortened by tests; 0 means defaultRetryDelay
 }
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -29,10 +29,12 @@
 )
 
 // Dialer connects to backend servers. It keeps which of them this host can connect to itself, and connects to the others
-// through other hosts. Its exported fields must be set before use; Connect and OnChange may be nil.
+// through other hosts. Its exported fields must be set before use; Connect, ConnectHost and OnChange may be nil.
 type Dialer struct {
 	// Connect opens a TCP connection to a backend server; nil for netconn.Connect.
 	Connect func(ctx context.Context, address netip.AddrPort) (*net.TCPConn, error)
+	// ConnectHost opens a TCP connection to another host; nil for netconn.Connect.
+	ConnectHost func(ctx context.Context, address netip.AddrPort) (*net.TCPConn, error)
 	// OnChange is called when other backend servers than before can't be reached directly; once in checkInterval at most.
 	OnChange func()
 	Log      *eventlog.Log
@@ -84,6 +86,14 @@
 	}
 }
 
+// DialHost connects to another host.
+func (d *Dialer) DialHost(ctx context.Context, host netip.AddrPort) (*net.TCPConn, error) {
+	if d.ConnectHost != nil {
+		return d.ConnectHost(ctx, host)
+	}
+	return netconn.Connect(ctx, host)
+}
+
 // DialDirect connects to a backend server without another host between. Its errors are of type *Error.
 func (d *Dialer) DialDirect(ctx context.Context, server netip.AddrPort) (netconn.Conn, error) {
 	return d.dialDirect(ctx, server, dialTimeout)
--- a/internal/dialer/race.go
+++ b/internal/dialer/race.go
@@ -94,7 +94,7 @@
 
 // dialThrough connects to a backend server through another host, and records how that has ended.
 func (d *Dialer) dialThrough(ctx context.Context, host, server netip.AddrPort) (netconn.Conn, error) {
-	c, err := tunnel.Dial(ctx, netconn.Connect, host, server)
+	c, err := tunnel.Dial(ctx, d.DialHost, host, server)
 	if err == nil {
 		d.Metrics.Counter("detours").Inc(1)
 		return c, nil
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,8 +12,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
-
-	"github.com/turmericshunt/turmericshunt/internal/netconn"
 )
 
 const (
@@ -41,11 +39,12 @@
 	err    error         // why the link ended; set before closed is closed
 }
 
-// Dial connects to the host at address. Its errors are of KindBroken.
-func Dial(ctx context.Context, address netip.AddrPort) (*Link, error) {
+// Dial connects to the host at address by connect. Its errors are of KindBroken.
+func Dial(ctx context.Context, connect func(context.Context, netip.AddrPort) (*net.TCPConn, error), address netip.AddrPort,
+) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := netconn.Connect(ctx, address)
+	c, err := connect(ctx, address)
 	if err != nil {
 		return nil, &Error{Op: "connect", Kind: KindBroken, Err: err}
 	}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/link"
+	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
@@ -22,9 +24,11 @@
 // introductionTime is how long a host that has just started waits to hear from another one before it counts as ready.
 const introductionTime = time.Second
 
-// Paths knows the paths from this host to backend servers, which is dialer.Dialer: LostServers returns the servers that this
-// host can't connect to directly; SetDetours sets the hosts through which it can, first those that are known to reach servers.
+// Paths knows the paths from this host, which is dialer.Dialer: DialHost connects to another host; LostServers returns the
+// backend servers that this host can't connect to directly; SetDetours sets the hosts through which it can, first those that are
+// known to reach servers.
 type Paths interface {
+	DialHost(ctx context.Context, host netip.AddrPort) (*net.TCPConn, error)
 	LostServers() []netip.AddrPort
 	SetDetours(preferred, others []netip.AddrPort)
 }
@@ -32,6 +36,9 @@
 // noPaths is the Paths of a host that loses none.
 type noPaths struct{}
 
+func (noPaths) DialHost(ctx context.Context, host netip.AddrPort) (*net.TCPConn, error) {
+	return netconn.Connect(ctx, host)
+}
 func (noPaths) LostServers() []netip.AddrPort    { return nil }
 func (noPaths) SetDetours(_, _ []netip.AddrPort) {}
 
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -221,7 +221,7 @@
 
 // dial connects to a peer and then sends it a heartbeat and, if it is the planner, the placed requests of this host.
 func (c *Client) dial(ctx context.Context, p *peerLink) {
-	l, err := link.Dial(ctx, p.address)
+	l, err := link.Dial(ctx, c.Paths.DialHost, p.address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := steady.Now()
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -169,9 +169,9 @@
 // checkLost checks a request that got no response at all. It fails the test if the host's process had not been started,
 // killed or frozen lately, had time left to stop, and has read the request: it passed the request on, or it closed the
 // connection a while after the request was sent.
-func (c *checker) checkLost(h *host, id string, sent time.Time, err error) {
+func (c *checker) checkLost(h *host, k requestKind, id string, sent time.Time, err error) {
 	closed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	if took := time.Since(sent); !closed || took >= callerTimeout {
+	if took := time.Since(sent); !closed || took >= k.callerTimeout() {
 		return
 	}
 	attempts := len(c.deployment.requestLog.Requests(id))
--- a/internal/soak/cut_test.go
+++ b/internal/soak/cut_test.go
@@ -17,6 +17,8 @@
 	cutNotice   = 3 * time.Second // from the beginning of a cut until hosts that are cut off must serve as others do
 	cutRequests = 30              // first tries at each host
 	cutServed   = 0.9             // least share of them that must be served
+	// The maximum number of hosts between each two of which there is a relay; otherwise a cut concerns new connections only.
+	mostHostRelays = 30
 )
 
 // pathFault is how paths from a host to replicas fail.
@@ -37,7 +39,17 @@
 
 	mu     sync.Mutex
 	table  paths.Table
-	relays map[netip.AddrPort]*relay.Relay // by address of the replica
+	relays map[netip.AddrPort]*relay.Relay // by address of the replica or host
+	cut    []netip.AddrPort                // other hosts, to which connections are silent or hang
+	fault  pathFault                       // of the paths to replicas
+	cutAt  time.Time                       // when the last cut from replicas began or ended
+}
+
+// cutSince reports whether paths to replicas have been cut since at.
+func (p *hostPaths) cutSince(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cutAt.After(at)
 }
 
 // newHostPaths returns the sound paths of a host, and writes their file.
@@ -48,15 +60,39 @@
 	for _, r := range d.replicas {
 		p.relays[r.Address], p.table.Relays[r.Address] = startRelay(d.t, r.Address)
 	}
+	if *hostCount <= mostHostRelays {
+		for _, peer := range d.peers {
+			p.relays[peer], p.table.Relays[peer] = startRelay(d.t, peer)
+		}
+	}
 	p.set(pathSound, "")
 	return p
 }
 
+// cutFromHosts makes connections from this host to those with the given indices silent, and those to all others sound.
+func (p *hostPaths) cutFromHosts(hosts []int) {
+	p.mu.Lock()
+	p.cut = nil
+	for _, i := range hosts {
+		peer := p.deployment.peers[i]
+		p.cut = append(p.cut, peer)
+		if r := p.relays[peer]; r != nil {
+			r.Blackhole()
+		}
+	}
+	p.mu.Unlock()
+	p.set(pathSound, "")
+}
+
 // set gives the paths to the replicas of a service, or to all if it is "", a fault, and makes all others sound.
 func (p *hostPaths) set(fault pathFault, service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Silent, p.table.Refused = nil, nil
+	if fault != pathSound || p.fault != pathSound {
+		p.cutAt = time.Now()
+	}
+	p.fault = fault
+	p.table.Silent, p.table.Refused = append([]netip.AddrPort(nil), p.cut...), nil
 	for _, r := range p.deployment.replicas {
 		if service != "" && r.Service != service {
 			continue
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -21,13 +21,11 @@
 	"github.com/turmericshunt/turmericshunt/internal/standin/listener"
 	"github.com/turmericshunt/turmericshunt/internal/standin/metastore"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
-	"github.com/turmericshunt/turmericshunt/internal/standin/ports"
 	"github.com/turmericshunt/turmericshunt/internal/standin/relay"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
 )
 
 const (
-	engineCount     = 5                      // model replicas, which serve quick-quote and dossier requests
 	serviceCount    = 3                      // replicas of the plain service, which serves orders and lookups
 	revocationDelay = 3 * time.Second        // after it, entry hosts must not accept a revoked key (setting revokeMs)
 	restartDelay    = 300 * time.Millisecond // from the kill of an entry host until it is started again
@@ -48,8 +46,9 @@
 	replicas      []*replica.Replica
 	replicaRelays []*relay.Relay // between entry hosts and replicas, in the order of replicas
 	hosts         []*host
-	config        string       // text of the sample configuration
-	limits        *namedLimits // that replicas have named
+	peers         []netip.AddrPort // peer addresses of the hosts
+	config        string           // text of the sample configuration
+	limits        *namedLimits     // that replicas have named
 
 	mu            sync.Mutex
 	random        *rand.Rand // for the replicas' faults
@@ -58,6 +57,7 @@
 	brokenShare   float64    // share of requests that meet brokenFault
 	brokenFault   replica.Fault
 	configVersion int                  // of the newest configuration that was written in the store
+	silentUntil   map[string]time.Time // by ID of the replica: the end of its last pause
 	revokedAt     map[string]time.Time // by key: when the store got the first configuration without it
 }
 
@@ -80,15 +80,6 @@
 	stoppedAt   time.Time     // first SIGTERM of this process; zero if there was none
 }
 
-func freePort(t *testing.T) netip.AddrPort {
-	t.Helper()
-	address, err := ports.Free()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
-
 // startRelay starts a relay to target that runs until the test ends, and returns it and its address.
 func startRelay(t *testing.T, target netip.AddrPort) (*relay.Relay, netip.AddrPort) {
 	t.Helper()
@@ -111,19 +102,19 @@
 	d := &deployment{
 		t: t, binary: binary, dir: t.TempDir(), store: &metastore.Store{}, requestLog: &replica.RequestLog{},
 		config: string(sample), limits: &namedLimits{byID: make(map[string][]namedLimit)},
-		random: rand.New(rand.NewPCG(seed, 2)), revokedAt: make(map[string]time.Time),
+		random: rand.New(rand.NewPCG(seed, 2)), revokedAt: make(map[string]time.Time), silentUntil: make(map[string]time.Time),
 	}
 	var storeAddress netip.AddrPort
 	d.storeRelay, storeAddress = startRelay(t, listener.ServeHTTP(t, d.store))
 	clock := &replica.Clock{Fleet: &passes.Fleet{Params: engineParameters}}
 	names := make(map[netip.AddrPort]string)
-	for i := range engineCount + serviceCount {
+	for i := range *engineCount + serviceCount {
 		r := &replica.Replica{
 			ID: fmt.Sprintf("i-%d", i), Service: "quote-llm", FailureDomain: failureDomain(i), Slots: 16,
 			Log:   d.requestLog,
 			Clock: clock, EngineNames: func() map[netip.AddrPort]string { return names }, Fault: d.fault,
 		}
-		if i >= engineCount {
+		if i >= *engineCount {
 			r.Service, r.Clock, r.ServiceTime, r.Slots = "order-desk", nil, 10*time.Millisecond, 6
 		}
 		replicaRelay, address := startRelay(t, listen(t, r))
@@ -141,12 +132,11 @@
 	}
 	d.configVersion = 1
 	d.putConfiguration()
-	var peers []string
-	for range *hostCount {
-		peers = append(peers, freePort(t).String())
+	for i := range *hostCount {
+		d.peers = append(d.peers, hostAddress(i, peerPort))
 	}
 	for i := range *hostCount {
-		d.addHost(i, peers, storeAddress)
+		d.addHost(i, storeAddress)
 	}
 	return d
 }
@@ -209,15 +199,30 @@
 // failureDomain returns the failure domain of the host or replica with the given index.
 func failureDomain(i int) string { return string(rune('a' + i%3)) }
 
-// addHost writes the settings of entry host i and starts it. The first three of peers are its seeds.
-func (d *deployment) addHost(i int, peers []string, store netip.AddrPort) {
+// Ports of each entry host, which has an address of its own.
+const (
+	callerPort = 18080 + iota
+	readyPort
+	peerPort
+)
+
+// hostAddress returns an address of entry host i in 127.0.0.0/8, which no other process of the soak uses.
+func hostAddress(i int, port uint16) netip.AddrPort {
+	pid := os.Getpid()
+	address := netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(i + 1)})
+	return netip.AddrPortFrom(address, port)
+}
+
+// addHost writes the settings of entry host i and starts it. The first three hosts are its seeds.
+func (d *deployment) addHost(i int, store netip.AddrPort) {
 	h := &host{
-		name: fmt.Sprintf("front-%d", i), domain: failureDomain(i), callersAddr: freePort(d.t), readyAddr: freePort(d.t),
-		settings: filepath.Join(d.dir, fmt.Sprintf("%d.toml", i)),
+		name: fmt.Sprintf("front-%d", i), domain: failureDomain(i), callersAddr: hostAddress(i, callerPort),
+		readyAddr: hostAddress(i, readyPort), settings: filepath.Join(d.dir, fmt.Sprintf("%d.toml", i)),
 	}
+	seeds := fmt.Sprintf(`%q, %q, %q`, d.peers[0], d.peers[1], d.peers[2])
 	text := fmt.Sprintf(`nodeName = %q
 zone = %q
-seeds = ["%s"]
+seeds = [%s]
 [listenAddrs]
 front = %q
 ready = %q
@@ -234,7 +239,7 @@
 budgetWindowS = 10
 [platform]
 address = %q
-`, h.name, h.domain, strings.Join(peers[:3], `","`), h.callersAddr, h.readyAddr, peers[i], revocationDelay.Milliseconds(), store)
+`, h.name, h.domain, seeds, h.callersAddr, h.readyAddr, d.peers[i], revocationDelay.Milliseconds(), store)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/soak/host/main.go
+++ b/internal/soak/host/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	p := &cli.Program{
-		Version: "soak", Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv, ConnectReplica: paths.Connect,
+		Version: "soak", Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv, ConnectReplica: paths.Connect, ConnectHost: paths.Connect,
 	}
 	os.Exit(p.Run(context.Background(), os.Args[1:]))
 }
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -64,7 +64,7 @@
 
 // mayLimit reports whether the replica with the given index names limits.
 func mayLimit(i int) bool {
-	return i >= unlimitedReplicas && i < engineCount || i >= engineCount+unlimitedReplicas
+	return i >= unlimitedReplicas && i < *engineCount || i >= *engineCount+unlimitedReplicas
 }
 
 // name sets the limit that a replica names in its responses from now on.
--- a/internal/soak/paths/table.go
+++ b/internal/soak/paths/table.go
@@ -16,9 +16,9 @@
 
 // Table holds the paths of one host.
 type Table struct {
-	Relays  map[netip.AddrPort]netip.AddrPort `json:"relays"`  // address to connect to in place of that of a replica
-	Silent  []netip.AddrPort                  `json:"silent"`  // replicas to which new connections hang
-	Refused []netip.AddrPort                  `json:"refused"` // replicas to which new connections are refused
+	Relays  map[netip.AddrPort]netip.AddrPort `json:"relays"`  // address to connect to in place of that of a replica or host
+	Silent  []netip.AddrPort                  `json:"silent"`  // replicas and hosts to which new connections hang
+	Refused []netip.AddrPort                  `json:"refused"` // replicas and hosts to which new connections are refused
 }
 
 // Write replaces the file with the given name.
@@ -33,8 +33,8 @@
 	return os.Rename(name+".new", name)
 }
 
-// Connect connects to a replica as the file that FileVariable names allows.
-func Connect(ctx context.Context, replica netip.AddrPort) (*net.TCPConn, error) {
+// Connect connects to a replica or host as the file that FileVariable names allows.
+func Connect(ctx context.Context, server netip.AddrPort) (*net.TCPConn, error) {
 	var t Table
 	data, err := os.ReadFile(os.Getenv(FileVariable))
 	if err != nil {
@@ -44,19 +44,19 @@
 		return nil, err
 	}
 	for _, silent := range t.Silent {
-		if silent == replica {
+		if silent == server {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
 	}
 	for _, refused := range t.Refused {
-		if refused == replica {
+		if refused == server {
 			return nil, syscall.ECONNREFUSED
 		}
 	}
 	// A relay accepts connections to a replica that is down, which would look like one that breaks them off.
-	c, err := netconn.Connect(ctx, replica)
-	relay, ok := t.Relays[replica]
+	c, err := netconn.Connect(ctx, server)
+	relay, ok := t.Relays[server]
 	if err != nil || !ok {
 		return c, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"io"
@@ -25,11 +26,12 @@
 	seedCount     = flag.Int("seeds", 1, "how many seeds to run, from the first on")
 	faultDuration = flag.Duration("length", 12*time.Second, "how long faults go on")
 	hostCount     = flag.Int("hosts", 5, "how many entry hosts to run, at least 3")
+	engineCount   = flag.Int("engines", 5, "how many model replicas to run, which serve quick-quote and dossier requests")
+	clientCount   = flag.Int("clients", 12, "how many callers send requests, one after another")
 	logDir        = flag.String("keep", "", "folder for the logs of failed runs")
 )
 
 const (
-	clientCount       = 12
 	callerTimeout     = 6 * time.Second         // value of the header Timeout-Remaining
 	readyTimeout      = 15 * time.Second        // until all hosts must be ready
 	responseSlack     = 1500 * time.Millisecond // allowed time from callerTimeout until the response arrives
@@ -65,7 +67,7 @@
 	c := &checker{deployment: d}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for i := range clientCount {
+	for i := range *clientCount {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -227,18 +229,22 @@
 	path       string
 	tokenUsage string // value of the header Token-Usage: prompt tokens,output tokens; "" for none
 	atMostOnce bool
+	timeout    time.Duration // value of the header Timeout-Remaining; 0 for callerTimeout
 }
 
+// callerTimeout returns how long callers wait for the response.
+func (k requestKind) callerTimeout() time.Duration { return cmp.Or(k.timeout, callerTimeout) }
+
 var (
 	kinds = []requestKind{
-		{"/quick/", "4960,1600", false},
-		{"/quick/", "900,500", false},
-		{"/orders/", "", true},
-		{"/orders/", "", true},
-		{"/lookups/", "", false},
+		{"/quick/", "4960,1600", false, 0},
+		{"/quick/", "900,500", false, 0},
+		{"/orders/", "", true, 0},
+		{"/orders/", "", true, 0},
+		{"/lookups/", "", false, 0},
 	}
 	// Requests of longKinds are rare, so that the replicas have enough memory for them.
-	longKinds = []requestKind{{"/dossier/", "120000,800", false}, {"/dossier/", "330000,800", false}}
+	longKinds = []requestKind{{"/dossier/", "120000,800", false, 0}, {"/dossier/", "330000,800", false, 0}}
 )
 
 // randomKind returns one of longKinds for one request in longOneIn, and otherwise one of kinds.
@@ -278,8 +284,9 @@
 	c.sent.Add(1)
 	resp, err := client.Do(req)
 	if err != nil {
-		c.checkLost(h, id, sent, err)
-		c.checkFailure(h, id, sent, err)
+		c.checkLost(h, k, id, sent, err)
+		c.checkStopped(h, k, id, sent, err)
+		c.checkFailure(h, k, id, sent, err)
 		return false
 	}
 	defer resp.Body.Close()
@@ -289,7 +296,8 @@
 	}
 	switch {
 	case err != nil:
-		c.checkFailure(h, id, sent, err)
+		c.checkStopped(h, k, id, sent, err)
+		c.checkFailure(h, k, id, sent, err)
 	case resp.StatusCode == http.StatusOK:
 		c.served.Add(1)
 		c.checkComplete(id, k, resp, string(body))
@@ -319,7 +327,7 @@
 	req.GetBody = nil // so that the client doesn't send the request again by itself
 	req.Host = "quotes.example"
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Timeout-Remaining", fmt.Sprint(callerTimeout.Milliseconds()))
+	req.Header.Set("Timeout-Remaining", fmt.Sprint(k.callerTimeout().Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+key)
 	if k.tokenUsage != "" {
 		req.Header.Set("Token-Usage", k.tokenUsage)
@@ -329,10 +337,10 @@
 }
 
 // checkFailure checks a request that got no response or an incomplete one. It fails the test if the request took the
-// whole of callerTimeout and responseSlack although nothing had been done to the host since responseSlack before it was
+// whole of its timeout and responseSlack although nothing had been done to the host since responseSlack before it was
 // sent.
-func (c *checker) checkFailure(h *host, id string, sent time.Time, err error) {
-	if took := time.Since(sent); took >= callerTimeout+responseSlack && h.undisturbedSince(sent.Add(-responseSlack)) {
+func (c *checker) checkFailure(h *host, k requestKind, id string, sent time.Time, err error) {
+	if took := time.Since(sent); took >= k.callerTimeout()+responseSlack && h.undisturbedSince(sent.Add(-responseSlack)) {
 		c.deployment.t.Errorf("%s: no complete response after %v from %s, which was undisturbed: %v", id, took, h.name, err)
 	}
 }
@@ -363,13 +371,13 @@
 	c.refusals = make(map[string]int)
 	var served atomic.Int64
 	var wg sync.WaitGroup
-	for i := range clientCount {
+	for i := range *clientCount {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			random := rand.New(rand.NewPCG(seed, 200+uint64(i)))
 			client := newClient()
-			for j := range recoveryRequests / clientCount {
+			for j := range recoveryRequests / *clientCount {
 				h := d.hosts[(i+j)%len(d.hosts)]
 				k := kinds[random.IntN(len(kinds))]
 				if j == 0 && i < len(longKinds) {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -26,6 +26,7 @@
 	listener net.Listener
 	closed   bool
 	pairs    map[*connPair]bool // the open connections, including silent ones
+	paused   sync.RWMutex       // held while nothing is forwarded
 }
 
 // connPair is a connection from a client and the connection to the server to which it is forwarded.
@@ -59,6 +60,12 @@
 	return len(r.pairs)
 }
 
+// Pause forwards nothing for d, as if the server did nothing. Connections are still accepted.
+func (r *Relay) Pause(d time.Duration) {
+	r.paused.Lock()
+	time.AfterFunc(d, r.paused.Unlock)
+}
+
 // Refuse resets all open connections but the silent ones, and refuses new ones until Accept.
 func (r *Relay) Refuse() {
 	r.mu.Lock()
@@ -152,6 +159,8 @@
 		if p.silent.Load() {
 			continue
 		}
+		r.paused.RLock()
+		r.paused.RUnlock() //nolint:staticcheck // waits for the end of a pause
 		if _, err := to.Write(buffer[:n]); err != nil {
 			break
 		}
--- a/internal/standin/replica/log.go
+++ b/internal/standin/replica/log.go
@@ -22,6 +22,8 @@
 type RequestLog struct {
 	mu      sync.Mutex
 	seen    map[string][]ReceivedRequest // by Request-Id, in order of arrival
+	active  map[string]int               // attempts at which replicas are at work, by Request-Id
+	ended   map[string]time.Time         // when the last attempt ended, by Request-Id
 	crashes map[string][]time.Time       // by the part of a prompt that caused them, in order
 }
 
@@ -32,6 +34,25 @@
 		l.seen = make(map[string][]ReceivedRequest)
 	}
 	l.seen[id] = append(l.seen[id], s)
+	if l.active == nil {
+		l.active, l.ended = make(map[string]int), make(map[string]time.Time)
+	}
+	l.active[id]++
+}
+
+// end records that an attempt of the request with the given ID has ended.
+func (l *RequestLog) end(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active[id]--
+	l.ended[id] = time.Now()
+}
+
+// ActiveSince reports whether a replica is at work on the request with the given ID or was so after since.
+func (l *RequestLog) ActiveSince(id string, since time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.active[id] > 0 || l.ended[id].After(since)
 }
 
 // Requests returns the records of the request with the given ID, one for each attempt that reached a replica, in
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -114,6 +114,7 @@
 		ReplicaID: p.ID, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 		LastEventID: r.Header.Get("Last-Event-Id"), Ran: !refused, At: time.Now(),
 	})
+	defer p.Log.end(id)
 	w.Header().Set("Request-Id", id)
 	switch {
 	case expected != "" && expected != p.ID:
