relay, backend: a request goes to an address again on a new connection only

An order was refused with 503 though it had run (REFUSED), or would have run at a second replica (TWICE): two entries with one address, as after a restart under another id, made it go twice over one kept connection, and a late copy of the first refusal named the same request as the answer to the second.

--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -23,6 +23,8 @@
 	LastEvent int64         // with Resume: id of the event after which the stream is to continue
 	Helpers   []Helper
 	Priority  int // priority in the server's queue, 0 to 9; 0 is the highest
+	// NewConnection says that the call was sent to the address before, so that no kept connection may carry it.
+	NewConnection bool
 }
 
 // ResponseHead is the decoded status line and header of a server's response.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +22,9 @@
 	placement planner.Result // with a plan
 	resume    bool           // the stream was begun in an earlier attempt
 	lastEvent int64          // with resume: id of the last event that the caller has
+	// Addresses to which the call was sent in earlier attempts. A response that comes late on a connection to one of them can't be
+	// told from that to this attempt, since both name the call.
+	sentTo []netip.AddrPort
 
 	sentAt        time.Time         // when the call was sent
 	exchange      *backend.Exchange // nil until the head of the response has come
@@ -37,11 +42,12 @@
 ) {
 	plan := a.placement.Plan
 	parameters := &backend.Attempt{
-		Replica:   plan.Replica,
-		TimeLeft:  a.call.Deadline().Sub(steady.Now()),
-		Resume:    a.resume,
-		LastEvent: a.lastEvent,
-		Priority:  min(a.call.Priority, maxPriority),
+		Replica:       plan.Replica,
+		TimeLeft:      a.call.Deadline().Sub(steady.Now()),
+		Resume:        a.resume,
+		LastEvent:     a.lastEvent,
+		Priority:      min(a.call.Priority, maxPriority),
+		NewConnection: slices.Contains(a.sentTo, plan.Replica.Address),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -51,16 +51,16 @@
 	t.hedge = h
 	req := t.placementRequest()
 	req.ExcludedReplicas = append(req.ExcludedReplicas, current.placement.Plan.Replica.ID)
-	template := attempt{relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID}
+	a := t.newAttempt()
+	a.sentTo = append(a.sentTo, current.placement.Plan.Replica.Address)
 	t.relay.Metrics.Counter("hedges").Inc(1)
 	t.relay.Log.Event("hedge_started", slog.String("request_id", t.call.ID),
 		slog.String("silent_replica", current.placement.Plan.Replica.ID), slog.Int("events", t.events.forwarded))
-	go h.run(ctx, template, req)
+	go h.run(ctx, a, req)
 }
 
 // run places and begins the attempt and hands over the result. If ctx ends before, it ends the attempt.
-func (h *hedge) run(ctx context.Context, template attempt, req planner.Request) {
-	a := &template
+func (h *hedge) run(ctx context.Context, a *attempt, req planner.Request) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			h.finishPanicked(ctx, a, cause)
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"maps"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -36,18 +38,19 @@
 	callerCtx        context.Context // ends when the caller disconnects
 	ctx              context.Context // ends with callerCtx and shortly before the deadline
 	progress         progress
-	events           eventFilter     // spans the attempts, so that a resumed stream repeats no event
-	fingerprint      uint64          // equal for calls that do the same work; recognizes those that crash replicas
-	excludedReplicas []string        // IDs of replicas at which an attempt did not complete the call
-	headWritten      atomic.Bool     // the head of the response has been written to the caller
-	retryGranted     bool            // the budget has granted the next retry
-	serverFailure    *response       // last response with a 5xx status; forwarded if the call isn't completed
-	firstEventDelay  time.Duration   // from receipt of the call to the first event or the complete response; 0 before
-	lastForwarded    time.Time       // when the last events were forwarded; zero before the first
-	longestPause     time.Duration   // longest pause between forwarded events
-	hedge            *hedge          // attempt at another server while the current one is silent; nil if there is none
-	hedgeAttempt     *attempt        // that of the hedge, once it has begun; nil before
-	lastFailure      planner.Outcome // of the attempt that failed last
+	events           eventFilter      // spans the attempts, so that a resumed stream repeats no event
+	fingerprint      uint64           // equal for calls that do the same work; recognizes those that crash replicas
+	excludedReplicas []string         // IDs of replicas at which an attempt did not complete the call
+	sentTo           []netip.AddrPort // their addresses
+	headWritten      atomic.Bool      // the head of the response has been written to the caller
+	retryGranted     bool             // the budget has granted the next retry
+	serverFailure    *response        // last response with a 5xx status; forwarded if the call isn't completed
+	firstEventDelay  time.Duration    // from receipt of the call to the first event or the complete response; 0 before
+	lastForwarded    time.Time        // when the last events were forwarded; zero before the first
+	longestPause     time.Duration    // longest pause between forwarded events
+	hedge            *hedge           // attempt at another server while the current one is silent; nil if there is none
+	hedgeAttempt     *attempt         // that of the hedge, once it has begun; nil before
+	lastFailure      planner.Outcome  // of the attempt that failed last
 }
 
 // response is a server's complete response that isn't a stream.
@@ -123,8 +126,15 @@
 		return nil
 	}
 	t.retryGranted = false
+	a := t.newAttempt()
+	a.placement = placement
+	return a
+}
+
+// newAttempt returns an attempt without a placement.
+func (t *transfer) newAttempt() *attempt {
 	return &attempt{
-		relay: t.relay, call: t.call, placement: placement, resume: t.events.forwarded > 0, lastEvent: t.events.lastID,
+		relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID, sentTo: slices.Clone(t.sentTo),
 	}
 }
 
@@ -143,6 +153,7 @@
 		t.retryGranted = true // no server has got the call, so the next attempt takes its place
 	}
 	t.excludedReplicas = append(t.excludedReplicas, a.placement.Plan.Replica.ID)
+	t.sentTo = append(t.sentTo, a.placement.Plan.Replica.Address)
 	if outcome == planner.OutcomeFailed && a.response != nil && a.response.isFailure() {
 		t.serverFailure = a.response
 	}
