relay: a resumed stream must go on after the last event

Until the first event after the last one, nothing of a resumed stream is forwarded; an earlier event or the end breaks the attempt off. A stream whose events have no ids isn't repeated once one was forwarded.

--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -26,7 +26,7 @@
 			t.Fatal(err)
 		}
 		got = bytes.Clone(got)
-		e.discardPending()
+		e.begin(false)
 		if e.lastID >= 2 {
 			for i := range second {
 				more, err := e.add(second[i : i+1])
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -122,14 +122,14 @@
 		return a.readResponse(ctx)
 	}
 	buffer := make([]byte, readBufferSize)
-	events := eventFilter{lastID: a.lastEvent, hasLastID: a.resume}
+	events := eventFilter{lastID: a.lastEvent, hasLastID: a.resume, resuming: a.resume}
 	for events.steps == 0 {
 		n, err := a.exchange.Read(buffer)
 		a.start = append(a.start, buffer[:n]...)
 		_, filterErr := events.add(buffer[:n])
 		switch {
 		case events.steps > 0:
-		case errors.Is(err, io.EOF) && events.complete() && !a.resume:
+		case errors.Is(err, io.EOF) && events.complete():
 			return "", nil // a stream without events
 		case filterErr != nil:
 			return planner.OutcomeBroken, filterErr
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -33,7 +33,7 @@
 	switch {
 	case t.hedgeAttempt != nil:
 		return 0 // the parser of the head drops some errors and reads again
-	case t.call.RetryMode == call.RetryNever:
+	case t.progress.retryMode == call.RetryNever:
 		return minStreamSilence
 	}
 	if t.hedge != nil && t.hedge.overdue() && t.progress.mayRetryBesideTwo() {
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -242,7 +242,7 @@
 // can be resumed at another server.
 func (t *transfer) forwardStream(a *attempt) (planner.Outcome, error) {
 	x := a.exchange
-	t.events.discardPending()
+	t.events.begin(a.resume)
 	maxSilence := time.Duration(0)
 	if t.call.RetryMode == call.RetryResume {
 		maxSilence = max(minStreamSilence, t.call.PauseTarget)
@@ -258,6 +258,9 @@
 		steps := t.events.steps
 		complete, filterErr := t.events.add(buffer[:n])
 		further := t.events.steps > steps
+		if !t.events.resumable() {
+			t.progress.retryMode = call.RetryNever
+		}
 		if further {
 			if !started {
 				started = true
