--- a/internal/planner/exclude.go
+++ b/internal/planner/exclude.go
@@ -20,13 +20,15 @@
 	since  time.Time
 	until  time.Time
 	length time.Duration
+	tried  bool // an attempt at the server itself has failed; otherwise only others of its failure domain have been tried
 }
 
 // exclude excludes a server from placement for some time, and with it those servers of the same service and failure
 // domain that sent no first event or complete response within aliveWindow if the domain seems to be cut off. The exclusion
-// holds for the requests of one host, or for those of allHosts. An attempt of the host reporter is the cause.
+// holds for the requests of one host, or for those of allHosts. An attempt of the host reporter is the cause. What is excluded
+// without a try is tried when no other server is left.
 func (p *Planner) exclude(now time.Time, s *server, scope, reporter string) {
-	p.excludeOne(now, s, scope, reporter)
+	p.excludeOne(now, s, scope, reporter, true)
 	excluded := 0
 	for _, other := range p.services[s.replica.Service] {
 		if other.replica.FailureDomain == s.replica.FailureDomain && other.excludedRecently(now, scope) {
@@ -39,13 +41,13 @@
 	for _, other := range p.services[s.replica.Service] {
 		if other.replica.FailureDomain == s.replica.FailureDomain && now.Sub(other.lastAlive) > aliveWindow &&
 			!other.isExcluded(now, scope) {
-			p.excludeOne(now, other, scope, reporter)
+			p.excludeOne(now, other, scope, reporter, false)
 		}
 	}
 }
 
 // excludeOne excludes one server, each time for longer until it is reached, and records that for TakeExclusions.
-func (p *Planner) excludeOne(now time.Time, s *server, scope, reporter string) {
+func (p *Planner) excludeOne(now time.Time, s *server, scope, reporter string, tried bool) {
 	if s.exclusions == nil {
 		s.exclusions = make(map[string]*exclusion)
 	}
@@ -55,7 +57,7 @@
 		s.exclusions[scope] = e
 	}
 	e.length = min(max(2*e.length, minExclusion), maxExclusion)
-	e.since, e.until = now, now.Add(e.length)
+	e.since, e.until, e.tried = now, now.Add(e.length), tried
 	if len(p.exclusions) < maxExclusions {
 		p.exclusions = append(p.exclusions,
 			Exclusion{Replica: s.replica.ID, Host: reporter, Common: scope == allHosts, For: e.length})
@@ -85,6 +87,16 @@
 	return now.Before(s.excludedUntil(host))
 }
 
+// untried reports whether the server takes requests of a host but for exclusions without a try.
+func (s *server) untried(now time.Time, host string) bool {
+	for _, scope := range []string{allHosts, host} {
+		if e := s.exclusions[scope]; e != nil && e.tried && now.Before(e.until) {
+			return false
+		}
+	}
+	return s.takesRequests(now)
+}
+
 // excludedRecently reports whether the server is excluded in a scope since less than domainCutWindow ago.
 func (s *server) excludedRecently(now time.Time, scope string) bool {
 	e := s.exclusions[scope]
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -8,15 +8,24 @@
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
 
-// usableServers returns the servers of the request's service that it may use, in the planner's order.
+// usableServers returns the servers of the request's service that it may use, in the planner's order. If there is none, it
+// returns those that are excluded without a try.
 func (p *Planner) usableServers(now time.Time, req *Request) []*server {
 	all := p.sortedServers[req.Service]
 	servers := make([]*server, 0, len(all))
+	var untried []*server
 	for _, s := range all {
-		if s.usable(now, req.Host) && !slices.Contains(req.ExcludedReplicas, s.replica.ID) {
+		switch {
+		case slices.Contains(req.ExcludedReplicas, s.replica.ID):
+		case s.usable(now, req.Host):
 			servers = append(servers, s)
+		case s.untried(now, req.Host):
+			untried = append(untried, s)
 		}
 	}
+	if len(servers) == 0 {
+		return untried
+	}
 	return servers
 }
 
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -66,7 +66,12 @@
 // usable reports whether the server takes requests of a host, or with allHosts of any host, and is neither excluded nor
 // paused.
 func (s *server) usable(now time.Time, host string) bool {
-	return s.replica.TakesRequests() && !s.isExcluded(now, host) && !now.Before(s.pausedUntil)
+	return s.takesRequests(now) && !s.isExcluded(now, host)
+}
+
+// takesRequests reports whether the server takes requests, whatever excludes it.
+func (s *server) takesRequests(now time.Time) bool {
+	return s.replica.TakesRequests() && !now.Before(s.pausedUntil)
 }
 
 // freeMemory returns the free memory of the server's engine in tokens.
