--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
 )
 
 // Guards against the text of an error, or a part of another run, in the middle of a stream that broke off after it had begun, and
@@ -60,3 +62,24 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut though the third replica resumes it: what the second one sent, which began again, no longer
+// counts then.
+func TestStreamIsResumedAfterReplicaThatBeginsAgain(t *testing.T) {
+	t.Parallel()
+	c, _ := newScriptedCluster(t, 3, func(attempt int, r *http.Request, conn net.Conn) {
+		id := r.Header.Get("Request-Id")
+		_, _ = io.WriteString(conn, scriptedHead(r, "200 OK", chunkedField))
+		switch attempt {
+		case 1:
+			_, _ = io.WriteString(conn, chunkOf(eventsOf(id, 1, 3)))
+		case 2:
+			_, _ = io.WriteString(conn, chunkOf(eventsOf(id, 1, replica.EventCount(id)))+finalChunk)
+		default:
+			_, _ = io.WriteString(conn, chunkOf(eventsOf(id, after(r), allEvents))+finalChunk)
+		}
+	})
+	defer c.logOnFailure()
+	resp := c.post(0, "/quotes/1", "q")
+	c.wantResponse(resp, completeStream(resp.id))
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -102,7 +102,7 @@
 // event.
 func (e *eventFilter) begin(resumed bool) {
 	e.pending = nil
-	e.resuming = resumed
+	e.resuming, e.restarted = resumed, false
 }
 
 // complete reports whether the stream so far may be a complete one: it ends with a complete event and, if it is a resumed one, has
