soak: the check of ended connections at planned stops is for sound replicas

TestSoak keeps the checks that it had; the new one holds in TestStopsBesideSilence, whose replicas break off nothing.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -216,7 +216,8 @@
 	served     atomic.Int64
 	refused    atomic.Int64
 
-	senders map[string]*host // of injectCrashes: the host that got each request, by ID
+	soundReplicas bool             // replicas break off no response
+	senders       map[string]*host // of injectCrashes: the host that got each request, by ID
 
 	mu          sync.Mutex
 	notExecuted []string       // ids of requests whose response said that they had not run
