--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -40,9 +40,9 @@
 	idle map[netip.AddrPort][]*conn
 }
 
-// Open sends c, on a new connection if c has no ID or a says so, and returns the exchange once the head of the response has been read.
-// The server may be silent for maxSilence, until Exchange.SetMaxSilence is called; 0 means no limit. After it, extraWait,
-// if not nil, returns how much longer the server may be silent; 0 ends the exchange. Errors are of type *Error.
+// Open sends c, on a new connection if c has no ID or a says so, and returns the exchange once the head of the response has
+// been read. The server may be silent for maxSilence, until Exchange.SetMaxSilence is called; 0 means no limit. After it,
+// extraWait, if not nil, returns how much longer the server may be silent; 0 ends the exchange. Errors are of type *Error.
 func (p *Pool) Open(ctx context.Context, c *call.Call, a *Attempt, maxSilence time.Duration,
 	extraWait ExtraWait,
 ) (*Exchange, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,7 @@
 	Settings            *site.Settings       // settings of the host
 	Store               Store                // client of the platform's store
 	Memory              relay.MemoryReserver // reserves memory at engines
-	Dialer              *dialer.Dialer       // connects to replicas; its fields but Connect are set by Run
+	Dialer              *dialer.Dialer       // connects to replicas; its other fields than the Connect functions are set by Run
 	HeaderCodec         HeaderCodec
 	DecodeConfiguration func(data []byte) (*catalog.Configuration, error) // decodes a configuration document
 	Log                 *eventlog.Log
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -216,6 +216,24 @@
 	c.store.Put("op/config", data)
 }
 
+// setRoutes sets a field of all routes and waits until all hosts have the configuration.
+func (c *cluster) setRoutes(field string, value int) {
+	c.t.Helper()
+	doc := c.configuration()
+	for _, route := range doc["routes"].([]any) {
+		route.(map[string]any)[field] = value
+	}
+	c.putConfiguration(doc)
+	c.eventually("the configuration is active", func() bool {
+		for _, h := range c.hosts {
+			if h.status().Configuration.Version != int64(c.version) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // changes are changes that may happen while replicas are silent. Each function returns one, made ready for c.
 var changes = []struct {
 	name string
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -206,7 +206,8 @@
 	peerPort
 )
 
-// hostAddress returns an address of entry host i in 127.0.0.0/8, which no other process of the soak uses.
+// hostAddress returns an address of entry host i, of 255 at most, in 127.0.0.0/8. It follows from the process ID, so that soaks that
+// run beside each other use different ones.
 func hostAddress(i int, port uint16) netip.AddrPort {
 	pid := os.Getpid()
 	address := netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(i + 1)})
