quarantine: what several quarantines share is found by itself

Cause: companions were read from unexplained crashes only, so earlier pairs didn't speak against the next. Now what several quarantines share is quarantined by itself after two seconds without a sound request, and parts outside them are no suspects beside it.

--- a/internal/quarantine/drive_test.go
+++ b/internal/quarantine/drive_test.go
@@ -10,7 +10,7 @@
 const (
 	driveReplicas = 40
 	driveSlots    = 8
-	driveRate     = 200 // requests a second
+	driveInterval = 5 * time.Millisecond // from one request to the next
 	driveTime     = 40 * time.Second
 	driveStep     = 5 * time.Millisecond
 	driveDowntime = 3 * time.Second
@@ -32,6 +32,8 @@
 	replicas []*driveReplica
 	bad      map[uint64]bool
 	badShare float64
+	interval time.Duration             // from one request to the next
+	parts    func(own uint64) []uint64 // returns the parts of a request, of which own is that only few share
 	requests uint64
 
 	otherReasons bool // replicas also crash for other reasons, one by one and several at once
@@ -58,18 +60,24 @@
 func newDrive(seed uint64, badParts int, badShare float64) *drive {
 	d := &drive{
 		random: rand.New(rand.NewPCG(seed, 28)), table: New(), now: time.Unix(1000, 0), bad: make(map[uint64]bool),
-		badShare: badShare, late: make(map[uint64]int), crashedAt: make(map[uint64][]time.Time),
+		badShare: badShare, interval: driveInterval, late: make(map[uint64]int), crashedAt: make(map[uint64][]time.Time),
 	}
 	for range driveReplicas {
 		d.replicas = append(d.replicas, &driveReplica{})
 	}
+	d.parts = d.sharedParts
 	for len(d.bad) < badParts {
 		d.bad[100+uint64(d.random.IntN(ownParts))] = true
 	}
 	return d
 }
 
-// newRequest returns a request with one part that all share, one of groupParts and one of ownParts.
+// sharedParts returns one part that all requests share, one of groupParts, and own.
+func (d *drive) sharedParts(own uint64) []uint64 {
+	return []uint64{1, 10 + uint64(d.random.IntN(groupParts)), own}
+}
+
+// newRequest returns a request with one of ownParts.
 func (d *drive) newRequest() *driveRequest {
 	d.requests++
 	own := 100 + uint64(d.random.IntN(ownParts))
@@ -77,7 +85,7 @@
 	for d.bad[own] != wantBad {
 		own = 100 + uint64(d.random.IntN(ownParts))
 	}
-	r := &driveRequest{content: Content{Parts: []uint64{1, 10 + uint64(d.random.IntN(groupParts)), own}, Request: 1e6 + d.requests}}
+	r := &driveRequest{content: Content{Parts: d.parts(own), Request: 1e6 + d.requests}}
 	if wantBad {
 		r.bad = own
 	}
@@ -94,7 +102,7 @@
 		if d.otherReasons {
 			d.crashForOtherReasons()
 		}
-		for range int(driveRate * driveStep.Seconds()) {
+		if d.now.Sub(end)%d.interval == 0 {
 			d.submit(d.newRequest(), d.now.After(half))
 		}
 	}
@@ -244,3 +252,33 @@
 		}
 	}
 }
+
+// Requests with the bad part hold another part as well that no sound request holds: the document of one session after the other, or
+// that of their kind, where all requests are bad. Guards against a quarantine of the part with each of these, one after the other.
+func TestBadPartIsFoundBesideOthers(t *testing.T) {
+	const session = 6 * time.Second
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("sessions, seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			d := newDrive(seed, 1, 0.05)
+			d.interval = 50 * time.Millisecond
+			d.parts = func(own uint64) []uint64 {
+				parts := d.sharedParts(own)
+				if d.bad[own] {
+					parts = append(parts, 1000+uint64(d.now.UnixNano()/int64(session)))
+				}
+				return parts
+			}
+			d.run()
+			d.check(t)
+		})
+		t.Run(fmt.Sprintf("kinds, seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			d := newDrive(seed, 1, 1)
+			d.interval = 450 * time.Millisecond
+			d.parts = func(own uint64) []uint64 { return []uint64{1000 + uint64(d.random.IntN(4)), own} }
+			d.run()
+			d.check(t)
+		})
+	}
+}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -25,6 +25,7 @@
 	// Parts that no completed request clears come first, since their quarantine explains crashes.
 	t.judgeParts(now, false)
 	t.judgeParts(now, true)
+	t.narrow(now)
 }
 
 // judgeRequest quarantines a whole request that was at enough crashes.
@@ -59,7 +60,25 @@
 	e := explain(candidates)
 	for _, s := range e {
 		if s.isProven(crashes, all) && (now.Sub(s.firstAt(crashes)) >= doubtDelay || e.isClear(s, candidates)) {
-			t.quarantine(now, Content{Parts: s.parts}, cleared)
+			t.quarantine(now, Content{Parts: t.likelyParts(now, s)}, cleared)
+		}
+	}
+}
+
+// narrow quarantines by themselves the parts that several quarantines share, once one of these has held for so long that a sound
+// request would have cleared them: one cause is more likely than several.
+func (t *Table) narrow(now time.Time) {
+	var parts []uint64
+	for _, v := range t.verdicts {
+		if v.quarantined() && len(v.content.Parts) > 1 {
+			parts = append(parts, v.content.Parts...)
+		}
+	}
+	slices.Sort(parts)
+	for _, part := range slices.Compact(parts) {
+		n, since, shared := t.quarantinesWith(part)
+		if n > 1 && now.Sub(since) >= doubtDelay && !slices.ContainsFunc(shared, t.isCleared) {
+			t.quarantine(now, Content{Parts: shared}, false)
 		}
 	}
 }
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -98,7 +98,7 @@
 	if cleared {
 		return crashesForDoubtfulParts
 	}
-	if n, _ := t.quarantinesWith(s.part); s.recurs || n > 0 && !s.hasAlternative() {
+	if n, _, _ := t.quarantinesWith(s.part); s.recurs || n > 0 && !s.hasAlternative() {
 		return crashesToNarrow
 	}
 	if s.hasAlternative() {
@@ -117,27 +117,42 @@
 	return false
 }
 
-// quarantinesWith returns the number of quarantines of the part together with others, and since when the first of them holds.
-func (t *Table) quarantinesWith(part uint64) (n int, since time.Time) {
+// quarantinesWith returns the number of quarantines of the part together with others, since when the first of them holds, and the
+// parts that all of them hold.
+func (t *Table) quarantinesWith(part uint64) (n int, since time.Time, shared []uint64) {
 	for _, v := range t.verdicts {
 		if !v.quarantined() || len(v.content.Parts) < 2 || !slices.Contains(v.content.Parts, part) {
 			continue
 		}
+		if n == 0 {
+			shared = slices.Clone(v.content.Parts)
+		}
 		n++
+		shared = slices.DeleteFunc(shared, func(p uint64) bool { return !slices.Contains(v.content.Parts, p) })
 		if since.IsZero() || v.since.Before(since) {
 			since = v.since
 		}
 	}
-	return n, since
+	return n, since, shared
 }
 
 // recurs reports whether several quarantines hold the part together with others, or one for so long that a sound request would
 // have cleared it. It is then more likely the cause of other crashes than yet another part beside it.
 func (t *Table) recurs(now time.Time, part uint64) bool {
-	n, since := t.quarantinesWith(part)
+	n, since, _ := t.quarantinesWith(part)
 	return n > 1 || n == 1 && now.Sub(since) >= doubtDelay
 }
 
+// likelyParts returns those parts of a suspect that may be the cause. If quarantines have held its part together with others for
+// so long that a sound request would have cleared it, those that were not at their crashes are left out.
+func (t *Table) likelyParts(now time.Time, s *suspect) []uint64 {
+	n, since, shared := t.quarantinesWith(s.part)
+	if n == 0 || now.Sub(since) < doubtDelay {
+		return s.parts
+	}
+	return slices.DeleteFunc(slices.Clone(s.parts), func(p uint64) bool { return !slices.Contains(shared, p) })
+}
+
 // weight returns the number of requests by which a suspect counts in an explanation.
 func (s *suspect) weight() int {
 	if s.recurs {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -200,6 +200,22 @@
 }
 
 // Guards against a new planner that knows of no completed request and quarantines sound parts: a host that knows objects.
+// Guards against two planners that have each found the part beside another one, and then go on like that together.
+func TestPartOfMergedQuarantinesIsFound(t *testing.T) {
+	w, other := newWorld(), newWorld()
+	for range crashesForParts {
+		w.crash(bad, 10)
+		other.crash(bad, 11)
+	}
+	w.check(t, true, bad, 10)
+	w.check(t, false, bad, 12)
+	other.check(t, true, bad, 11)
+	w.table.Merge(w.now, other.table.Verdicts(other.now))
+	w.now = w.now.Add(doubtDelay)
+	w.check(t, true, bad, 12)
+	w.check(t, false, 10, 12)
+}
+
 func TestKnownSoundPartsAreClearedByOtherTable(t *testing.T) {
 	w, other := newWorld(), newWorld()
 	other.complete(common)
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -179,6 +179,9 @@
 			content: other.Content, generation: other.Generation, length: min(other.Length, maxQuarantine),
 			since: now, until: now.Add(min(other.Left, maxQuarantine)), turnedBad: other.TurnedBad,
 		}
+		if other.Quarantined() && len(other.Content.Parts) > 1 {
+			t.judgeAt(now.Add(doubtDelay))
+		}
 		if !other.Quarantined() {
 			t.clearParts(now, other.Content.Parts)
 		}
