planner: a replica's later start counts for what broke off there

Callers saw requests with a part that crashes replicas reach them after it had to be known. Most replicas crashed at once, hosts seemed cut off, their attempts were withdrawn, and the replicas were back under their IDs before all followers had reported. Nothing looked at the earlier incarnations then. Now a later start counts, and a withdrawal after it changes nothing. Two cases of TestCrashesOfMostReplicasCount fail before.

--- a/internal/planner/cut_test.go
+++ b/internal/planner/cut_test.go
@@ -11,10 +11,11 @@
 
 // plainWorld is a planner with the replicas of one plain service and hosts that send requests one after another.
 type plainWorld struct {
-	t       *testing.T
-	now     time.Time
-	planner *Planner
-	ids     int
+	t        *testing.T
+	now      time.Time
+	planner  *Planner
+	replicas []replica.Replica
+	ids      int
 }
 
 // newPlainWorld returns a world whose replicas are spread over three failure domains.
@@ -25,17 +26,24 @@
 // newOrderedPlainWorld returns a world with the given order of its planner and number of failure domains.
 func newOrderedPlainWorld(t *testing.T, order uint64, replicas, domains int) *plainWorld {
 	w := &plainWorld{t: t, now: time.Unix(1000, 0), planner: New(order)}
-	var list []replica.Replica
 	for i := range replicas {
-		list = append(list, replica.Replica{
+		w.replicas = append(w.replicas, replica.Replica{
 			ID: fmt.Sprint("s", i), Service: "desk", FailureDomain: string(rune('a' + i%domains)), Slots: 6, Born: 1,
 			Address: w.address(i),
 		})
 	}
-	w.planner.SetReplicas(w.now, list)
+	w.planner.SetReplicas(w.now, w.replicas)
 	return w
 }
 
+// restartReplicas lists all replicas with a later start.
+func (w *plainWorld) restartReplicas() {
+	for i := range w.replicas {
+		w.replicas[i].Born++
+	}
+	w.planner.SetReplicas(w.now, w.replicas)
+}
+
 // request lets a host ask for a place and ends the request with the given outcome 10 ms later. It returns the replica, or ""
 // if the request is refused.
 func (w *plainWorld) request(host string, outcome Outcome, excluded ...string) string {
@@ -194,6 +202,18 @@
 				w.planner.SetLostServers(w.now, host, addresses)
 			}
 		}},
+		"they are listed with a later start": {counts: true, confirm: func(w *plainWorld, addresses []netip.AddrPort) {
+			for _, host := range hosts {
+				w.planner.SetLostServers(w.now, host, addresses)
+			}
+			w.restartReplicas()
+		}},
+		"they are listed with a later start before the hosts report": {counts: true, confirm: func(w *plainWorld, addresses []netip.AddrPort) {
+			w.restartReplicas()
+			for _, host := range hosts {
+				w.planner.SetLostServers(w.now, host, addresses)
+			}
+		}},
 		"one follower can connect to them": {confirm: func(w *plainWorld, addresses []netip.AddrPort) {
 			w.planner.SetFollowers(w.now, append(hosts, "h3"))
 			for _, host := range hosts {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -123,6 +123,10 @@
 			p.services[r.Service] = servers
 		}
 		s := servers[r.ID]
+		if s != nil && s.replica.Born < r.Born {
+			// What broke off at the earlier incarnation has lost more than its path.
+			p.quarantine.Down(now, incarnation(&s.replica))
+		}
 		if s == nil || s.replica.Born != r.Born {
 			s = &server{}
 			p.setModel(s, p.engines[r.Service])
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -47,9 +47,7 @@
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
-	if at, ok := t.down[c.Replica]; ok && now.Sub(at) < crashRetention {
-		c.PathLost = false
-	}
+	c.PathLost = c.PathLost && !t.isDown(now, c.Replica)
 	t.crashes = append(t.crashes, c)
 	if !slices.ContainsFunc(t.replicas, func(r silentReplica) bool { return r.replica == c.Replica }) {
 		t.replicas = append(t.replicas, silentReplica{replica: c.Replica, at: c.at})
@@ -84,11 +82,18 @@
 func (t *Table) Withdraw(now time.Time, host string) {
 	for i := range t.crashes {
 		c := &t.crashes[i]
-		c.PathLost = c.PathLost || c.Host == host && now.Sub(c.at) < withdrawalTime
+		c.PathLost = c.PathLost || c.Host == host && now.Sub(c.at) < withdrawalTime && !t.isDown(now, c.Replica)
 	}
 }
 
-// Down records that several hosts can't reach a replica in any way, so that attempts which broke off there lately do count.
+// isDown reports whether Down was called for the replica lately.
+func (t *Table) isDown(now time.Time, replica string) bool {
+	at, ok := t.down[replica]
+	return ok && now.Sub(at) < crashRetention
+}
+
+// Down records that several hosts can't reach a replica in any way, or that it has started anew, so that attempts which broke off
+// there lately do count.
 func (t *Table) Down(now time.Time, replica string) {
 	t.down[replica] = now
 	for i := range t.crashes {
