quarantine: what is seen of a new start before its entry isn't the earlier incarnation's

Telling starts apart by attempts placed after an earlier one broke off, without the list, was ruled out: a sick replica that resets each connection would count many times. TestCrashesCountWhoseReplicasRestart: two of four cases fail without it.

--- a/internal/planner/cut_test.go
+++ b/internal/planner/cut_test.go
@@ -36,10 +36,13 @@
 	return w
 }
 
-// restartReplicas lists all replicas with a later start.
-func (w *plainWorld) restartReplicas() {
+// restartReplicas lists all replicas with a later start, under other IDs if renamed is set.
+func (w *plainWorld) restartReplicas(renamed bool) {
 	for i := range w.replicas {
 		w.replicas[i].Born++
+		if renamed {
+			w.replicas[i].ID += "-anew"
+		}
 	}
 	w.planner.SetReplicas(w.now, w.replicas)
 }
@@ -206,10 +209,16 @@
 			for _, host := range hosts {
 				w.planner.SetLostServers(w.now, host, addresses)
 			}
-			w.restartReplicas()
+			w.restartReplicas(false)
+		}},
+		"others are listed at their addresses": {counts: true, confirm: func(w *plainWorld, addresses []netip.AddrPort) {
+			for _, host := range hosts {
+				w.planner.SetLostServers(w.now, host, addresses)
+			}
+			w.restartReplicas(true)
 		}},
 		"they are listed with a later start before the hosts report": {counts: true, confirm: func(w *plainWorld, addresses []netip.AddrPort) {
-			w.restartReplicas()
+			w.restartReplicas(false)
 			for _, host := range hosts {
 				w.planner.SetLostServers(w.now, host, addresses)
 			}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -117,16 +117,15 @@
 	kept := make(map[string]bool, len(replicas))
 	for _, r := range replicas {
 		kept[r.ID] = true
+	}
+	p.recordRestarts(now, replicas, kept)
+	for _, r := range replicas {
 		servers := p.services[r.Service]
 		if servers == nil {
 			servers = make(map[string]*server)
 			p.services[r.Service] = servers
 		}
 		s := servers[r.ID]
-		if s != nil && s.replica.Born < r.Born {
-			// What broke off at the earlier incarnation has lost more than its path.
-			p.quarantine.Down(now, incarnation(&s.replica))
-		}
 		if s == nil || s.replica.Born != r.Born {
 			s = &server{}
 			p.setModel(s, p.engines[r.Service])
@@ -147,6 +146,29 @@
 	}
 }
 
+// recordRestarts records which of the listed replicas are later incarnations of known ones: those with the same ID or, in place of
+// one that isn't listed any more, with the same address.
+func (p *Planner) recordRestarts(now time.Time, replicas []replica.Replica, listed map[string]bool) {
+	unlisted := make(map[netip.AddrPort]*server)
+	for _, servers := range p.services {
+		for id, s := range servers {
+			if !listed[id] {
+				unlisted[s.replica.Address] = s
+			}
+		}
+	}
+	for i := range replicas {
+		r := &replicas[i]
+		earlier := p.services[r.Service][r.ID]
+		if earlier == nil {
+			earlier = unlisted[r.Address]
+		}
+		if earlier != nil && earlier.replica.Born < r.Born {
+			p.quarantine.Restarted(now, incarnation(&earlier.replica), incarnation(r))
+		}
+	}
+}
+
 // rankOf returns the rank of a server in the planner's order.
 func (p *Planner) rankOf(id string) uint64 {
 	var order [8]byte
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -21,6 +21,8 @@
 	at        time.Time
 	completed bool // the same request was completed later, so that it isn't the cause
 	survived  bool // the replica has sent something since, so that it didn't crash
+
+	survivedAt time.Time // when it did first
 }
 
 // counts reports whether the replica seems to have crashed.
@@ -49,9 +51,7 @@
 	}
 	c.PathLost = c.PathLost && !t.isDown(now, c.Replica)
 	t.crashes = append(t.crashes, c)
-	if !slices.ContainsFunc(t.replicas, func(r silentReplica) bool { return r.replica == c.Replica }) {
-		t.replicas = append(t.replicas, silentReplica{replica: c.Replica, at: c.at})
-	}
+	t.expectSign(c.Replica, c.at)
 	t.renewProbed(now, &c.Content)
 	t.judgeRequest(now, c.Content.Request)
 	if c.Early && len(c.Content.Parts) > 0 {
@@ -69,7 +69,53 @@
 	t.replicas = slices.Delete(t.replicas, i, i+1)
 	for j := range t.crashes {
 		c := &t.crashes[j]
-		c.survived = c.survived || c.Replica == replica && now.Sub(c.at) >= reportDelay
+		if !c.survived && c.Replica == replica && now.Sub(c.at) >= reportDelay {
+			c.survived, c.survivedAt = true, now
+		}
+	}
+}
+
+const (
+	// The shortest time from a crash until the replica has started anew.
+	leastRestart = time.Second
+	// The longest time for which a replica that has started anew is known by its earlier incarnation.
+	restartDelay = 2 * time.Second
+)
+
+// Restarted records that a replica has started anew, so that attempts at the earlier incarnation that broke off lately do count.
+// What was seen of it just before may have been the new start, of which its entry didn't tell yet: signs of life, and attempts that
+// broke off after others.
+func (t *Table) Restarted(now time.Time, earlier, later string) {
+	t.Down(now, earlier)
+	var first time.Time // when the first attempt broke off there
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if c.Replica != earlier {
+			continue
+		}
+		if c.survived && c.survivedAt.Sub(c.at) >= leastRestart && now.Sub(c.survivedAt) < restartDelay {
+			c.survived = false
+			t.judgeAt(now)
+		}
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
+		}
+	}
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if c.Replica != earlier || c.at.Sub(first) < leastRestart || now.Sub(c.at) >= restartDelay {
+			continue
+		}
+		c.Replica = later
+		t.expectSign(later, c.at)
+		t.judgeAt(now)
+	}
+}
+
+// expectSign records that an attempt has broken off at a replica, which hasn't sent anything since.
+func (t *Table) expectSign(replica string, at time.Time) {
+	if !slices.ContainsFunc(t.replicas, func(r silentReplica) bool { return r.replica == replica }) {
+		t.replicas = append(t.replicas, silentReplica{replica: replica, at: at})
 	}
 }
 
@@ -92,8 +138,7 @@
 	return ok && now.Sub(at) < crashRetention
 }
 
-// Down records that several hosts can't reach a replica in any way, or that it has started anew, so that attempts which broke off
-// there lately do count.
+// Down records that several hosts can't reach a replica in any way, so that attempts which broke off there lately do count.
 func (t *Table) Down(now time.Time, replica string) {
 	t.down[replica] = now
 	for i := range t.crashes {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -267,6 +267,52 @@
 	other.check(t, true, bad)
 }
 
+// Guards against crashes that are lost since the entry of a replica tells of its new start late: what breaks off there by then, and
+// signs of life, were taken for those of the earlier incarnation.
+func TestCrashesCountWhoseReplicasRestart(t *testing.T) {
+	tests := map[string]struct {
+		crash     func(w *world)
+		restarted bool
+	}{
+		"a replica crashes at its new start": {restarted: true, crash: func(w *world) {
+			w.crash(firstOwn, bad)
+			w.crash(firstOwn+1, bad)
+			w.replicas = 0
+			w.crash(firstOwn+2, bad)
+		}},
+		"a replica sends something at its new start": {restarted: true, crash: func(w *world) {
+			for i := range uint64(3) {
+				w.crash(firstOwn+i, bad)
+			}
+			w.now = w.now.Add(leastRestart)
+			w.table.Alive(w.now, "1")
+		}},
+		"two attempts break off at one start": {crash: func(w *world) {
+			w.crash(firstOwn, bad)
+			w.crash(firstOwn+1, bad)
+			w.replicas = 0
+			w.crash(firstOwn+2, bad)
+		}},
+		"a replica goes on": {crash: func(w *world) {
+			for i := range uint64(3) {
+				w.crash(firstOwn+i, bad)
+			}
+			w.now = w.now.Add(leastRestart)
+			w.table.Alive(w.now, "1")
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			test.crash(w)
+			if test.restarted {
+				w.table.Restarted(w.now, "1", "1 anew")
+			}
+			w.check(t, test.restarted, bad)
+		})
+	}
+}
+
 // A part has turned bad after requests with it were completed. Guards against its quarantine being ended by what a host
 // knows of those earlier requests, when it objects to another verdict that holds the part.
 func TestObjectionLeavesPartsThatTurnedBad(t *testing.T) {
