quarantine: a part of all requests is tested twice early, then as any other

Cause: the quarantine of what most requests hold starts at 2 s and only doubled with each request let through that crashed a replica. Now the third comes after 30 s.

--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -267,6 +267,33 @@
 	other.check(t, true, bad)
 }
 
+// All requests hold the part. Guards against a quarantine that lets one of them crash a replica every few seconds.
+func TestFewRequestsTestPartOfAll(t *testing.T) {
+	const mostLate = 3
+	w := newWorld()
+	for i := range uint64(20) {
+		w.table.LetThrough(w.now, w.content(firstOwn+i, bad))
+	}
+	for i := range uint64(crashesForDoubtfulParts) {
+		w.crash(firstOwn+i, bad)
+	}
+	late := 0
+	for end := w.now.Add(72 * time.Second); w.now.Before(end); w.now = w.now.Add(100 * time.Millisecond) {
+		c := w.content(firstOwn+w.requests, bad)
+		if _, refused := w.table.Refuses(w.now, c, true); refused {
+			continue
+		}
+		w.table.LetThrough(w.now, c)
+		if w.now.Sub(begin) > crashesForDoubtfulParts*time.Second+3*time.Second {
+			late++
+		}
+		w.crashAgain(c)
+	}
+	if late > mostLate {
+		t.Errorf("%d late requests, want at most %d", late, mostLate)
+	}
+}
+
 // Guards against crashes that are lost since the entry of a replica tells of its new start late: what breaks off there by then, and
 // signs of life, were taken for those of the earlier incarnation.
 func TestCrashesCountWhoseReplicasRestart(t *testing.T) {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -110,11 +110,21 @@
 		}
 		v.probing = false
 		v.generation += 2
-		v.length = min(2*v.length, maxQuarantine)
+		v.length = v.longer()
 		v.until = now.Add(v.length)
 	}
 }
 
+// longer returns the length of the quarantine after a request that was let through has crashed a replica. Of a content that most
+// requests hold a second one may, since what all requests share is let through with a part that is the cause now and then.
+func (v *verdict) longer() time.Duration {
+	length := min(2*v.length, maxQuarantine)
+	if length > 2*widespreadQuarantine {
+		return max(length, minQuarantine)
+	}
+	return length
+}
+
 // clearVerdicts ends the quarantine of contents that a completed request holds, and also of those that have turned bad if
 // the request was completed only now. Where it holds only some of the parts that are quarantined together, the others
 // remain. It reports whether it has ended one.
