quarantine: a part that turned bad is blamed with its companions, not one for the other

Cause: both had been completed before, and companions of a part were sought only among those never completed, so each was judged alone and the order of hashes chose. Now they are quarantined together, until a sound request leaves the one.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -124,11 +124,11 @@
 	return c.at.After(at)
 }
 
-// suspectedParts returns those parts of c that no completed request clears, and part itself, sorted.
-func (t *Table) suspectedParts(c *Content, part uint64) []uint64 {
+// suspectedParts returns part and those parts of a request at the crash that may be the cause in its place, sorted.
+func (t *Table) suspectedParts(content *Content, part uint64, c *replicaCrash, cleared bool) []uint64 {
 	var parts []uint64
-	for _, p := range c.Parts {
-		if p == part || !t.isCleared(p) {
+	for _, p := range content.Parts {
+		if p == part || !t.isCleared(p) || cleared && t.mayCause(p, c, cleared) {
 			parts = append(parts, p)
 		}
 	}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -58,7 +58,7 @@
 					s = &suspect{part: part, requests: make(map[uint64]bool), others: make(map[uint64]int)}
 					byPart[part] = s
 				}
-				s.add(i, content.Request, t.suspectedParts(content, part))
+				s.add(i, content.Request, t.suspectedParts(content, part, c, cleared))
 			}
 		}
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -267,6 +267,28 @@
 	other.check(t, true, bad)
 }
 
+// A part has turned bad that comes with another one only. Guards against blaming that one by itself, which sound requests hold.
+func TestPartThatTurnedBadIsBlamedWithItsCompanion(t *testing.T) {
+	for _, parts := range [][2]uint64{{1, 2}, {2, 1}} {
+		first, turned := parts[0], parts[1]
+		w := newWorld()
+		w.complete(first)
+		w.complete(first, turned)
+		for i := range uint64(crashesForDoubtfulParts) {
+			w.crash(first, turned, firstOwn+i)
+		}
+		w.check(t, true, first, turned)
+		w.check(t, false, first, 50)
+		w.complete(first, 51)
+		w.check(t, true, first, turned)
+		other := newWorld()
+		other.complete(first, turned)
+		other.table.Merge(w.now, w.table.Verdicts(w.now))
+		w.table.Merge(w.now, other.table.Verdicts(w.now))
+		w.check(t, true, first, turned)
+	}
+}
+
 // All requests hold the part. Guards against a quarantine that lets one of them crash a replica every few seconds.
 func TestFewRequestsTestPartOfAll(t *testing.T) {
 	const mostLate = 3
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -130,7 +130,7 @@
 // remain. It reports whether it has ended one.
 func (t *Table) clearVerdicts(now time.Time, c *Content, completedNow bool) bool {
 	ended := false
-	var remaining []Content
+	var remaining []verdict
 	for _, v := range t.verdicts {
 		if !v.quarantined() || v.turnedBad && !completedNow {
 			continue
@@ -143,11 +143,11 @@
 		}
 		rest := slices.DeleteFunc(slices.Clone(v.content.Parts), func(p uint64) bool { return slices.Contains(c.Parts, p) })
 		if len(rest) > 0 && len(rest) < len(v.content.Parts) {
-			remaining = append(remaining, Content{Parts: rest})
+			remaining = append(remaining, verdict{content: Content{Parts: rest}, turnedBad: v.turnedBad})
 		}
 	}
 	for _, rest := range remaining {
-		t.quarantine(now, rest, false)
+		t.quarantine(now, rest.content, rest.turnedBad)
 	}
 	return ended
 }
