payload: one account for the bodies and whole responses of a host

Now all payloads take half of memoryMb; what doesn't fit is refused with 503 once its body was read and dropped, and what has up to 64 KiB always fits. A response that doesn't fit counts as failed, not as broken off, which would be evidence of a crash.

--- a/internal/backend/copies_test.go
+++ b/internal/backend/copies_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/standin/listener"
 	"github.com/turmericshunt/turmericshunt/internal/tunnel"
@@ -77,7 +78,7 @@
 				if err != nil {
 					t.Fatalf("%s, %s, request %s: %v", name, way, id, err)
 				}
-				body, err := x.ReadAll(context.Background(), 1<<10)
+				body, err := x.ReadAll(context.Background(), &payload.Budget{}, 1<<10)
 				if x.Head.RequestID != id || x.Head.NotRun != (id == "first") || err != nil {
 					t.Errorf("%s, %s, request %s: head %+v, body %q, error %v", name, way, id, x.Head, body, err)
 				}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 )
 
 // Exchange is one call at one server, from sending the request to the end of the response.
@@ -111,12 +112,10 @@
 // framed reports whether the response says where it ends; otherwise it ends with its connection.
 func (x *Exchange) framed() bool { return x.resp.ContentLength >= 0 || x.chunked() }
 
-// ReadAll reads the complete body. It returns an error if the body is longer than limit bytes.
-func (x *Exchange) ReadAll(ctx context.Context, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errors.Errorf("response longer than %d bytes", limit)
-	}
+// ReadAll reads the complete body, of at most limit bytes, whose memory counts as one of the payloads until it is released
+// there. The error wraps a *payload.Error.
+func (x *Exchange) ReadAll(ctx context.Context, payloads *payload.Budget, limit int64) ([]byte, error) {
+	body, err := payloads.Read(x, -1, limit)
 	if err != nil {
 		return nil, x.wrapError(ctx, "read answer", err)
 	}
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
@@ -90,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := x.ReadAll(ctx, 1<<10)
+	got, err := x.ReadAll(ctx, &payload.Budget{}, 1<<10)
 	if err != nil || string(got) != responseText {
 		t.Fatalf("got %q, %v", got, err)
 	}
@@ -194,7 +195,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := first.ReadAll(context.Background(), 10); err != nil {
+		if _, err := first.ReadAll(context.Background(), &payload.Budget{}, 10); err != nil {
 			t.Fatal(err)
 		}
 		first.Finish()
@@ -219,7 +220,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := x.ReadAll(context.Background(), 1<<10); err != nil {
+		if _, err := x.ReadAll(context.Background(), &payload.Budget{}, 1<<10); err != nil {
 			t.Fatal(err)
 		}
 		x.Finish()
--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/standin/listener"
 )
@@ -59,7 +60,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		body, err := x.ReadAll(ctx, 1<<10)
+		body, err := x.ReadAll(ctx, &payload.Budget{}, 1<<10)
 		if (err == nil) != (writeErr == nil) {
 			t.Errorf("write error %v: read %q, error %v", writeErr, body, err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/ingress"
 	"github.com/turmericshunt/turmericshunt/internal/metrics"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/placement"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -37,7 +38,9 @@
 	// sweepInterval is the pause between two searches for backend connections that have been idle for too long.
 	sweepInterval = time.Second
 	// memoryLimitShare is the Go runtime's soft memory limit as a share of the host's memory.
-	memoryLimitShare = 0.6
+	memoryLimitShare = 0.75
+	// payloadShare is the share of the host's memory that the payloads of requests and responses may take together.
+	payloadShare = 0.5
 	// minStopTime is how long a stopping host keeps its listener open at least, so that the load balancer notices that
 	// the host is not ready before its connections are refused. It is as long as the stoppingTime of package ingress,
 	// after which requests are refused.
@@ -170,17 +173,19 @@
 	}
 	dialed := scope.Counter("backend_connections")
 	g.pool = &backend.Pool{Codec: g.HeaderCodec, Dialer: g.Dialer, OnDial: func() { dialed.Inc(1) }}
+	payloads := &payload.Budget{Limit: int64(payloadShare * float64(g.Settings.MemoryBytes))}
 	g.relay = &relay.Relay{
 		Pool:          g.pool,
 		PlannerClient: g.placement,
 		Memory:        g.Memory,
 		Budget:        g.budget,
+		Payloads:      payloads,
 		Marker:        g.HeaderCodec,
 		Log:           g.Log,
 		Metrics:       scope,
 	}
 	g.ingress = &ingress.Ingress{
-		Cache: g.cache, Relay: g.relay, Decoder: g.HeaderCodec, Log: g.Log, Metrics: scope,
+		Cache: g.cache, Relay: g.relay, Decoder: g.HeaderCodec, Payloads: payloads, Log: g.Log, Metrics: scope,
 	}
 	g.ingress.SetRevocationTime(g.Settings.RevocationTime)
 	g.ingress.Init()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/drain"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
@@ -32,9 +33,11 @@
 	defaultMaxBody = 4 << 20 // bytes, if the configuration sets no limit
 	maxDiscard     = 8 << 20 // bytes of a body over the limit that are read and dropped before the response
 	bodyTimeout    = 10 * time.Second
-	// Retry-After times of refusals: configuration missing or not verified recently enough, and host stopping.
+	// Retry-After times of refusals: configuration missing or not verified recently enough, host stopping, and no memory for
+	// the body.
 	retryUnverified = 500 * time.Millisecond
 	retryStopping   = 200 * time.Millisecond
+	retryNoMemory   = time.Second
 	// The configuration must have been verified more recently than the limit by this margin, to allow for the
 	// time that a request takes to arrive.
 	verificationMargin = 300 * time.Millisecond
@@ -58,11 +61,12 @@
 
 // Ingress is the HTTP server for callers. Its exported fields must be set before Init.
 type Ingress struct {
-	Cache   Configurations
-	Relay   *relay.Relay
-	Decoder Decoder
-	Log     *eventlog.Log
-	Metrics tally.Scope
+	Cache    Configurations
+	Relay    *relay.Relay
+	Decoder  Decoder
+	Payloads *payload.Budget // of requests
+	Log      *eventlog.Log
+	Metrics  tally.Scope
 
 	server          *drain.Server
 	stoppingSince   atomic.Int64 // boot-time clock at the call of BeginStop, in nanoseconds; 0 before
@@ -143,6 +147,7 @@
 	if !g.admit(w, c, config, verifiedAt) || !g.readBody(w, r, c, config.Limits) {
 		return
 	}
+	defer g.Payloads.Release(c.Body)
 	g.Relay.Serve(r.Context(), w, c)
 }
 
@@ -200,8 +205,8 @@
 	c.ConfigVersion = config.Version
 }
 
-// readBody reads the complete body into c, because it may have to be sent more than once. If the body is too long, it
-// responds to the caller and returns false. If the body can't be read, it aborts the connection.
+// readBody reads the complete body into c, because it may have to be sent more than once. If the body is too long, or there is no
+// memory for it, it responds to the caller and returns false. If the body can't be read, it aborts the connection.
 func (g *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, limits catalog.Limits) bool {
 	limit := int64(defaultMaxBody)
 	if limits.MaxBodyBytes > 0 {
@@ -216,28 +221,28 @@
 	controller := http.NewResponseController(w)
 	// If the connection has no read deadlines, the caller's timeout still limits the call.
 	_ = controller.SetReadDeadline(time.Now().Add(min(bodyTimeout, c.CallerTimeout)))
-	body, err := readAll(r, limit)
+	body, err := g.Payloads.Read(r.Body, r.ContentLength, limit)
+	var unread *payload.Error
+	if errors.As(err, &unread) && unread.Kind != payload.KindRead {
+		_, err = io.CopyN(io.Discard, r.Body, limit)
+		if errors.Is(err, io.EOF) {
+			err = nil
+		}
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	switch {
 	case err != nil:
 		g.Log.Event("body_broken", slog.String("request_id", c.ID), slog.String("error", err.Error()))
 		panic(http.ErrAbortHandler)
-	case int64(len(body)) > limit:
+	case unread == nil:
+		c.Body = body
+		return true
+	case unread.Kind == payload.KindNoMemory:
+		g.refuse(w, c, retryNoMemory, "no memory for the body", slog.Int64("payload_bytes", g.Payloads.Used()))
+	default:
 		g.reject(w, c.ID, http.StatusRequestEntityTooLarge, "body too long", slog.Int64("limit", limit))
-		return false
-	}
-	c.Body = body
-	return true
-}
-
-// readAll reads the body. If its length isn't known, it reads at most one byte more than limit.
-func readAll(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength >= 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
 	}
-	return io.ReadAll(io.LimitReader(r.Body, limit+1))
+	return false
 }
 
 // reject responds with an error to a request that is malformed or that the configuration doesn't allow.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
@@ -76,3 +79,70 @@
 		t.Errorf("status %d, %q; want a refusal because the configuration may be out of date", w.Code, w.Body.String())
 	}
 }
+
+// Guards against bodies that together take more memory than the host has, so that the process is killed with all its requests (review
+// case 2): what doesn't fit is refused, with the connection kept, and what is small isn't refused for it.
+func TestBodiesWithoutMemoryAreRefused(t *testing.T) {
+	const limit = 1 << 20
+	log := eventlog.New(io.Discard, "h")
+	t.Cleanup(log.Close)
+	g := &Ingress{
+		Cache: &revokingCache{}, Log: log, Metrics: tally.NoopScope, Payloads: &payload.Budget{Limit: limit},
+		Relay: &relay.Relay{Marker: noMarker{}, Log: log, Metrics: tally.NoopScope},
+	}
+	held, err := g.Payloads.Read(strings.NewReader(strings.Repeat("x", limit)), limit, limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := &call.Call{CallerTimeout: 5 * time.Second}
+		if g.readBody(w, r, c, catalog.Limits{}) {
+			_, _ = fmt.Fprint(w, len(c.Body))
+			g.Payloads.Release(c.Body)
+		}
+	}))
+	t.Cleanup(server.Close)
+	var connections int
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if !info.Reused {
+			connections++
+		}
+	}})
+	// send sends a body of the given size, in chunks if its length isn't told.
+	send := func(size int, chunked bool) (status int, body, retryAfter string) {
+		t.Helper()
+		var reader io.Reader = strings.NewReader(strings.Repeat("y", size))
+		if chunked {
+			reader = struct{ io.Reader }{reader}
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := server.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text), resp.Header.Get("Retry-After")
+	}
+	for _, chunked := range []bool{false, true} {
+		if status, _, retryAfter := send(limit/2, chunked); status != http.StatusServiceUnavailable || retryAfter == "" {
+			t.Errorf("chunked %v: status %d, Retry-After %q; want a refusal", chunked, status, retryAfter)
+		}
+		if status, body, _ := send(1000, chunked); status != http.StatusOK || body != "1000" {
+			t.Errorf("chunked %v: a small body got status %d, %q", chunked, status, body)
+		}
+	}
+	g.Payloads.Release(held)
+	if status, body, _ := send(limit/2, false); status != http.StatusOK || body != fmt.Sprint(limit/2) {
+		t.Errorf("status %d, %q once there is memory", status, body)
+	}
+	if connections != 1 {
+		t.Errorf("%d connections, want 1", connections)
+	}
+	if used := g.Payloads.Used(); used != 0 {
+		t.Errorf("%d bytes are in use at the end", used)
+	}
+}
--- /dev/null
+++ b/internal/payload/budget.go
@@ -0,0 +1,100 @@
+package payload
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// Payloads of at most this many bytes are always read, so that large ones don't take the place of small ones.
+	smallBytes = 64 << 10
+	// Size of the memory into which a payload of unknown length is read first, in bytes.
+	firstBytes = 4 << 10
+)
+
+// Budget counts the memory of payloads. It is safe for concurrent use; its zero value has no limit.
+type Budget struct {
+	Limit int64 // bytes of all payloads together; 0 means no limit
+
+	used atomic.Int64
+}
+
+// Used returns how many bytes payloads take now.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Read reads a payload of the given length, or up to its end if length is negative, and of at most limit bytes. Release must
+// be called for it once it isn't needed any more. The error is of type *Error.
+func (b *Budget) Read(r io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		return nil, &Error{Op: "read payload", Kind: KindTooLong}
+	}
+	size := length
+	if length < 0 {
+		size = min(firstBytes, limit+1)
+	}
+	if !b.reserve(size) {
+		return nil, &Error{Op: "read payload", Kind: KindNoMemory}
+	}
+	payload := make([]byte, 0, size)
+	for int64(len(payload)) != length {
+		if len(payload) == cap(payload) {
+			larger, err := b.grow(payload, limit)
+			if err != nil {
+				b.Release(payload)
+				return nil, err
+			}
+			payload = larger
+		}
+		n, err := r.Read(payload[len(payload):cap(payload)])
+		payload = payload[:len(payload)+n]
+		if err == nil || int64(len(payload)) == length {
+			continue
+		}
+		if errors.Is(err, io.EOF) && length < 0 && int64(len(payload)) <= limit {
+			break
+		}
+		b.Release(payload)
+		return nil, readError(err, int64(len(payload)) > limit)
+	}
+	return payload, nil
+}
+
+// readError returns the error for a payload of which err was the end.
+func readError(err error, tooLong bool) error {
+	if tooLong {
+		return &Error{Op: "read payload", Kind: KindTooLong}
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return &Error{Op: "read payload", Kind: KindRead, Err: err}
+}
+
+// grow returns a payload with the same bytes and more memory.
+func (b *Budget) grow(payload []byte, limit int64) ([]byte, error) {
+	if int64(len(payload)) > limit {
+		return nil, &Error{Op: "read payload", Kind: KindTooLong}
+	}
+	size := min(2*int64(cap(payload)), limit+1)
+	if !b.reserve(size) {
+		return nil, &Error{Op: "read payload", Kind: KindNoMemory}
+	}
+	larger := append(make([]byte, 0, size), payload...)
+	b.Release(payload)
+	return larger, nil
+}
+
+// reserve takes memory for a payload of the given size and reports whether there is enough.
+func (b *Budget) reserve(size int64) bool {
+	used := b.used.Add(size)
+	if b.Limit > 0 && size > smallBytes && used > b.Limit {
+		b.used.Add(-size)
+		return false
+	}
+	return true
+}
+
+// Release gives back the memory of a payload that Read has returned. It does nothing for nil.
+func (b *Budget) Release(payload []byte) { b.used.Add(-int64(cap(payload))) }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
@@ -64,8 +65,9 @@
 	a.noteRequests(x.Head)
 	switch {
 	case x.Head.NotRun:
-		_, err := x.ReadAll(ctx, maxResponseBytes)
+		body, err := x.ReadAll(ctx, a.relay.Payloads, maxResponseBytes)
 		if err == nil {
+			a.relay.Payloads.Release(body)
 			x.Finish()
 		}
 		return planner.OutcomeRefused, errors.Errorf("status %d", x.Head.Status)
@@ -91,7 +93,7 @@
 // readResponse reads a complete response that isn't a stream. One with a 5xx status is a failure.
 func (a *attempt) readResponse(ctx context.Context) (planner.Outcome, error) {
 	if a.response == nil {
-		body, err := a.exchange.ReadAll(ctx, maxResponseBytes)
+		body, err := a.exchange.ReadAll(ctx, a.relay.Payloads, maxResponseBytes)
 		if err != nil {
 			return outcomeOf(err), err
 		}
@@ -117,6 +119,9 @@
 // end ends the attempt and reports its outcome to the planner.
 func (a *attempt) end(outcome planner.Outcome) {
 	a.ended = true
+	if a.response != nil {
+		a.relay.Payloads.Release(a.response.body)
+	}
 	if a.exchange != nil {
 		a.exchange.Abort()
 	}
@@ -128,6 +133,10 @@
 
 // outcomeOf returns the outcome of an attempt that ended with err.
 func outcomeOf(err error) planner.Outcome {
+	var unread *payload.Error
+	if errors.As(err, &unread) && unread.Kind == payload.KindNoMemory {
+		return planner.OutcomeFailed
+	}
 	var failure *backend.Error
 	if !errors.As(err, &failure) {
 		return planner.OutcomeBroken
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -24,6 +24,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -115,8 +116,9 @@
 func newRelay(p relay.PlannerClient, out io.Writer, scope tally.Scope) *relay.Relay {
 	return &relay.Relay{
 		Pool: &backend.Pool{Codec: platform.HeaderCodec{}, Dialer: &dialer.Dialer{}}, PlannerClient: p, Memory: noMemory{},
-		Budget: &budget.Budget{Ratio: 10, Slack: 1e6, Window: time.Second, Hosts: func() int { return 1 }},
-		Marker: platform.HeaderCodec{}, Log: eventlog.New(out, "h"), Metrics: scope,
+		Budget:   &budget.Budget{Ratio: 10, Slack: 1e6, Window: time.Second, Hosts: func() int { return 1 }},
+		Payloads: &payload.Budget{},
+		Marker:   platform.HeaderCodec{}, Log: eventlog.New(out, "h"), Metrics: scope,
 	}
 }
 
--- a/internal/relay/lostconnection_test.go
+++ b/internal/relay/lostconnection_test.go
@@ -14,6 +14,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/platform"
@@ -76,7 +77,7 @@
 	reset <- true
 	<-reset
 	time.Sleep(50 * time.Millisecond)
-	if rest, err := x.ReadAll(context.Background(), 1<<20); err == nil {
+	if rest, err := x.ReadAll(context.Background(), &payload.Budget{}, 1<<20); err == nil {
 		t.Errorf("the reset response counts as complete, with %q at its end", rest)
 	} else {
 		t.Log(err)
@@ -96,7 +97,7 @@
 		_ = c.Close()
 	}, func(bool) time.Duration { return 200 * time.Millisecond })
 	began := time.Now()
-	body, err := x.ReadAll(context.Background(), 1<<20)
+	body, err := x.ReadAll(context.Background(), &payload.Budget{}, 1<<20)
 	if err == nil {
 		t.Errorf("the response counts as complete after %v: %q", time.Since(began), body)
 	} else {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/pause"
+	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
@@ -58,6 +59,7 @@
 	PlannerClient PlannerClient
 	Memory        MemoryReserver
 	Budget        *budget.Budget
+	Payloads      *payload.Budget // of responses that are read as a whole
 	Marker        ResponseMarker
 	Log           *eventlog.Log
 	Metrics       tally.Scope
