backend, relay: attempt_ended says what was sent, and over which connection

New fields connection, reused and written_bytes; no decision hangs on them. TestTransmissionIsKnown.

--- a/internal/backend/error.go
+++ b/internal/backend/error.go
@@ -17,6 +17,8 @@
 	Kind Kind
 	Sent bool // a part of the request may have reached the server
 	Err  error
+
+	Transmission Transmission
 }
 
 // Error returns the operation and the cause, separated by a colon.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -22,6 +22,23 @@
 	resp          *http.Response
 	bodySent      <-chan error // result of writing the body in the background; nil if it isn't
 	ended         bool         // Finish or Abort was called
+	writtenBefore int64        // bytes of earlier calls on the connection
+	transmission  Transmission // Written is set at the end
+}
+
+// Transmission says what was sent of a call, and how.
+type Transmission struct {
+	Local   string // address of the connection at this host; "" if there was none
+	Reused  bool   // the connection has carried earlier calls
+	Written int64  // bytes of the request that the system has taken
+}
+
+// Transmission returns what was sent so far.
+func (x *Exchange) Transmission() Transmission {
+	if !x.ended {
+		x.transmission.Written = x.conn.net.Written() - x.writtenBefore
+	}
+	return x.transmission
 }
 
 // maxResponsesRead is the number of responses that are read in search of the one to the call, this one included. The
@@ -36,6 +53,8 @@
 func (x *Exchange) sendAndReadHead(ctx context.Context, head []byte, maxSilence time.Duration) error {
 	x.conn.setMaxSilence(maxSilence)
 	x.conn.headLeft = maxHeadBytes
+	x.writtenBefore = x.conn.net.Written()
+	x.transmission = Transmission{Local: x.conn.net.LocalAddr().String(), Reused: x.conn.used}
 	bodySent, err := x.conn.writeRequest(head, x.call.Body)
 	x.bodySent = bodySent
 	if err != nil {
@@ -133,6 +152,7 @@
 	if x.ended {
 		return
 	}
+	x.transmission = x.Transmission()
 	x.ended = true
 	ctxActive := x.stopAfterFunc()
 	if !ctxActive || !x.framed() || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.bodyWritten() {
@@ -167,6 +187,7 @@
 	if x.ended {
 		return
 	}
+	x.transmission = x.Transmission()
 	x.ended = true
 	x.stopAfterFunc()
 	x.conn.close()
@@ -184,5 +205,5 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
-	return &Error{Op: op, Kind: kind, Sent: true, Err: err}
+	return &Error{Op: op, Kind: kind, Sent: true, Err: err, Transmission: x.Transmission()}
 }
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -242,3 +242,41 @@
 		}
 	}
 }
+
+// Guards against logs that don't tell which attempt has sent how much of a request, and over which connection.
+func TestTransmissionIsKnown(t *testing.T) {
+	address, _ := startServer(t, false)
+	p := &Pool{Codec: minimalCodec{}, Dialer: &dialer.Dialer{}}
+	first := Transmission{}
+	for i, size := range []int{10, 20} {
+		c := &call.Call{ID: "r1", Method: http.MethodPost, Target: "/x", Body: make([]byte, size)}
+		x, err := p.Open(t.Context(), c, &Attempt{Replica: replica.Replica{Address: address}}, testWait, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := x.ReadAll(t.Context(), &payload.Budget{}, 1<<10); err != nil {
+			t.Fatal(err)
+		}
+		x.Finish()
+		want := int64(len(minimalCodec{}.AppendRequestHead(nil, c, nil)) + size)
+		got := x.Transmission()
+		if i == 0 {
+			first = got
+		}
+		if got.Written != want || got.Reused != (i > 0) || got.Local != first.Local || got.Local == "" {
+			t.Errorf("call %d: %+v, want %d bytes over the first connection", i, got, want)
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := listener.Addr().(*net.TCPAddr).AddrPort()
+	_ = listener.Close()
+	c := &call.Call{ID: "r1", Method: http.MethodPost, Target: "/x"}
+	var failure *Error
+	_, err = p.Open(t.Context(), c, &Attempt{Replica: replica.Replica{Address: closed}}, testWait, nil)
+	if !errors.As(err, &failure) || failure.Sent || failure.Transmission.Local != "" {
+		t.Errorf("nothing was sent: %+v", failure)
+	}
+}
--- a/internal/duplex/conn.go
+++ b/internal/duplex/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -17,6 +18,8 @@
 
 	writing sync.Mutex // held during a write
 
+	written atomic.Int64 // bytes that the system has taken
+
 	mu      sync.Mutex
 	failure error // first error that the system has reported; nil before
 }
@@ -60,10 +63,14 @@
 
 func (c *Conn) write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
 	c.record(err)
 	return n, err
 }
 
+// Written returns the number of bytes that were written to the connection.
+func (c *Conn) Written() int64 { return c.written.Load() }
+
 // Readable implements netconn.Conn.
 func (c *Conn) Readable() (bool, error) {
 	readable, err := c.Conn.Readable()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -85,6 +85,19 @@
 	return a.exchange.Peer()
 }
 
+// transmission returns what was sent of the call in this attempt, which has ended with err.
+func (a *attempt) transmission(err error) backend.Transmission {
+	var failure *backend.Error
+	switch {
+	case a.exchange != nil:
+		return a.exchange.Transmission()
+	case errors.As(err, &failure):
+		return failure.Transmission
+	default:
+		return backend.Transmission{}
+	}
+}
+
 // isStream reports whether the response is a stream of events.
 func (a *attempt) isStream() bool {
 	return a.call.Stream && a.exchange.Head.Status < http.StatusMultipleChoices
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -175,6 +175,10 @@
 	if err != nil {
 		fields = append(fields, slog.String("error", err.Error()))
 	}
+	if sent := a.transmission(err); sent.Local != "" {
+		fields = append(fields, slog.String("connection", sent.Local), slog.Bool("reused", sent.Reused),
+			slog.Int64("written_bytes", sent.Written))
+	}
 	t.relay.Log.Event("attempt_ended", fields...)
 }
 
