--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -117,13 +117,16 @@
 	return false
 }
 
-// quarantinesWith returns the number of quarantines of the part together with others, since when the first of them holds, and the
-// parts that all of them hold.
+// quarantinesWith returns the number of quarantines of the part together with others since which no request has cleared it, since when
+// the first of them holds, and the parts that all of them hold.
 func (t *Table) quarantinesWith(part uint64) (n int, since time.Time, shared []uint64) {
 	for _, v := range t.verdicts {
 		if !v.quarantined() || len(v.content.Parts) < 2 || !slices.Contains(v.content.Parts, part) {
 			continue
 		}
+		if clearedAt, ok := t.cleared[part]; ok && clearedAt.After(v.since) {
+			continue
+		}
 		if n == 0 {
 			shared = slices.Clone(v.content.Parts)
 		}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -286,6 +286,15 @@
 		other.table.Merge(w.now, w.table.Verdicts(w.now))
 		w.table.Merge(w.now, other.table.Verdicts(w.now))
 		w.check(t, true, first, turned)
+
+		// Another part turns bad, whose companion the quarantine above has held without being the cause.
+		const alsoTurned = 9
+		w.complete(first, alsoTurned)
+		for i := range uint64(crashesForDoubtfulParts) {
+			w.crash(first, alsoTurned, firstOwn+50+i)
+		}
+		w.check(t, true, first, alsoTurned)
+		w.check(t, false, first, 52)
 	}
 }
 
