--- a/internal/backend/error.go
+++ b/internal/backend/error.go
@@ -18,7 +18,7 @@
 	Sent bool // a part of the request may have reached the server
 	Err  error
 
-	Transmission Transmission
+	Transmission Transmission // what was sent; zero if nothing was
 }
 
 // Error returns the operation and the cause, separated by a colon.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -221,26 +221,24 @@
 	controller := http.NewResponseController(w)
 	// If the connection has no read deadlines, the caller's timeout still limits the call.
 	_ = controller.SetReadDeadline(time.Now().Add(min(bodyTimeout, c.CallerTimeout)))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	body, err := g.Payloads.Read(r.Body, r.ContentLength, limit)
-	var unread *payload.Error
-	if errors.As(err, &unread) && unread.Kind != payload.KindRead {
-		_, err = io.CopyN(io.Discard, r.Body, limit)
-		if errors.Is(err, io.EOF) {
-			err = nil
-		}
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	switch {
-	case err != nil:
-		g.Log.Event("body_broken", slog.String("request_id", c.ID), slog.String("error", err.Error()))
-		panic(http.ErrAbortHandler)
-	case unread == nil:
+	if err == nil {
 		c.Body = body
 		return true
-	case unread.Kind == payload.KindNoMemory:
+	}
+	var unread *payload.Error
+	errors.As(err, &unread)
+	switch unread.Kind {
+	case payload.KindNoMemory:
+		// The response reaches a caller that is still writing; see above.
+		_, _ = io.CopyN(io.Discard, r.Body, limit)
 		g.refuse(w, c, retryNoMemory, "no memory for the body", slog.Int64("payload_bytes", g.Payloads.Used()))
-	default:
+	case payload.KindTooLong:
 		g.reject(w, c.ID, http.StatusRequestEntityTooLarge, "body too long", slog.Int64("limit", limit))
+	default:
+		g.Log.Event("body_broken", slog.String("request_id", c.ID), slog.String("error", err.Error()))
+		panic(http.ErrAbortHandler)
 	}
 	return false
 }
