quarantine: joint quarantines looked up once, suspected parts once a request, no state beside survivedAt

Behaviour stays. Read again: the companions of a part were worked out anew for each part of a request, though they are the same for all that may be the cause, now with up to 64 parts; 'held for two seconds' stood in three places behind a triple with blanks; survived followed from survivedAt.

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -18,15 +18,16 @@
 	// only if Down is called.
 	PathLost bool `cbor:"6,keyasint,omitempty"`
 
-	at        time.Time
-	completed bool // the same request was completed later, so that it isn't the cause
-	survived  bool // the replica has sent something since, so that it didn't crash
-
-	survivedAt time.Time // when it did first
+	at         time.Time
+	completed  bool      // the same request was completed later, so that it isn't the cause
+	survivedAt time.Time // when the replica sent something first since, so that it didn't crash; zero if it hasn't
 }
 
 // counts reports whether the replica seems to have crashed.
-func (c *Crash) counts() bool { return !c.survived && !c.PathLost }
+func (c *Crash) counts() bool { return !c.survived() && !c.PathLost }
+
+// survived reports whether the replica has sent something since.
+func (c *Crash) survived() bool { return !c.survivedAt.IsZero() }
 
 // silentReplica is when the first attempt at a replica broke off that has sent nothing since.
 type silentReplica struct {
@@ -69,8 +70,8 @@
 	t.replicas = slices.Delete(t.replicas, i, i+1)
 	for j := range t.crashes {
 		c := &t.crashes[j]
-		if !c.survived && c.Replica == replica && now.Sub(c.at) >= reportDelay {
-			c.survived, c.survivedAt = true, now
+		if !c.survived() && c.Replica == replica && now.Sub(c.at) >= reportDelay {
+			c.survivedAt = now
 		}
 	}
 }
@@ -93,8 +94,8 @@
 		if c.Replica != earlier {
 			continue
 		}
-		if c.survived && c.survivedAt.Sub(c.at) >= leastRestart && now.Sub(c.survivedAt) < restartDelay {
-			c.survived = false
+		if c.survived() && c.survivedAt.Sub(c.at) >= leastRestart && now.Sub(c.survivedAt) < restartDelay {
+			c.survivedAt = time.Time{}
 			t.judgeAt(now)
 		}
 		if first.IsZero() || c.at.Before(first) {
@@ -153,7 +154,7 @@
 // Crashes returns the attempts of the last minute that broke off and may have crashed their replicas, for another table.
 func (t *Table) Crashes(now time.Time) []Crash {
 	t.sweep(now)
-	crashes := slices.DeleteFunc(slices.Clone(t.crashes), func(c Crash) bool { return c.survived })
+	crashes := slices.DeleteFunc(slices.Clone(t.crashes), func(c Crash) bool { return c.survived() })
 	for i := range crashes {
 		crashes[i].Age = now.Sub(crashes[i].at)
 	}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// narrow quarantines by themselves the parts that several quarantines share, once one of these has held for so long that a sound
-// request would have cleared them: one cause is more likely than several.
+// narrow quarantines by themselves the parts that several quarantines share, once one of these lasts: one cause is more likely than
+// several.
 func (t *Table) narrow(now time.Time) {
 	var parts []uint64
 	for _, v := range t.verdicts {
@@ -76,9 +76,9 @@
 	}
 	slices.Sort(parts)
 	for _, part := range slices.Compact(parts) {
-		n, since, shared := t.quarantinesWith(part)
-		if n > 1 && now.Sub(since) >= doubtDelay && !slices.ContainsFunc(shared, t.isCleared) {
-			t.quarantine(now, Content{Parts: shared}, false)
+		j := t.jointQuarantines(part)
+		if j.count > 1 && j.lasts(now) && !slices.ContainsFunc(j.shared, t.isCleared) {
+			t.quarantine(now, Content{Parts: j.shared}, false)
 		}
 	}
 }
@@ -124,11 +124,11 @@
 	return c.at.After(at)
 }
 
-// suspectedParts returns part and those parts of a request at the crash that may be the cause in its place, sorted.
-func (t *Table) suspectedParts(content *Content, part uint64, c *replicaCrash, cleared bool) []uint64 {
+// suspectedParts returns those parts of a request at the crash that no completed request clears or that may be the cause, sorted.
+func (t *Table) suspectedParts(content *Content, c *replicaCrash, cleared bool) []uint64 {
 	var parts []uint64
 	for _, p := range content.Parts {
-		if p == part || !t.isCleared(p) || cleared && t.mayCause(p, c, cleared) {
+		if !t.isCleared(p) || t.mayCause(p, c, cleared) {
 			parts = append(parts, p)
 		}
 	}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -38,7 +38,8 @@
 	crashes  crashSet
 	requests map[uint64]bool // with the part, at these crashes
 	others   map[uint64]int  // number of these requests by other part
-	recurs   bool            // quarantines hold the part together with others; see Table.recurs
+	joint    joint           // quarantines of the part together with others
+	recurs   bool            // see joint.recurs
 	needed   int             // number of crashes that prove it
 	proof    int             // number of its crashes that no suspect with more of them explains
 }
@@ -49,6 +50,7 @@
 	byPart := make(map[uint64]*suspect)
 	for i, c := range crashes {
 		for _, content := range c.contents {
+			suspected := t.suspectedParts(content, c, cleared)
 			for _, part := range content.Parts {
 				if !t.mayCause(part, c, cleared) || t.isWidespread(part) && now.Sub(c.at) < widespreadDelay {
 					continue
@@ -58,7 +60,7 @@
 					s = &suspect{part: part, requests: make(map[uint64]bool), others: make(map[uint64]int)}
 					byPart[part] = s
 				}
-				s.add(i, content.Request, t.suspectedParts(content, part, c, cleared))
+				s.add(i, content.Request, suspected)
 			}
 		}
 	}
@@ -67,8 +69,9 @@
 		if s.crashes.len() < leastCrashes || len(s.requests) < requestsForParts {
 			continue
 		}
-		s.recurs = t.recurs(now, s.part)
-		s.needed = t.crashesNeeded(s, cleared)
+		s.joint = t.jointQuarantines(s.part)
+		s.recurs = s.joint.recurs(now)
+		s.needed = s.crashesNeeded(cleared)
 		candidates = append(candidates, s)
 	}
 	slices.SortFunc(candidates, func(a, b *suspect) int {
@@ -94,11 +97,11 @@
 }
 
 // crashesNeeded returns how many crashes prove a suspect.
-func (t *Table) crashesNeeded(s *suspect, cleared bool) int {
+func (s *suspect) crashesNeeded(cleared bool) int {
 	if cleared {
 		return crashesForDoubtfulParts
 	}
-	if n, _, _ := t.quarantinesWith(s.part); s.recurs || n > 0 && !s.hasAlternative() {
+	if s.recurs || s.joint.count > 0 && !s.hasAlternative() {
 		return crashesToNarrow
 	}
 	if s.hasAlternative() {
@@ -117,9 +120,16 @@
 	return false
 }
 
-// quarantinesWith returns the number of quarantines of the part together with others since which no request has cleared it, since when
-// the first of them holds, and the parts that all of them hold.
-func (t *Table) quarantinesWith(part uint64) (n int, since time.Time, shared []uint64) {
+// joint is what quarantines hold a part together with others, since which no request has cleared it.
+type joint struct {
+	count  int
+	since  time.Time // when the first of them began
+	shared []uint64  // parts that all of them hold
+}
+
+// jointQuarantines returns the quarantines of the part together with others.
+func (t *Table) jointQuarantines(part uint64) joint {
+	var j joint
 	for _, v := range t.verdicts {
 		if !v.quarantined() || len(v.content.Parts) < 2 || !slices.Contains(v.content.Parts, part) {
 			continue
@@ -127,33 +137,33 @@
 		if clearedAt, ok := t.cleared[part]; ok && clearedAt.After(v.since) {
 			continue
 		}
-		if n == 0 {
-			shared = slices.Clone(v.content.Parts)
+		if j.count == 0 {
+			j.shared = slices.Clone(v.content.Parts)
 		}
-		n++
-		shared = slices.DeleteFunc(shared, func(p uint64) bool { return !slices.Contains(v.content.Parts, p) })
-		if since.IsZero() || v.since.Before(since) {
-			since = v.since
+		j.count++
+		j.shared = slices.DeleteFunc(j.shared, func(p uint64) bool { return !slices.Contains(v.content.Parts, p) })
+		if j.since.IsZero() || v.since.Before(j.since) {
+			j.since = v.since
 		}
 	}
-	return n, since, shared
+	return j
 }
 
-// recurs reports whether several quarantines hold the part together with others, or one for so long that a sound request would
-// have cleared it. It is then more likely the cause of other crashes than yet another part beside it.
-func (t *Table) recurs(now time.Time, part uint64) bool {
-	n, since, _ := t.quarantinesWith(part)
-	return n > 1 || n == 1 && now.Sub(since) >= doubtDelay
-}
+// lasts reports whether the first quarantine has held for so long that a sound request would have cleared the part.
+func (j joint) lasts(now time.Time) bool { return j.count > 0 && now.Sub(j.since) >= doubtDelay }
+
+// recurs reports whether there are several quarantines, or one that lasts. The part is then more likely the cause of other crashes
+// than yet another part beside it.
+func (j joint) recurs(now time.Time) bool { return j.count > 1 || j.lasts(now) }
 
-// likelyParts returns those parts of a suspect that may be the cause. If quarantines have held its part together with others for
-// so long that a sound request would have cleared it, those that were not at their crashes are left out.
+// likelyParts returns those parts of a suspect that may be the cause. If its part is in a joint quarantine that lasts, those that
+// aren't in all of these quarantines are left out.
 func (t *Table) likelyParts(now time.Time, s *suspect) []uint64 {
-	n, since, shared := t.quarantinesWith(s.part)
-	if n == 0 || now.Sub(since) < doubtDelay {
+	j := t.jointQuarantines(s.part) // anew, since the verdict on another suspect may be one
+	if !j.lasts(now) {
 		return s.parts
 	}
-	return slices.DeleteFunc(slices.Clone(s.parts), func(p uint64) bool { return !slices.Contains(shared, p) })
+	return slices.DeleteFunc(slices.Clone(s.parts), func(p uint64) bool { return !slices.Contains(j.shared, p) })
 }
 
 // weight returns the number of requests by which a suspect counts in an explanation.
