relay: the replicas that were tried are one list

Behaviour stays. excludedReplicas and sentTo were two slices that grew side by side, in transfer and again for a hedge; what each was for follows from the replicas: IDs for the planner, addresses for the connection. Race tests of relay pass.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
@@ -20,12 +21,10 @@
 type attempt struct {
 	relay     *Relay
 	call      *call.Call
-	placement planner.Result // with a plan
-	resume    bool           // the stream was begun in an earlier attempt
-	lastEvent int64          // with resume: id of the last event that the caller has
-	// Addresses to which the call was sent in earlier attempts. A response that comes late on a connection to one of them can't be
-	// told from that to this attempt, since both name the call.
-	sentTo []netip.AddrPort
+	placement planner.Result    // with a plan
+	resume    bool              // the stream was begun in an earlier attempt
+	lastEvent int64             // with resume: id of the last event that the caller has
+	tried     []replica.Replica // in earlier attempts
 
 	sentAt        time.Time         // when the call was sent
 	exchange      *backend.Exchange // nil until the head of the response has come
@@ -48,7 +47,7 @@
 		Resume:        a.resume,
 		LastEvent:     a.lastEvent,
 		Priority:      min(a.call.Priority, maxPriority),
-		NewConnection: slices.Contains(a.sentTo, plan.Replica.Address),
+		NewConnection: a.hasTried(plan.Replica.Address),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
@@ -77,6 +76,12 @@
 	return "", nil
 }
 
+// hasTried reports whether the call was sent to an address in an earlier attempt. A response that comes late on a connection to it
+// can't be told from that to this attempt, since both name the call.
+func (a *attempt) hasTried(address netip.AddrPort) bool {
+	return slices.ContainsFunc(a.tried, func(r replica.Replica) bool { return r.Address == address })
+}
+
 // through returns the address of the host through which the call goes to its server, or "" if it goes there directly.
 func (a *attempt) through() string {
 	if a.exchange == nil || a.exchange.Direct() {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -49,10 +49,9 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	h := &hedge{cancel: cancel, result: make(chan hedgeResult)}
 	t.hedge = h
-	req := t.placementRequest()
-	req.ExcludedReplicas = append(req.ExcludedReplicas, current.placement.Plan.Replica.ID)
 	a := t.newAttempt()
-	a.sentTo = append(a.sentTo, current.placement.Plan.Replica.Address)
+	a.tried = append(a.tried, current.placement.Plan.Replica)
+	req := t.placementRequest(a)
 	t.relay.Metrics.Counter("hedges").Inc(1)
 	t.relay.Log.Event("hedge_started", slog.String("request_id", t.call.ID),
 		slog.String("silent_replica", current.placement.Plan.Replica.ID), slog.Int("events", t.events.forwarded))
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -15,11 +15,11 @@
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
-// placementRequest returns the request for a server for the next attempt. Its times are relative to now. Once events have
+// placementRequest returns the request for a server for a new attempt. Its times are relative to now. Once events have
 // been forwarded, the pause target takes the place of the first-event target, and the time until the caller disconnects
 // counts from the last forwarded event. The caller of a call without a prompt is not expected to disconnect before the
 // deadline.
-func (t *transfer) placementRequest() planner.Request {
+func (t *transfer) placementRequest(a *attempt) planner.Request {
 	c := t.call
 	now := steady.Now()
 	elapsed := now.Sub(c.Received)
@@ -37,6 +37,10 @@
 	if c.PromptTokens == 0 {
 		untilDisconnect = 0
 	}
+	excluded := t.relay.pauses.IDs(now)
+	for _, r := range a.tried {
+		excluded = append(excluded, r.ID)
+	}
 	return planner.Request{
 		Service:          c.Service,
 		PromptTokens:     c.PromptTokens,
@@ -46,7 +50,7 @@
 		PauseTarget:      c.PauseTarget,
 		Deadline:         c.Deadline().Sub(now),
 		Priority:         c.Priority,
-		ExcludedReplicas: append(t.relay.pauses.IDs(now), t.excludedReplicas...),
+		ExcludedReplicas: excluded,
 		Fingerprint:      t.fingerprint,
 		PromptParts:      c.PromptParts,
 		UntilDisconnect:  untilDisconnect,
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"maps"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
@@ -32,25 +32,24 @@
 
 // transfer forwards one call and its response over all attempts.
 type transfer struct {
-	relay            *Relay
-	call             *call.Call
-	writer           http.ResponseWriter
-	callerCtx        context.Context // ends when the caller disconnects
-	ctx              context.Context // ends with callerCtx and shortly before the deadline
-	progress         progress
-	events           eventFilter      // spans the attempts, so that a resumed stream repeats no event
-	fingerprint      uint64           // equal for calls that do the same work; recognizes those that crash replicas
-	excludedReplicas []string         // IDs of replicas at which an attempt did not complete the call
-	sentTo           []netip.AddrPort // their addresses
-	headWritten      atomic.Bool      // the head of the response has been written to the caller
-	retryGranted     bool             // the budget has granted the next retry
-	serverFailure    *response        // last response with a 5xx status; forwarded if the call isn't completed
-	firstEventDelay  time.Duration    // from receipt of the call to the first event or the complete response; 0 before
-	lastForwarded    time.Time        // when the last events were forwarded; zero before the first
-	longestPause     time.Duration    // longest pause between forwarded events
-	hedge            *hedge           // attempt at another server while the current one is silent; nil if there is none
-	hedgeAttempt     *attempt         // that of the hedge, once it has begun; nil before
-	lastFailure      planner.Outcome  // of the attempt that failed last
+	relay           *Relay
+	call            *call.Call
+	writer          http.ResponseWriter
+	callerCtx       context.Context // ends when the caller disconnects
+	ctx             context.Context // ends with callerCtx and shortly before the deadline
+	progress        progress
+	events          eventFilter       // spans the attempts, so that a resumed stream repeats no event
+	fingerprint     uint64            // equal for calls that do the same work; recognizes those that crash replicas
+	tried           []replica.Replica // at which an attempt did not complete the call
+	headWritten     atomic.Bool       // the head of the response has been written to the caller
+	retryGranted    bool              // the budget has granted the next retry
+	serverFailure   *response         // last response with a 5xx status; forwarded if the call isn't completed
+	firstEventDelay time.Duration     // from receipt of the call to the first event or the complete response; 0 before
+	lastForwarded   time.Time         // when the last events were forwarded; zero before the first
+	longestPause    time.Duration     // longest pause between forwarded events
+	hedge           *hedge            // attempt at another server while the current one is silent; nil if there is none
+	hedgeAttempt    *attempt          // that of the hedge, once it has begun; nil before
+	lastFailure     planner.Outcome   // of the attempt that failed last
 }
 
 // response is a server's complete response that isn't a stream.
@@ -116,7 +115,8 @@
 			return nil
 		}
 	}
-	placement, err := t.relay.place(t.ctx, t.call, t.placementRequest())
+	a := t.newAttempt()
+	placement, err := t.relay.place(t.ctx, t.call, t.placementRequest(a))
 	switch {
 	case err != nil:
 		t.finishExpired()
@@ -126,7 +126,6 @@
 		return nil
 	}
 	t.retryGranted = false
-	a := t.newAttempt()
 	a.placement = placement
 	return a
 }
@@ -134,7 +133,7 @@
 // newAttempt returns an attempt without a placement.
 func (t *transfer) newAttempt() *attempt {
 	return &attempt{
-		relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID, sentTo: slices.Clone(t.sentTo),
+		relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID, tried: slices.Clone(t.tried),
 	}
 }
 
@@ -152,8 +151,7 @@
 	if outcome == planner.OutcomeUnreachable {
 		t.retryGranted = true // no server has got the call, so the next attempt takes its place
 	}
-	t.excludedReplicas = append(t.excludedReplicas, a.placement.Plan.Replica.ID)
-	t.sentTo = append(t.sentTo, a.placement.Plan.Replica.Address)
+	t.tried = append(t.tried, a.placement.Plan.Replica)
 	if outcome == planner.OutcomeFailed && a.response != nil && a.response.isFailure() {
 		t.serverFailure = a.response
 	}
