--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,11 +193,13 @@
 
 // applyState passes the active configuration and replicas on to the components that use them.
 func (g *Gateway) applyState() {
-	var addresses []netip.AddrPort
-	for _, r := range g.cache.Replicas() {
-		addresses = append(addresses, r.Address)
+	replicas := g.cache.Replicas()
+	addresses := make([]netip.AddrPort, 0, len(replicas))
+	for i := range replicas {
+		addresses = append(addresses, replicas[i].Address)
 	}
 	g.Dialer.SetServers(addresses)
+	g.relay.SetReplicas(replicas)
 	g.placement.ApplyState()
 }
 
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -54,6 +54,20 @@
 	return ids
 }
 
+// Restarted ends the pauses of those replicas that are listed with a later start than the one that asked for the pause.
+func (t *Table) Restarted(listed []replica.Replica) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.pauses) == 0 {
+		return
+	}
+	for i := range listed {
+		if p, ok := t.pauses[listed[i].ID]; ok && p.born < listed[i].Born {
+			delete(t.pauses, listed[i].ID)
+		}
+	}
+}
+
 // removeEnded removes the pauses that are over at now.
 func (t *Table) removeEnded(now time.Time) {
 	for id, p := range t.pauses {
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -23,3 +23,15 @@
 		t.Error("the pause holds after its end")
 	}
 }
+
+// Guards against a replica that is excluded for a pause which it asked for before it started again.
+func TestRestartEndsPause(t *testing.T) {
+	var table Table
+	start := time.Unix(1000, 0)
+	table.Add(start, replica.Replica{ID: "i-1", Born: 1}, start.Add(time.Minute))
+	table.Add(start, replica.Replica{ID: "i-2", Born: 5}, start.Add(time.Minute))
+	table.Restarted([]replica.Replica{{ID: "i-1", Born: 2}, {ID: "i-2", Born: 5}})
+	if ids := table.IDs(start); len(ids) != 1 || ids[0] != "i-2" {
+		t.Errorf("paused are %v, want i-2 alone", ids)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,9 @@
 // InFlight returns how many calls are in progress, that is, have no complete response yet.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
 
+// SetReplicas takes over the active replicas: pauses end with the start that asked for them.
+func (r *Relay) SetReplicas(replicas []replica.Replica) { r.pauses.Restarted(replicas) }
+
 // Serve forwards c and writes the response to w. It panics with http.ErrAbortHandler if a response that has begun can't
 // be completed, or if the caller has disconnected. The context must end when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, c *call.Call) {
