--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -44,10 +44,12 @@
 			}
 			log := eventlog.New(os.Stdout, s.Host)
 			defer log.Close()
+			store := platform.NewStore(s.StoreAddress, logInvalidEntry(log))
+			store.ReadsEvacuations = s.EvacuationTime > 0
 			replicas := &dialer.Dialer{Connect: p.ConnectReplica, ConnectHost: p.ConnectHost}
 			g := &gateway.Gateway{
 				Settings:            s,
-				Store:               platform.NewStore(s.StoreAddress, logInvalidEntry(log)),
+				Store:               store,
 				Memory:              platform.NewMemory(replicas),
 				Dialer:              replicas,
 				HeaderCodec:         platform.HeaderCodec{},
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -33,6 +33,11 @@
 	ConfigBase   uint64         `cbor:"15,keyasint,omitempty"` // digest of the document that ConfigPatch changes
 	ReplicaDelta *replica.Delta `cbor:"16,keyasint,omitempty"`
 	ReplicaData  []byte         `cbor:"17,keyasint,omitempty"` // Replicas, encoded and compressed
+	// Evacuated is the set of evacuated failure domains. Hosts that don't read evacuations send no EvacuationRevision.
+	Evacuated          []string      `cbor:"18,keyasint,omitempty"`
+	EvacuationRevision int64         `cbor:"19,keyasint,omitempty"` // of the store when they were read
+	EvacuationEra      int64         `cbor:"20,keyasint,omitempty"` // of EvacuationRevision
+	EvacuationRead     time.Duration `cbor:"21,keyasint,omitempty"` // when they were read, as ReplicaRead
 }
 
 // HasContent reports whether the state contains the configuration or replicas, or a change of them.
@@ -93,6 +98,7 @@
 		Era:             c.era,
 		UntilRewritten:  max(c.rewrittenAt.Sub(c.now()), 0),
 	}
+	c.exportEvacuations(&s, base)
 	if own.hasNewerDocument(peer) {
 		c.exportDocument(&s, peer)
 	}
@@ -164,6 +170,8 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	c.observeEra(now, s.Era, now.Add(s.UntilRewritten))
+	// The evacuations come first, so that no replica of an evacuated failure domain is in use for a moment.
+	c.importEvacuations(base, s)
 	c.importConfiguration(base, s)
 	c.importReplicas(base, s)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/evacuation"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
@@ -41,7 +42,9 @@
 
 // Store reads from the platform's store. If a method returns an error, its other results say nothing about the store.
 type Store interface {
-	Configuration(ctx context.Context) (Document, error)
+	// Configuration also returns the evacuated failure domains that the same read has found, as of the time at which it was
+	// started; an unknown set if the store isn't asked for them.
+	Configuration(ctx context.Context) (Document, evacuation.Set, error)
 	Replicas(ctx context.Context) ([]replica.Replica, revision.Revision, error)
 }
 
@@ -55,6 +58,9 @@
 	// OnChange, if not nil, is called in a goroutine of its own after the configuration or the replicas changed.
 	OnChange func()
 	Metrics  tally.Scope
+	// EvacuationTime is how soon after its start an evacuation must be obeyed; 0 if this host doesn't obey any.
+	EvacuationTime time.Duration
+	Regions        map[string]string // region by failure domain, for those that are known; may be nil
 
 	now func() time.Time // steady.Now, but for tests
 
@@ -75,6 +81,8 @@
 	replicasReadAt  time.Time         // when this host or a peer started to read the replicas
 	replicaDigest   uint64            // of replicas; 0 until replicas are known
 	storeDown       bool              // the last read failed
+	evacuated       evacuation.Set    // failure domains whose replicas get no requests
+	loggedUnknown   []string          // evacuated failure domains that were logged as unknown
 }
 
 // Init makes the cache ready for use; it must be called before any other method.
@@ -105,7 +113,7 @@
 	loops.Add(2)
 	go func() {
 		defer loops.Done()
-		c.readLoop(ctx, configInterval, c.configAge, c.readConfiguration)
+		c.readLoop(ctx, configInterval, c.stateAge, c.readConfiguration)
 	}()
 	go func() {
 		defer loops.Done()
@@ -204,13 +212,15 @@
 
 func (c *Cache) readConfiguration(ctx context.Context) error {
 	startedAt := c.now()
-	doc, err := c.Store.Configuration(ctx)
+	doc, evacuated, err := c.Store.Configuration(ctx)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.observeRead(c.now(), doc.Revision.Era)
+	evacuated.ReadAt = startedAt
+	c.takeEvacuations(evacuated, "store")
 	c.applyDocument(doc, c.verifiedBy(startedAt), "store")
 	return nil
 }
@@ -347,5 +357,6 @@
 			slog.String("service", change.Replica.Service), slog.String("address", change.Replica.Address.String()),
 			slog.Int64("revision", c.replicaRevision.Number))
 	}
+	c.logUnknownEvacuated()
 	c.notifyChanged()
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/evacuation"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
@@ -128,13 +129,15 @@
 }
 
 type fakeStore struct {
-	reads int
-	err   error
+	reads     int
+	err       error
+	evacuated evacuation.Set
+	era       int64 // of the configuration
 }
 
-func (s *fakeStore) Configuration(context.Context) (Document, error) {
+func (s *fakeStore) Configuration(context.Context) (Document, evacuation.Set, error) {
 	s.reads++
-	return document(1, 1), s.err
+	return Document{Data: []byte("1"), Revision: revision.New(s.era, 1)}, s.evacuated, s.err
 }
 
 func (s *fakeStore) Replicas(context.Context) ([]replica.Replica, revision.Revision, error) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -9,6 +9,8 @@
 type Settings struct {
 	Host          string // name of the host
 	FailureDomain string
+	Region        string            // of the host; empty if it isn't known
+	Regions       map[string]string // region by failure domain, for those that are known
 
 	CallerAddress    netip.AddrPort   // where callers connect
 	ReadinessAddress netip.AddrPort   // where the load balancer checks whether the host is ready
@@ -23,6 +25,7 @@
 
 	GracePeriod    time.Duration // from the request to stop until the process is killed
 	RevocationTime time.Duration // longest time that a revoked key remains usable; 0 means no limit
+	EvacuationTime time.Duration // longest time until an evacuation is obeyed; 0 means that none is read
 	RetryRatio     float64       // retries allowed for each request of a service, over all hosts
 	RetrySlack     float64       // retries allowed beyond that in one RetryWindow, over all hosts
 	RetryWindow    time.Duration // period over which requests and retries are counted
