--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -107,7 +107,7 @@
 	case req.Deadline <= 0:
 		return &Refusal{Cause: CauseOutOfTime, RetryAfter: minRetryAfter}
 	case len(servers) == 0:
-		return &Refusal{Cause: CauseNoReplica, RetryAfter: p.usableAfter(now, req)}
+		return p.noServerRefusal(now, req)
 	case tooLarge(req, servers):
 		return &Refusal{Cause: CauseTooLarge, RetryAfter: tooLargeRetryAfter}
 	}
@@ -126,7 +126,7 @@
 		if s.pausedUntil.After(until) {
 			until = s.pausedUntil
 		}
-		if wait := until.Sub(now); wait > 0 && s.replica.TakesRequests() {
+		if wait := until.Sub(now); wait > 0 && s.replica.TakesRequests() && !s.evacuated {
 			after = min(after, wait)
 		}
 	}
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -55,6 +55,7 @@
 	CauseNoSlot    Cause = "busy"        // no slot will be free in time
 	CauseCrashes   Cause = "crashes"     // too many attempts with the request's fingerprint broke off
 	CauseTooLarge  Cause = "too_large"   // no set of replicas has enough memory
+	CauseEvacuated Cause = "evacuated"   // all replicas of the service are in evacuated failure domains
 	CauseLimited   Cause = "limited"     // all replicas that may be used limit the rate of their requests
 	CauseOutOfTime Cause = "out_of_time" // the deadline passed while the request waited
 )
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -173,6 +173,9 @@
 	}
 	q.endTimes = []time.Duration{}
 	for _, s := range r.planner.unlimitedServers(service) {
+		if s.evacuated {
+			continue // its slots aren't used again
+		}
 		for _, j := range s.jobs {
 			q.endTimes = append(q.endTimes, max(0, predictedEnd(j).Sub(r.now)))
 		}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -44,6 +44,7 @@
 	// When hosts reported that they can't reach it, by host; nil after a first event or complete response.
 	unreachableBy map[string]time.Time
 	exclusions    map[string]*exclusion // by host whose requests it doesn't get, or allHosts
+	evacuated     bool                  // its failure domain is evacuated: gets no requests
 }
 
 // slots returns the number of requests that the server can run at the same time: that of the replica, else that of the
@@ -71,7 +72,7 @@
 
 // takesRequests reports whether the server takes requests, whatever excludes it.
 func (s *server) takesRequests(now time.Time) bool {
-	return s.replica.TakesRequests() && !now.Before(s.pausedUntil)
+	return s.replica.TakesRequests() && !s.evacuated && !now.Before(s.pausedUntil)
 }
 
 // freeMemory returns the free memory of the server's engine in tokens.
