--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -25,6 +25,9 @@
 	Priority  int // priority in the server's queue, 0 to 9; 0 is the highest
 	// NewConnection says that the call was sent to the address before, so that no kept connection may carry it.
 	NewConnection bool
+	// MaySend, if not nil, reports whether the call may still be sent. It is called when the connection is there, since
+	// making one takes time, and right before the first byte is sent.
+	MaySend func() bool
 }
 
 // ResponseHead is the decoded status line and header of a server's response.
--- a/internal/backend/error.go
+++ b/internal/backend/error.go
@@ -8,6 +8,7 @@
 	KindUnreachable Kind = "unreachable" // no connection could be made; the call was not sent
 	KindBroken      Kind = "broken"      // the call was sent and may have run; the response is missing or incomplete
 	KindSilent      Kind = "silent"      // as KindBroken, because nothing was received for too long
+	KindWithdrawn   Kind = "withdrawn"   // Attempt.MaySend has forbidden it; the call was not sent
 	KindCanceled    Kind = "canceled"    // the context ended; the call may have run if it was sent
 )
 
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
@@ -65,6 +67,10 @@
 			p.OnDial()
 		}
 	}
+	if a.MaySend != nil && !a.MaySend() {
+		cn.close()
+		return nil, &Error{Op: "send", Kind: KindWithdrawn, Err: errors.New("the server may not get the call any more")}
+	}
 	x := &Exchange{pool: p, conn: cn, call: c}
 	x.SetExtraWait(extraWait)
 	x.stopAfterFunc = context.AfterFunc(ctx, cn.close)
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -223,6 +223,7 @@
 	config, _ := c.Cache.Active()
 	c.engines = engines(c.engines, config, replicas)
 	c.localPlanner.SetEngines(c.engines)
+	c.localPlanner.SetEvacuated(c.Cache.Evacuated().Domains)
 	c.localPlanner.SetReplicas(now, replicas)
 	c.sendResults(now)
 	for p := range c.inbound {
--- a/internal/placement/placed.go
+++ b/internal/placement/placed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -130,6 +131,29 @@
 // IsLeaving reports whether this incarnation of r has announced that it leaves.
 func (c *Client) IsLeaving(r replica.Replica) bool { return c.Cache.IsLeaving(r) }
 
+// IsEvacuated reports whether a replica of the plan is in an evacuated failure domain.
+func (c *Client) IsEvacuated(plan *planner.Plan) bool {
+	if c.Cache.IsEvacuated(plan.Replica) {
+		return true
+	}
+	return slices.ContainsFunc(plan.Helpers, func(h planner.Helper) bool { return c.Cache.IsEvacuatedID(h.Replica) })
+}
+
+// EvacuatedReplicas returns the IDs of the replicas of a service that are in evacuated failure domains.
+func (c *Client) EvacuatedReplicas(service string) []string {
+	evacuated := c.Cache.Evacuated()
+	if len(evacuated.Domains) == 0 {
+		return nil
+	}
+	var ids []string
+	for _, r := range c.Cache.Replicas() {
+		if r.Service == service && evacuated.Has(r.FailureDomain) {
+			ids = append(ids, r.ID)
+		}
+	}
+	return ids
+}
+
 // reportEnded notifies the local planner, which ignores ids that it does not know, and the planner on another host, if
 // that one plans for this host.
 func (c *Client) reportEnded(ended link.Progress) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -33,6 +33,7 @@
 	response      *response         // the complete response, if it isn't a stream and was read
 	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
 	ended         bool              // end was called
+	withdrawn     bool              // nothing was sent, since the server may not get the call any more
 }
 
 // begin sends the call and reads the head of the response. It returns an error, and the outcome of the attempt, unless
@@ -48,16 +49,20 @@
 		LastEvent:     a.lastEvent,
 		Priority:      min(a.call.Priority, maxPriority),
 		NewConnection: a.hasTried(plan.Replica.Address),
+		MaySend:       func() bool { return !a.relay.PlannerClient.IsEvacuated(plan) },
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
 	}
 	if len(parameters.Helpers) > 0 && !a.relay.maySend(a.placement) {
+		a.withdrawn = a.relay.PlannerClient.IsEvacuated(plan)
 		return planner.OutcomeRefused, errors.New("the server may not get the call any more")
 	}
 	a.sentAt = steady.Now()
 	x, err := a.relay.Pool.Open(ctx, a.call, parameters, maxSilence, extraWait)
 	if err != nil {
+		var failure *backend.Error
+		a.withdrawn = errors.As(err, &failure) && failure.Kind == backend.KindWithdrawn
 		return outcomeOf(err), err
 	}
 	a.exchange = x
@@ -146,6 +151,9 @@
 	if a.releaseMemory != nil {
 		a.releaseMemory()
 	}
+	if a.withdrawn {
+		outcome = planner.OutcomeCanceled // the server has refused nothing
+	}
 	a.relay.PlannerClient.Ended(a.placement.ID, outcome, a.pause)
 }
 
@@ -166,6 +174,8 @@
 		return planner.OutcomeSilent
 	case backend.KindCanceled:
 		return planner.OutcomeCanceled
+	case backend.KindWithdrawn:
+		return planner.OutcomeRefused
 	default:
 		return planner.OutcomeBroken
 	}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -27,11 +28,16 @@
 	helpers  []planner.Helper // of each plan
 	held     chan struct{}    // if not nil, the next plan is handed over once it is closed
 	panics   bool             // Place panics for requests that exclude a replica
+	// The only replica whose plans have helpers; empty for all.
+	helpersOf string
 
 	mu      sync.Mutex
 	limited map[string]bool // replicas that have named a limit to the host
 	leaving map[string]bool // replicas that have told the host that they leave
 	stated  []float64       // limits that were reported; -1 for none
+	// Replicas in an evacuated failure domain, as the host knows.
+	evacuated map[string]bool
+	ended     []planner.Outcome
 }
 
 func (p *unawarePlanner) Place(_ context.Context, req planner.Request) (planner.Result, error) {
@@ -47,7 +53,11 @@
 	}
 	for _, r := range p.replicas {
 		if !slices.Contains(req.ExcludedReplicas, r.ID) {
-			return planner.Result{ID: req.ID, Plan: &planner.Plan{Replica: r, Helpers: p.helpers}}, nil
+			plan := &planner.Plan{Replica: r}
+			if p.helpersOf == "" || p.helpersOf == r.ID {
+				plan.Helpers = p.helpers
+			}
+			return planner.Result{ID: req.ID, Plan: plan}, nil
 		}
 	}
 	refusal := &planner.Refusal{Cause: planner.CauseNoReplica, RetryAfter: time.Second}
@@ -55,9 +65,36 @@
 }
 
 func (p *unawarePlanner) Started(string)                                  {}
-func (p *unawarePlanner) Ended(string, planner.Outcome, planner.Pause)    {}
 func (p *unawarePlanner) ExtraWait(context.Context, string) time.Duration { return 0 }
 
+func (p *unawarePlanner) Ended(_ string, outcome planner.Outcome, _ planner.Pause) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = append(p.ended, outcome)
+}
+
+func (p *unawarePlanner) IsEvacuated(plan *planner.Plan) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evacuated[plan.Replica.ID] ||
+		slices.ContainsFunc(plan.Helpers, func(h planner.Helper) bool { return p.evacuated[h.Replica] })
+}
+
+func (p *unawarePlanner) EvacuatedReplicas(string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.evacuated))
+}
+
+func (p *unawarePlanner) evacuate(ids ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuated = make(map[string]bool)
+	for _, id := range ids {
+		p.evacuated[id] = true
+	}
+}
+
 func (p *unawarePlanner) Leaving(r replica.Replica) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
@@ -43,6 +45,10 @@
 	for _, h := range a.placement.Plan.Helpers {
 		helper := backend.Helper{Address: h.Address}
 		if h.ReservedTokens > 0 {
+			if a.relay.PlannerClient.IsEvacuated(a.placement.Plan) {
+				a.withdrawn = true
+				return errors.New("a server of the plan is evacuated")
+			}
 			helper.Ticket = a.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
 			res := reservation{address: h.Address, ticket: helper.Ticket, tokens: h.ReservedTokens}
 			err := a.relay.reserveOrRenew(ctx, res)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -77,7 +78,7 @@
 				return result, nil
 			}
 			r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, planner.Pause{})
-			req.ExcludedReplicas = append(req.ExcludedReplicas, result.Plan.Replica.ID)
+			req.ExcludedReplicas = append(req.ExcludedReplicas, r.withdrawnReplicas(c, result.Plan, req.ExcludedReplicas)...)
 		}
 		req.SubtractElapsed(now.Sub(requestedAt))
 	}
@@ -93,11 +94,27 @@
 	return r.PlannerClient.Place(ctx, req)
 }
 
-// maySend reports whether a call may be sent as planned: its server doesn't leave, hasn't asked this host for a pause, and
-// its limit allows the call. The planner may not know that yet, or the plan may be old.
+// withdrawnReplicas returns the replicas that the planner must not name again after a plan that may not be used: those in
+// evacuated failure domains if that is why, so that a planner which doesn't know of the evacuation names none of them. If
+// those are excluded already, it is the primary replica, so that the plans come to an end.
+func (r *Relay) withdrawnReplicas(c *call.Call, p *planner.Plan, excluded []string) []string {
+	if !r.PlannerClient.IsEvacuated(p) {
+		return []string{p.Replica.ID}
+	}
+	evacuated := slices.DeleteFunc(r.PlannerClient.EvacuatedReplicas(c.Service), func(id string) bool {
+		return slices.Contains(excluded, id)
+	})
+	if len(evacuated) == 0 {
+		return []string{p.Replica.ID}
+	}
+	return evacuated
+}
+
+// maySend reports whether a call may be sent as planned: its server doesn't leave, neither it nor a helper replica is
+// evacuated, it hasn't asked this host for a pause, and its limit allows the call. The planner may not know that yet, or the plan may be old.
 func (r *Relay) maySend(result planner.Result) bool {
 	s := result.Plan.Replica
-	return !r.PlannerClient.IsLeaving(s) && !r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
+	return !r.PlannerClient.IsLeaving(s) && !r.PlannerClient.IsEvacuated(result.Plan) && !r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
 }
 
 func (r *Relay) logPlan(c *call.Call, p *planner.Plan, askedFor time.Duration) {
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -148,7 +148,7 @@
 	t.countAttempt(outcome)
 	t.logAttempt(a, outcome, err)
 	t.lastFailure = outcome
-	if outcome == planner.OutcomeUnreachable {
+	if outcome == planner.OutcomeUnreachable || a.withdrawn {
 		t.retryGranted = true // no server has got the call, so the next attempt takes its place
 	}
 	t.tried = append(t.tried, a.placement.Plan.Replica)
