--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -42,12 +42,14 @@
 
 // carried is a tunnel through this host.
 type carried struct {
-	tcp *net.TCPConn // to the host that has opened it
+	tcp    *net.TCPConn   // to the host that has opened it
+	server netip.AddrPort // backend server that it leads to
 
 	closed chan struct{} // closed when the other host has ended the tunnel
 
-	mu    sync.Mutex // held while a frame is written
-	ended bool       // no more frames may be written
+	mu        sync.Mutex // held while a frame is written
+	ended     bool       // no more frames may be written
+	withdrawn bool       // the other host was told not to use the tunnel for new requests
 }
 
 // Serve carries one tunnel until either side ends it. The first byte of c must be FirstByte.
@@ -58,7 +60,7 @@
 	if err != nil {
 		return
 	}
-	t := &carried{tcp: c, closed: make(chan struct{})}
+	t := &carried{tcp: c, server: address, closed: make(chan struct{})}
 	if !s.Allowed(address) || !s.add(t) {
 		_, _ = c.Write([]byte{byte(statusRefused)})
 		return
@@ -71,6 +73,10 @@
 	}
 	server := &duplex.Conn{Conn: direct}
 	defer func() { _ = server.Close() }()
+	if !s.Allowed(address) { // any more, since the connection has taken time
+		_, _ = c.Write([]byte{byte(statusRefused)})
+		return
+	}
 	if _, err := c.Write([]byte{byte(statusConnected)}); err != nil {
 		return
 	}
@@ -134,6 +140,29 @@
 	}
 }
 
+// Withdraw tells the hosts that have opened tunnels to the given servers not to use them for new requests. What is in
+// progress there goes on.
+func (s *Server) Withdraw(servers map[netip.AddrPort]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.tunnels {
+		if servers[t.server] {
+			go t.withdraw()
+		}
+	}
+}
+
+// withdraw tells the other host, once, not to use the tunnel for new requests.
+func (t *carried) withdraw() {
+	t.mu.Lock()
+	withdrawn := t.withdrawn
+	t.withdrawn = true
+	t.mu.Unlock()
+	if !withdrawn {
+		t.write(header(frameGoingAway))
+	}
+}
+
 func header(length int) []byte { return binary.BigEndian.AppendUint16(nil, uint16(length)) }
 
 // copyToServer copies what the other host sends until that ends, and then closes the server's connection.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -183,3 +183,50 @@
 		t.Errorf("rest %q, error %v", rest, err)
 	}
 }
+
+// Guards against a request that reaches an evacuated server through this host: an idle tunnel there isn't usable any more, one
+// in use goes on to its end, those to other servers stay usable, and none is opened if the evacuation has begun while the
+// connection was made.
+func TestTunnelsToEvacuatedServerAreNotUsedAgain(t *testing.T) {
+	s, host := newServer(t)
+	proceed := make(chan struct{})
+	serve := func(c *net.TCPConn) {
+		_, _ = c.Write([]byte("a"))
+		<-proceed
+		_, _ = c.Write([]byte("b"))
+		_ = c.Close()
+	}
+	evacuated, other := listener.Serve(t, serve), listener.Serve(t, serve)
+	c, c2 := dial(t, host, evacuated), dial(t, host, other)
+	var b [1]byte
+	for _, c := range []*Conn{c, c2} {
+		if _, err := io.ReadFull(c, b[:]); err != nil || !netconn.IsIdle(c) {
+			t.Fatalf("idle: %v, error %v", netconn.IsIdle(c), err)
+		}
+	}
+	for range 2 {
+		s.Withdraw(map[netip.AddrPort]bool{evacuated: true})
+	}
+	for end := time.Now().Add(time.Second); netconn.IsIdle(c); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the tunnel is still usable")
+		}
+	}
+	if !netconn.IsIdle(c2) {
+		t.Error("the tunnel to another server isn't usable")
+	}
+	asked := 0
+	s.Allowed = func(netip.AddrPort) bool { // until the connection is there
+		asked++
+		return asked == 1
+	}
+	if _, err := Dial(context.Background(), connect, host, evacuated); err == nil {
+		t.Error("a tunnel was opened after the evacuation had begun")
+	}
+	close(proceed)
+	for _, c := range []*Conn{c, c2} {
+		if rest, err := io.ReadAll(c); string(rest) != "b" || err != nil {
+			t.Errorf("rest %q, error %v", rest, err)
+		}
+	}
+}
