--- a/internal/feed/evacuation.go
+++ b/internal/feed/evacuation.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"log/slog"
 	"slices"
 	"time"
@@ -8,12 +9,23 @@
 	"github.com/turmericshunt/turmericshunt/internal/evacuation"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
+	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
 
 // evacuationAgePart is the part of EvacuationTime at which a host whose peers don't send the set of evacuated failure
 // domains reads it itself. The rest of the time is for the read and its repetition.
 const evacuationAgePart = 2
 
+const (
+	// A host that hasn't looked at the time for freezeTime was frozen.
+	freezeTime = time.Second
+	// How long a host that was frozen waits at most for a newer set before it sends anything. Another host answers, or the
+	// store is read, in a fraction of it; a host that is cut off goes on with what it knows.
+	thawTime = time.Second
+	// The interval at which that is checked.
+	thawPollInterval = 10 * time.Millisecond
+)
+
 // Evacuated returns the set of evacuated failure domains; it is not known while IsKnown of it is false.
 func (c *Cache) Evacuated() evacuation.Set {
 	c.mu.Lock()
@@ -63,6 +75,44 @@
 	return unknown
 }
 
+// AwaitEvacuations waits, if this host was frozen for so long that its set is older than EvacuationTime, until it has a newer
+// one or has gone on for thawTime. What it was about to send may have been forbidden meanwhile.
+func (c *Cache) AwaitEvacuations() {
+	for end := c.now().Add(thawTime); c.thaws() && c.now().Before(end); {
+		time.Sleep(thawPollInterval)
+	}
+}
+
+// thaws reports whether this host was frozen and has not heard since which failure domains are evacuated.
+func (c *Cache) thaws() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.EvacuationTime == 0 || !c.evacuated.IsKnown() || c.lookedAt.IsZero() {
+		return false
+	}
+	now := c.now()
+	frozen := now.Sub(c.lookedAt) >= freezeTime || now.Sub(c.thawedAt) < thawTime
+	return frozen && now.Sub(c.evacuated.ReadAt) > c.EvacuationTime
+}
+
+// watchFreezes looks at the time at intervals until ctx ends.
+func (c *Cache) watchFreezes(ctx context.Context) {
+	for ; ctx.Err() == nil; wait.For(ctx, agePollInterval) {
+		c.look()
+	}
+}
+
+// look records that the host is running, and when it has gone on after it was frozen.
+func (c *Cache) look() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if !c.lookedAt.IsZero() && now.Sub(c.lookedAt) >= freezeTime {
+		c.thawedAt = now
+	}
+	c.lookedAt = now
+}
+
 // stateAge returns the age of the configuration and, if this host reads them, of the evacuations.
 func (c *Cache) stateAge() time.Duration {
 	if c.EvacuationTime == 0 {
--- a/internal/feed/evacuation_test.go
+++ b/internal/feed/evacuation_test.go
@@ -196,3 +196,44 @@
 		t.Errorf("gauge %v, want 3", g)
 	}
 }
+
+// Guards against a host that was frozen since before an evacuation and sends, when it goes on, what it was about to send; and
+// against delays at one that only is busy, or that is cut off.
+func TestFrozenHostWaitsForEvacuations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	store := &fakeStore{evacuated: evacuated(0, 7)}
+	c := newEvacuationCache(t, store, &now)
+	c.look()
+	c.mustRead(t)
+	run := func(d time.Duration) { // the host runs on
+		for end := now.Add(d); now.Before(end); now = now.Add(agePollInterval) {
+			c.look()
+		}
+	}
+	run(2 * testEvacuationTime)
+	if c.thaws() {
+		t.Error("a host that is cut off waits")
+	}
+	c.mustRead(t)
+	now = now.Add(2 * freezeTime)
+	if c.thaws() {
+		t.Error("a host that was frozen for less than the evacuation time waits")
+	}
+	now = now.Add(testEvacuationTime)
+	for _, when := range []string{"before it looks at the time", "after that"} {
+		if !c.thaws() {
+			t.Errorf("a host that was frozen doesn't wait %s", when)
+		}
+		c.look()
+	}
+	store.evacuated = evacuated(0, 8, "b")
+	c.mustRead(t)
+	if c.thaws() || !c.Evacuated().Has("b") {
+		t.Error("the host waits although it knows")
+	}
+	now = now.Add(2 * testEvacuationTime)
+	run(thawTime + agePollInterval)
+	if c.thaws() {
+		t.Errorf("a host that learns nothing waits for longer than %v", thawTime)
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -83,6 +83,8 @@
 	storeDown       bool              // the last read failed
 	evacuated       evacuation.Set    // failure domains whose replicas get no requests
 	loggedUnknown   []string          // evacuated failure domains that were logged as unknown
+	lookedAt        time.Time         // when watchFreezes last looked at the time; zero before
+	thawedAt        time.Time         // when this host went on after it was last frozen
 }
 
 // Init makes the cache ready for use; it must be called before any other method.
@@ -110,6 +112,9 @@
 // until ctx ends and returns the error of ctx.
 func (c *Cache) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
+	if c.EvacuationTime > 0 {
+		loops.Go(func() { c.watchFreezes(ctx) })
+	}
 	loops.Add(2)
 	go func() {
 		defer loops.Done()
--- a/internal/placement/placed.go
+++ b/internal/placement/placed.go
@@ -131,8 +131,10 @@
 // IsLeaving reports whether this incarnation of r has announced that it leaves.
 func (c *Client) IsLeaving(r replica.Replica) bool { return c.Cache.IsLeaving(r) }
 
-// IsEvacuated reports whether a replica of the plan is in an evacuated failure domain.
+// IsEvacuated reports whether a replica of the plan is in an evacuated failure domain. A host that was frozen waits until it
+// knows.
 func (c *Client) IsEvacuated(plan *planner.Plan) bool {
+	c.Cache.AwaitEvacuations()
 	if c.Cache.IsEvacuated(plan.Replica) {
 		return true
 	}
