--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -58,8 +58,8 @@
 }
 
 // stateChangePrefixes are the prefixes of the events with which a host logs a change in its view of replicas, the
-// planner, other hosts, the store or the configuration, or its own start and stop.
-var stateChangePrefixes = []string{"replica_", "planner_chosen", "host_lost", "host_regained", "store_", "configuration_in_force", "host_st"}
+// planner, other hosts, the store, evacuations or the configuration, or its own start and stop.
+var stateChangePrefixes = []string{"replica_", "planner_chosen", "host_lost", "host_regained", "store_", "configuration_in_force", "evacuation_", "host_st"}
 
 // Log collects the log lines of several hosts. The zero value is empty and ready to use.
 type Log struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -101,7 +102,8 @@
 }
 
 // Reload applies those settings of s that can change while the host runs: it adds the seeds and sets the retry budget
-// and the revocation limit. If an address differs that takes effect only after a restart, it logs that one is needed.
+// and the revocation limit. If an address, the evacuation time or a region differs, which takes effect only after a
+// restart, it logs that one is needed.
 // It must not be called before Run has set up the components.
 func (g *Gateway) Reload(s *site.Settings) {
 	g.placement.AddSeeds(s.Seeds)
@@ -109,7 +111,8 @@
 	g.ingress.SetRevocationTime(s.RevocationTime)
 	needsRestart := s.CallerAddress != g.Settings.CallerAddress ||
 		s.ReadinessAddress != g.Settings.ReadinessAddress || s.PeerAddress != g.Settings.PeerAddress ||
-		s.StoreAddress != g.Settings.StoreAddress
+		s.StoreAddress != g.Settings.StoreAddress || s.EvacuationTime != g.Settings.EvacuationTime ||
+		s.Region != g.Settings.Region || !maps.Equal(s.Regions, g.Settings.Regions)
 	g.Log.Event("settings_reloaded", slog.Int("seeds", len(s.Seeds)), slog.Bool("needs_restart", needsRestart))
 }
 
@@ -154,6 +157,7 @@
 	g.metrics = metrics.New()
 	scope := g.metrics.Scope
 	g.cache = &feed.Cache{Store: g.Store, Decode: g.DecodeConfiguration, Log: g.Log, Metrics: scope}
+	g.cache.EvacuationTime, g.cache.Regions = g.Settings.EvacuationTime, g.Settings.Regions
 	g.cache.Init()
 	g.placement = &placement.Client{
 		Roster:  roster.New(steady.Now(), self, g.Settings.Seeds),
@@ -194,17 +198,22 @@
 // applyState passes the active configuration and replicas on to the components that use them.
 func (g *Gateway) applyState() {
 	var addresses []netip.AddrPort
+	evacuated := make(map[netip.AddrPort]bool)
 	for _, r := range g.cache.Replicas() {
 		addresses = append(addresses, r.Address)
+		if g.cache.IsEvacuated(r) {
+			evacuated[r.Address] = true
+		}
 	}
 	g.Dialer.SetServers(addresses)
 	g.placement.ApplyState()
+	g.tunnels.Withdraw(evacuated)
 }
 
 // takesRequests reports whether the replica at an address, if there is one, takes new requests.
 func (g *Gateway) takesRequests(address netip.AddrPort) bool {
 	return slices.ContainsFunc(g.cache.Replicas(), func(r replica.Replica) bool {
-		return r.Address == address && r.TakesRequests()
+		return r.Address == address && r.TakesRequests() && !g.cache.IsEvacuated(r)
 	})
 }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -45,7 +45,21 @@
 	for _, r := range g.cache.Replicas() {
 		s.Replicas = append(s.Replicas, hoststatus.Replica{
 			ID: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Address: r.Address, Draining: r.Draining,
+			Evacuated: g.cache.IsEvacuated(r),
 		})
 	}
+	s.Evacuations = g.evacuations()
 	return s
 }
+
+// evacuations returns what this host knows of evacuations, or nil if it knows nothing or doesn't read them.
+func (g *Gateway) evacuations() *hoststatus.Evacuations {
+	set := g.cache.Evacuated()
+	if !set.IsKnown() {
+		return nil
+	}
+	return &hoststatus.Evacuations{
+		FailureDomains: set.Domains, Unknown: g.cache.UnknownEvacuated(),
+		ReadAgeMS: steady.Now().Sub(set.ReadAt).Milliseconds(),
+	}
+}
--- a/pkg/hoststatus/status.go
+++ b/pkg/hoststatus/status.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
+	"strings"
 	"text/tabwriter"
 )
 
@@ -20,6 +22,15 @@
 	Hosts           []netip.AddrPort `json:"hosts"`          // peer addresses of the hosts that it knows, its own first
 	Configuration   Configuration    `json:"configuration"`  // the active configuration
 	Replicas        []Replica        `json:"replicas"`       // the active replicas
+	// Evacuations is nil if the host doesn't read evacuations or hasn't read them yet.
+	Evacuations *Evacuations `json:"evacuations,omitempty"`
+}
+
+// Evacuations is what a host knows of evacuations.
+type Evacuations struct {
+	FailureDomains []string `json:"failure_domains"`   // evacuated ones, sorted
+	Unknown        []string `json:"unknown,omitempty"` // those of them that have neither a region nor a replica
+	ReadAgeMS      int64    `json:"read_age_ms"`       // time since they were read from the store, in ms
 }
 
 // Configuration describes the active configuration.
@@ -34,7 +45,8 @@
 	Service       string         `json:"service"` // name of the service that it belongs to
 	FailureDomain string         `json:"failure_domain"`
 	Address       netip.AddrPort `json:"address"`
-	Draining      bool           `json:"draining"` // whether it gets no new requests
+	Draining      bool           `json:"draining"`            // whether it gets no new requests
+	Evacuated     bool           `json:"evacuated,omitempty"` // whether it gets none because its failure domain is evacuated
 }
 
 // Print writes the status to w as a table for operators. It returns the first error of w.
@@ -45,6 +57,9 @@
 	fmt.Fprintf(t, "planner\t%s\n", s.planner())
 	fmt.Fprintf(t, "configuration\tversion %d, known to be the newest %d ms ago\n", s.Configuration.Version,
 		s.Configuration.VerifiedAgeMS)
+	if s.Evacuations != nil {
+		fmt.Fprintf(t, "evacuated\t%s, read %d ms ago\n", s.Evacuations.names(), s.Evacuations.ReadAgeMS)
+	}
 	fmt.Fprintf(t, "hosts\t%d\n", len(s.Hosts))
 	for _, h := range s.Hosts {
 		fmt.Fprintf(t, "\t%s\n", h)
@@ -55,6 +70,9 @@
 		if r.Draining {
 			state = "  draining"
 		}
+		if r.Evacuated {
+			state += "  evacuated"
+		}
 		fmt.Fprintf(t, "\t%s  %s  %s  %s%s\n", r.ID, r.Service, r.FailureDomain, r.Address, state)
 	}
 	return t.Flush()
@@ -68,3 +86,17 @@
 	}
 	return s.Planner.String()
 }
+
+// names lists the evacuated failure domains, and which of them aren't known.
+func (e *Evacuations) names() string {
+	if len(e.FailureDomains) == 0 {
+		return "none"
+	}
+	names := slices.Clone(e.FailureDomains)
+	for i, name := range names {
+		if slices.Contains(e.Unknown, name) {
+			names[i] = name + " (unknown)"
+		}
+	}
+	return strings.Join(names, ", ")
+}
