--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,7 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
+	"github.com/turmericshunt/turmericshunt/internal/tunnel"
 )
 
 const (
@@ -286,3 +291,44 @@
 		}
 	}
 }
+
+// Another host, which knows nothing of the evacuation, has opened a tunnel to a replica and opens more. Guards against requests
+// that reach the evacuated failure domain through a host that knows of it.
+func TestTunnelsKeepToEvacuation(t *testing.T) {
+	t.Parallel()
+	c := newEvacuationCluster(t, 1, &faultInjector{})
+	defer c.logOnFailure()
+	connect := func(ctx context.Context, host netip.AddrPort) (*net.TCPConn, error) {
+		return netconn.Connect(ctx, host)
+	}
+	open := func(server netip.AddrPort) (*tunnel.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return tunnel.Dial(ctx, connect, c.peers[0], server)
+	}
+	evacuated, other := c.replicas[4].Address, c.replicas[5].Address
+	tunnels := make(map[netip.AddrPort]*tunnel.Conn)
+	for _, server := range []netip.AddrPort{evacuated, other} {
+		conn, err := open(server)
+		if err != nil || !netconn.IsIdle(conn) {
+			t.Fatalf("a tunnel before the evacuation: %v", err)
+		}
+		defer conn.Close()
+		tunnels[server] = conn
+	}
+	c.evacuate()
+	c.awaitEvacuated(true)
+	c.eventually("the open tunnel isn't usable", func() bool { return !netconn.IsIdle(tunnels[evacuated]) })
+	if !netconn.IsIdle(tunnels[other]) {
+		t.Error("the tunnel to another replica isn't usable")
+	}
+	if conn, err := open(evacuated); err == nil {
+		conn.Close()
+		t.Error("a tunnel to the evacuated replica was opened")
+	}
+	conn, err := open(other)
+	if err != nil {
+		t.Fatalf("no tunnel to another replica: %v", err)
+	}
+	conn.Close()
+}
--- a/internal/planner/evacuation_test.go
+++ b/internal/planner/evacuation_test.go
@@ -61,14 +61,13 @@
 }
 
 // All other replicas are excluded without a try. Guards against a replica of an evacuated domain that is tried as the last
-// resort.
+// resort, and against callers that are told to come back when it will be tried again.
 func TestEvacuatedReplicaIsNoLastResort(t *testing.T) {
 	p := newDomainPlanner(6)
 	for _, s := range p.services["llm"] {
-		if s.replica.FailureDomain == "b" {
-			p.excludeOne(at(0), s, allHosts, "h", false)
-		} else {
-			p.excludeOne(at(0), s, allHosts, "h", true)
+		p.excludeOne(at(0), s, allHosts, "h", s.replica.FailureDomain != "b")
+		if s.replica.FailureDomain != "b" {
+			p.excludeOne(at(0), s, allHosts, "h", true) // for twice as long
 		}
 	}
 	p.SetEvacuated([]string{"b"})
@@ -78,8 +77,8 @@
 	if len(results) != 1 || results[0].Refusal == nil || results[0].Refusal.Cause != CauseNoReplica {
 		t.Fatalf("results %+v", results)
 	}
-	if after := results[0].Refusal.RetryAfter; after > minExclusion {
-		t.Errorf("Retry-After %v, though other replicas are tried again after %v", after, minExclusion)
+	if after := results[0].Refusal.RetryAfter; after <= minExclusion || after > 2*minExclusion {
+		t.Errorf("Retry-After %v, though the other replicas are tried again after %v", after, 2*minExclusion)
 	}
 }
 
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -14,14 +14,22 @@
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
+	"github.com/turmericshunt/turmericshunt/internal/relay"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/platform"
 )
 
 // The planner doesn't know of an evacuation. Guards against a host that sends to an evacuated replica, as the primary one or
-// with a helper there, and against one that asks again for each replica of the domain.
+// with a helper there, and against one that asks again for each replica of the domain or gives up after a few of them.
 func TestPlanWithEvacuatedReplicaIsDropped(t *testing.T) {
 	r, p, replicas := statingWorld(t, http.StatusOK, nil)
-	p.evacuate("a", "c", "d", "e", "f")
+	evacuated := []string{"a"}
+	for _, id := range []string{"c", "d", "e", "f", "g"} { // before the sound replica b
+		evacuated = append(evacuated, id)
+		p.replicas = slices.Insert(p.replicas, 1, replica.Replica{ID: id, Address: p.replicas[0].Address})
+	}
+	p.evacuate(evacuated...)
 	if status := serveOne(r, "r1"); status != http.StatusOK || replicas[0].requests != 0 || replicas[1].requests != 1 {
 		t.Errorf("status %d; the evacuated replica got %d requests, the other one %d", status, replicas[0].requests,
 			replicas[1].requests)
@@ -30,13 +38,20 @@
 		t.Errorf("ended %v, want %v", p.ended, want)
 	}
 	p.evacuate("h")
-	p.helpers = []planner.Helper{{Replica: "h", Address: p.replicas[1].Address}}
+	p.helpers = []planner.Helper{{Replica: "h", Address: p.replicas[0].Address}}
 	if status := serveOne(r, "r2"); status == http.StatusOK || replicas[0].requests != 0 || replicas[1].requests != 1 {
 		t.Errorf("status %d; the replicas got %d and %d requests though each plan has an evacuated helper", status,
 			replicas[0].requests, replicas[1].requests)
 	}
 }
 
+// exhaustBudget takes all retries from the budget.
+func exhaustBudget(r *relay.Relay) {
+	r.Budget.SetLimits(0, 0, time.Hour)
+	for r.Budget.TryTake(steady.Now(), "desk") {
+	}
+}
+
 // evacuatingMemory evacuates a replica when memory is reserved the first time.
 type evacuatingMemory struct {
 	noMemory
@@ -60,7 +75,7 @@
 // retry that is counted though nothing was sent.
 func TestNoMemoryIsReservedInEvacuatedDomain(t *testing.T) {
 	r, p, replicas := statingWorld(t, http.StatusOK, nil)
-	r.Budget.Ratio, r.Budget.Slack = 0, 0
+	exhaustBudget(r)
 	memory := &evacuatingMemory{planner: p, evacuate: "h2"}
 	r.Memory = memory
 	first, second := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
@@ -86,7 +101,7 @@
 // request that isn't idempotent which isn't sent elsewhere.
 func TestEvacuationWhileConnecting(t *testing.T) {
 	r, p, replicas := statingWorld(t, http.StatusOK, nil)
-	r.Budget.Ratio, r.Budget.Slack = 0, 0
+	exhaustBudget(r)
 	evacuate := func() { p.evacuate("a") }
 	r.Pool = &backend.Pool{Codec: platform.HeaderCodec{}, Dialer: &dialer.Dialer{
 		Connect: func(ctx context.Context, server netip.AddrPort) (*net.TCPConn, error) {
