--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -63,7 +63,7 @@
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
 	c, reservations, found := r.planner.place(r.now, &req, servers)
-	ok := found && c.firstEvent < req.firstEventTimeout()
+	ok := found && c.firstEvent < req.firstEventTimeout() && !endsTooLate(&req, &c)
 	switch {
 	case !ok && onTime:
 		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
@@ -112,17 +112,18 @@
 }
 
 // waitOrRefuse keeps the request w waiting, of which req is the present form, or refuses it if no slot will be free in
-// time or if it is a long prompt for which no engines will be clear in time. A refusal breaks off a response that has begun,
-// so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
+// time or if it is a long prompt for which no engines will be clear in time, decoding included. A refusal breaks off a
+// response that has begun, so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
 func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
-	runTime := minRunTime
+	runTime, decode := minRunTime, time.Duration(0)
 	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
 		wait, runTime = max(wait, longWait), max(runTime, longRunTime)
+		decode = r.planner.leastDecodeTime(req)
 	}
 	q.ahead++
-	if wait+runTime > req.firstEventTimeout() {
+	if wait+runTime > req.firstEventTimeout() || wait+runTime+decode > req.Deadline {
 		return r.planner.refuse(req, &Refusal{Cause: CauseNoSlot, RetryAfter: max(wait, minRetryAfter)})
 	}
 	return false
