--- a/internal/planner/contention_test.go
+++ b/internal/planner/contention_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
@@ -269,7 +271,7 @@
 		ID: r.id, Host: "h", Service: "llm", PromptTokens: r.tokens, OutputTokens: likely, LikelyTokens: likely,
 		FirstTarget: r.class.firstTarget, PauseTarget: r.class.pauseTarget,
 		Deadline:        r.arrived.Add(r.class.deadline).Sub(now),
-		UntilDisconnect: r.class.timeout(), PauseTimeout: r.class.timeout(),
+		UntilDisconnect: r.class.timeout(), PauseTimeout: r.class.timeout(), Fingerprint: xxhash.Sum64String(r.id),
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/turmericshunt/turmericshunt/internal/appointment"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
@@ -41,11 +42,12 @@
 	sortedServers map[string][]*server          // the servers of each service, in the planner's order
 	jobs          map[jobKey]*job
 	waiting       []waitingRequest
-	quarantine    *quarantine.Table          // contents that crash replicas
-	limits        *ratelimit.Table           // limits that replicas have named
-	returns       map[string]time.Time       // by service: until when callers refused for limits were asked to return
-	mayProbe      bool                       // see SetProbing
-	shortRates    map[string]*shortRateMeter // of short prompts, by service
+	quarantine    *quarantine.Table                // contents that crash replicas
+	limits        *ratelimit.Table                 // limits that replicas have named
+	returns       map[string]time.Time             // by service: until when callers refused for limits were asked to return
+	busyReturns   map[returnKey]*appointment.Order // of callers refused for lack of slots or engines
+	mayProbe      bool                             // see SetProbing
+	shortRates    map[string]*shortRateMeter       // of short prompts, by service
 	// By host: the addresses of the servers that it can't connect to directly.
 	lostServers map[string]map[netip.AddrPort]bool
 	followers   []string    // hosts that this planner plans for
@@ -79,6 +81,7 @@
 		quarantine:    quarantine.New(),
 		limits:        &ratelimit.Table{},
 		returns:       make(map[string]time.Time),
+		busyReturns:   make(map[returnKey]*appointment.Order),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
 	}
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -124,7 +124,9 @@
 	}
 	q.ahead++
 	if wait+runTime > req.firstEventTimeout() || wait+runTime+decode > req.Deadline {
-		return r.planner.refuse(req, &Refusal{Cause: CauseNoSlot, RetryAfter: max(wait, minRetryAfter)})
+		return r.planner.refuse(req, &Refusal{
+			Cause: CauseNoSlot, RetryAfter: r.returnAfter(w, req, q, wait),
+		})
 	}
 	return false
 }
