--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -16,6 +16,8 @@
 	limitedPlanTime = 500 * time.Millisecond
 	// For how long the share of the limits holds that tick has computed last.
 	limitShareTime = time.Second
+	// A planner for a smaller share of the hosts doesn't know most placements.
+	minViewShare = 0.5
 )
 
 // NamedLimit records what a response has said of its server's limit, and reports it to the planner; see
@@ -60,7 +62,8 @@
 	c.localPlanner.SetFollowers(now, hosts)
 }
 
-// updateLimitShare sets the share of the limits that the local planner may spend: that of the hosts that it plans for.
+// updateLimitShare sets the share of the limits that the local planner may spend, that of the hosts that it plans for, and
+// whether it knows the placements of a part of the hosts only.
 func (c *Client) updateLimitShare(now time.Time) {
 	c.followers.recordHosts(now, max(c.Roster.Size(), c.hostCount.count))
 	share := 0.0
@@ -68,6 +71,7 @@
 		share = c.followers.share(now, c.followers.hosts.count)
 	}
 	c.localPlanner.Limits().SetShare(now, share, now.Add(limitShareTime))
+	c.localPlanner.SetPartialView(share < minViewShare)
 }
 
 // addLimits adds to a heartbeat what this host knows of the limits of replicas, unless the peer knows the same.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -46,6 +46,7 @@
 	limits        *ratelimit.Table                 // limits that replicas have named
 	returns       map[string]time.Time             // by service: until when callers refused for limits were asked to return
 	busyReturns   map[returnKey]*appointment.Order // of callers refused for lack of slots or engines
+	partialView   bool                             // see SetPartialView
 	mayProbe      bool                             // see SetProbing
 	shortRates    map[string]*shortRateMeter       // of short prompts, by service
 	// By host: the addresses of the servers that it can't connect to directly.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -62,6 +62,9 @@
 	if q.shortNotPlaced && !w.long {
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
+	if r.planner.partialView && w.long {
+		servers = r.planner.fewServers(&req, servers)
+	}
 	c, reservations, found := r.planner.place(r.now, &req, servers)
 	ok := found && c.firstEvent < req.firstEventTimeout() && !endsTooLate(&req, &c)
 	switch {
