--- a/internal/planner/contention_test.go
+++ b/internal/planner/contention_test.go
@@ -243,7 +243,10 @@
 }
 
 // plannerContender is a Planner as a policy.
-type plannerContender struct{ planner *Planner }
+type plannerContender struct {
+	planner *Planner
+	unnamed bool // hosts don't say whose requests they send, as those of earlier versions
+}
 
 // newLogbookPlanner returns a planner of the customer's engines.
 func newLogbookPlanner(order uint64) *Planner {
@@ -272,11 +275,16 @@
 		FirstTarget: r.class.firstTarget, PauseTarget: r.class.pauseTarget,
 		Deadline:        r.arrived.Add(r.class.deadline).Sub(now),
 		UntilDisconnect: r.class.timeout(), PauseTimeout: r.class.timeout(), Fingerprint: xxhash.Sum64String(r.id),
+		Workspace: fmt.Sprint(r.workspace),
 	}
 }
 
 func (c *plannerContender) submit(now time.Time, r *prompt) {
-	c.planner.Submit(now, r.placementRequest(now))
+	req := r.placementRequest(now)
+	if c.unnamed {
+		req.Workspace = ""
+	}
+	c.planner.Submit(now, req)
 }
 func (c *plannerContender) decide(now time.Time) []Result    { return c.planner.Decide(now) }
 func (c *plannerContender) started(now time.Time, r *prompt) { c.planner.Started(now, "h", r.id) }
--- a/internal/planner/deadline_test.go
+++ b/internal/planner/deadline_test.go
@@ -38,7 +38,7 @@
 func TestEnginesAreNotSpentOnResponsesThatEndTooLate(t *testing.T) {
 	const mostWasted = 20 * time.Second // of the engines' time, 1,350 s in all
 	all := logbookArrivals(6, logbookHeavyDay)
-	c := &contest{policy: &plannerContender{newLogbookPlanner(0)}}
+	c := &contest{policy: &plannerContender{planner: newLogbookPlanner(0)}}
 	c.run(slices.Clone(all))
 	if c.wasted > mostWasted {
 		t.Errorf("engines spent %v on prompts that got nothing, want at most %v", c.wasted, mostWasted)
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -22,6 +22,7 @@
 	if len(p.waiting) == 0 {
 		return nil
 	}
+	p.setExcess(now)
 	slices.SortStableFunc(p.waiting, func(x, y waitingRequest) int { return compareWaiting(now, &x, &y) })
 	p.results = nil
 	waiting := p.waiting
@@ -83,8 +84,8 @@
 	return tryInterval * time.Duration(long/longTriesPerInterval)
 }
 
-// compareWaiting orders requests by priority, then puts those first whose target hasn't passed, then orders by the time
-// of the first-event target.
+// compareWaiting orders requests by priority, then puts those first whose target hasn't passed, then those of workspaces
+// that haven't used more than all others together, then orders by the time of the first-event target.
 func compareWaiting(now time.Time, x, y *waitingRequest) int {
 	if c := cmp.Compare(x.request.Priority, y.request.Priority); c != 0 {
 		return c
@@ -92,6 +93,11 @@
 	xTarget, yTarget := x.arrived.Add(x.request.FirstTarget), y.arrived.Add(y.request.FirstTarget)
 	xOverdue, yOverdue := xTarget.Before(now), yTarget.Before(now)
 	switch {
+	case xOverdue == yOverdue && x.excess != y.excess:
+		if x.excess {
+			return 1
+		}
+		return -1
 	case xOverdue == yOverdue:
 		return xTarget.Compare(yTarget)
 	case xOverdue:
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -16,6 +16,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
 	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/share"
 )
 
 const (
@@ -46,6 +47,7 @@
 	limits        *ratelimit.Table                 // limits that replicas have named
 	returns       map[string]time.Time             // by service: until when callers refused for limits were asked to return
 	busyReturns   map[returnKey]*appointment.Order // of callers refused for lack of slots or engines
+	shares        map[string]*share.Table          // prefill time that workspaces use, by service
 	partialView   bool                             // see SetPartialView
 	mayProbe      bool                             // see SetProbing
 	shortRates    map[string]*shortRateMeter       // of short prompts, by service
@@ -66,6 +68,7 @@
 	long    bool // its prompt is long
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
+	excess  bool // its workspace has used more than all others together
 	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
 	longAhead time.Duration
 }
@@ -83,6 +86,7 @@
 		limits:        &ratelimit.Table{},
 		returns:       make(map[string]time.Time),
 		busyReturns:   make(map[returnKey]*appointment.Order),
+		shares:        make(map[string]*share.Table),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
 	}
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -26,6 +26,7 @@
 	UntilDisconnect  time.Duration `cbor:"14,keyasint,omitempty"` // estimated time until the caller disconnects; 0 for none
 	PauseTimeout     time.Duration `cbor:"15,keyasint,omitempty"` // pause after which the caller disconnects
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
+	Workspace        string        `cbor:"18,keyasint,omitempty"` // whose request it is; empty if the host doesn't say
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -32,6 +32,7 @@
 	shortNotPlaced bool            // a short prompt that excludes no replica found no server in this round
 	limitAhead     int             // requests of this round that wait for the limits of replicas
 	longWaiting    bool            // a long prompt that can still meet its target found no engines
+	shareWaiting   bool            // such a prompt is not of the workspace that has used more than all others
 	endTimes       []time.Duration // times from now until its jobs are expected to end, ascending; nil until computed
 	longQueue      *longQueue      // nil until computed
 }
@@ -62,6 +63,9 @@
 	if q.shortNotPlaced && !w.long {
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
+	if w.long && w.excess && q.shareWaiting && !req.Resumed {
+		return !onTime && r.waitOrRefuse(w, &req, q)
+	}
 	if r.planner.partialView && w.long {
 		servers = r.planner.fewServers(&req, servers)
 	}
@@ -71,12 +75,14 @@
 	case !ok && onTime:
 		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
 		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0
+		q.shareWaiting = q.shareWaiting || w.long && req.FirstTarget > 0 && !w.excess
 		return false
 	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
 	case !ok, !onTime && r.shouldYield(w, q):
 		return r.waitOrRefuse(w, &req, q)
 	}
+	r.planner.recordUse(r.now, &req)
 	plan := r.planner.recordPlacement(r.now, &req, c, reservations)
 	r.planner.results = append(r.planner.results, Result{ID: req.ID, Host: req.Host, Plan: plan})
 	return true
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -56,6 +56,7 @@
 		UntilDisconnect:  untilDisconnect,
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
+		Workspace:        c.Workspace,
 	}
 }
 
