--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -10,11 +10,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/turmericshunt/turmericshunt/internal/appointment"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
 	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
+	"github.com/turmericshunt/turmericshunt/internal/share"
 )
 
 const (
@@ -41,11 +43,14 @@
 	sortedServers map[string][]*server          // the servers of each service, in the planner's order
 	jobs          map[jobKey]*job
 	waiting       []waitingRequest
-	quarantine    *quarantine.Table          // contents that crash replicas
-	limits        *ratelimit.Table           // limits that replicas have named
-	returns       map[string]time.Time       // by service: until when callers refused for limits were asked to return
-	mayProbe      bool                       // see SetProbing
-	shortRates    map[string]*shortRateMeter // of short prompts, by service
+	quarantine    *quarantine.Table                // contents that crash replicas
+	limits        *ratelimit.Table                 // limits that replicas have named
+	returns       map[string]time.Time             // by service: until when callers refused for limits were asked to return
+	busyReturns   map[returnKey]*appointment.Order // of callers refused for lack of slots or engines
+	shares        map[string]*share.Table          // prefill time that workspaces use, by service
+	partialView   bool                             // see SetPartialView
+	mayProbe      bool                             // see SetProbing
+	shortRates    map[string]*shortRateMeter       // of short prompts, by service
 	// By host: the addresses of the servers that it can't connect to directly.
 	lostServers map[string]map[netip.AddrPort]bool
 	evacuated   map[string]bool // failure domains whose servers get no placements
@@ -64,6 +69,7 @@
 	long    bool // its prompt is long
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
+	excess  bool // its workspace has used more than all others together
 	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
 	longAhead time.Duration
 }
@@ -80,6 +86,8 @@
 		quarantine:    quarantine.New(),
 		limits:        &ratelimit.Table{},
 		returns:       make(map[string]time.Time),
+		busyReturns:   make(map[returnKey]*appointment.Order),
+		shares:        make(map[string]*share.Table),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
 	}
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -32,6 +32,7 @@
 	shortNotPlaced bool            // a short prompt that excludes no replica found no server in this round
 	limitAhead     int             // requests of this round that wait for the limits of replicas
 	longWaiting    bool            // a long prompt that can still meet its target found no engines
+	shareWaiting   bool            // such a prompt is not of the workspace that has used more than all others
 	endTimes       []time.Duration // times from now until its jobs are expected to end, ascending; nil until computed
 	longQueue      *longQueue      // nil until computed
 }
@@ -62,18 +63,26 @@
 	if q.shortNotPlaced && !w.long {
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
+	if w.long && w.excess && q.shareWaiting && !req.Resumed {
+		return !onTime && r.waitOrRefuse(w, &req, q)
+	}
+	if r.planner.partialView && w.long {
+		servers = r.planner.fewServers(&req, servers)
+	}
 	c, reservations, found := r.planner.place(r.now, &req, servers)
-	ok := found && c.firstEvent < req.firstEventTimeout()
+	ok := found && c.firstEvent < req.firstEventTimeout() && !endsTooLate(&req, &c)
 	switch {
 	case !ok && onTime:
 		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
 		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0
+		q.shareWaiting = q.shareWaiting || w.long && req.FirstTarget > 0 && !w.excess
 		return false
 	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
 	case !ok, !onTime && r.shouldYield(w, q):
 		return r.waitOrRefuse(w, &req, q)
 	}
+	r.planner.recordUse(r.now, &req)
 	plan := r.planner.recordPlacement(r.now, &req, c, reservations)
 	r.planner.results = append(r.planner.results, Result{ID: req.ID, Host: req.Host, Plan: plan})
 	return true
@@ -112,18 +121,21 @@
 }
 
 // waitOrRefuse keeps the request w waiting, of which req is the present form, or refuses it if no slot will be free in
-// time or if it is a long prompt for which no engines will be clear in time. A refusal breaks off a response that has begun,
-// so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
+// time or if it is a long prompt for which no engines will be clear in time, decoding included. A refusal breaks off a
+// response that has begun, so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
 func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
-	runTime := minRunTime
+	runTime, decode := minRunTime, time.Duration(0)
 	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
 		wait, runTime = max(wait, longWait), max(runTime, longRunTime)
+		decode = r.planner.leastDecodeTime(req)
 	}
 	q.ahead++
-	if wait+runTime > req.firstEventTimeout() {
-		return r.planner.refuse(req, &Refusal{Cause: CauseNoSlot, RetryAfter: max(wait, minRetryAfter)})
+	if wait+runTime > req.firstEventTimeout() || wait+runTime+decode > req.Deadline {
+		return r.planner.refuse(req, &Refusal{
+			Cause: CauseNoSlot, RetryAfter: r.returnAfter(w, req, q, wait),
+		})
 	}
 	return false
 }
