--- /dev/null
+++ b/internal/change/doc.go
@@ -0,0 +1,2 @@
+// Package change finds the differences between two JSON documents whose lists have entries with names.
+package change
