--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -230,10 +230,8 @@
 	}
 	c.wantNothingEvacuated(since)
 	c.store.Restore(copied)
-	c.loadFor(1500 * time.Millisecond)
-	c.wantNothingEvacuated(since)
-	c.evacuate() // again, as operators do within 2 s
-	c.loadFor(3 * time.Second)
+	time.AfterFunc(1500*time.Millisecond, c.evacuate) // again, as operators do within 2 s
+	c.loadFor(4 * time.Second)
 	c.wantNothingEvacuated(since)
 	c.endEvacuation()
 	c.awaitEvacuated(false)
