--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -142,6 +142,10 @@
 		err := c.timedRead(ctx, read)
 		if err == nil {
 			pause = 0
+			if age() >= max(c.MaxAge(), interval) {
+				// The read has verified nothing: the document can't be decoded, or the store was just restored.
+				wait.For(ctx, agePollInterval)
+			}
 			continue
 		}
 		pause = min(max(2*pause, agePollInterval), maxBackoff)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"strconv"
@@ -132,12 +133,13 @@
 	reads     int
 	err       error
 	evacuated evacuation.Set
-	era       int64 // of the configuration
+	era       int64  // of the configuration
+	data      string // the document; that of version 1 if it is empty
 }
 
 func (s *fakeStore) Configuration(context.Context) (Document, evacuation.Set, error) {
 	s.reads++
-	return Document{Data: []byte("1"), Revision: revision.New(s.era, 1)}, s.evacuated, s.err
+	return Document{Data: []byte(cmp.Or(s.data, "1")), Revision: revision.New(s.era, 1)}, s.evacuated, s.err
 }
 
 func (s *fakeStore) Replicas(context.Context) ([]replica.Replica, revision.Revision, error) {
@@ -232,3 +234,18 @@
 		t.Errorf("versions %+v, want %+v", to.Versions(), from.Versions())
 	}
 }
+
+// Guards against reads without a pause of a store whose document can't be decoded, and so never becomes the verified one.
+func TestUnreadableDocumentIsReadAtIntervals(t *testing.T) {
+	c := newCache(t)
+	s := &fakeStore{data: "bad"}
+	c.Store = s
+	c.MaxAge = func() time.Duration { return 0 }
+	const duration = 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	c.readLoop(ctx, configInterval, c.configAge, c.readConfiguration)
+	if most := int(duration/agePollInterval) + 1; s.reads == 0 || s.reads > most {
+		t.Errorf("%d reads, want 1 to %d", s.reads, most)
+	}
+}
