--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,27 @@
 		}
 	}
 }
+
+// Guards against a warning that names another fault of the same field.
+func TestMessages(t *testing.T) {
+	none, tenth, cold := 0.0, 0.1, 3*time.Second
+	for _, test := range []struct {
+		want   string
+		shares []catalog.Share
+		rate   *float64
+	}{
+		{`names no service`, nil, nil},
+		{`service "t" is not in the document`, []catalog.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}, nil},
+		{`takes 0 requests a second`, []catalog.Share{{Service: "s", Weight: 1}}, &none},
+		{`no request fits into the 3s`, []catalog.Share{{Service: "s", Weight: 1}}, &tenth},
+	} {
+		d := Document{
+			Routes:   []Route{route("/a/", func(r *Route) { r.Shares = test.shares }), route("/b/", nil)},
+			Services: []Service{{Name: "s", ColdRate: test.rate, ColdStart: &cold}},
+		}
+		findings := d.Findings(nil)
+		if len(findings) != 1 || !strings.Contains(findings[0].Message, test.want) {
+			t.Errorf("findings %+v, want one with %q", findings, test.want)
+		}
+	}
+}
