--- a/internal/planner/deadline.go
+++ b/internal/planner/deadline.go
@@ -21,9 +21,9 @@
 
 // endsTooLate reports whether the response to a request that is placed at c would probably be incomplete at the request's
 // deadline, so that the engines would prefill its prompt for nothing.
-func endsTooLate(req *Request, c *choice) bool {
+func (p *Planner) endsTooLate(req *Request, c *choice) bool {
 	model := c.primary.server.model
-	if model == nil {
+	if model == nil || p.asBefore {
 		return false
 	}
 	decode := time.Duration(shortPrefillFactor * float64(decodeTime(model, req, len(c.helpers)+1)))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -48,6 +48,7 @@
 	returns       map[string]time.Time             // by service: until when callers refused for limits were asked to return
 	busyReturns   map[returnKey]*appointment.Order // of callers refused for lack of slots or engines
 	shares        map[string]*share.Table          // prefill time that workspaces use, by service
+	asBefore      bool                             // tests compare with the policy without deadlines of decoding, orders of return and shares
 	partialView   bool                             // see SetPartialView
 	mayProbe      bool                             // see SetProbing
 	shortRates    map[string]*shortRateMeter       // of short prompts, by service
--- a/internal/planner/return.go
+++ b/internal/planner/return.go
@@ -21,6 +21,9 @@
 // is the present form: when slots or engines are free, after wait at the earliest, and those that were refused before it have
 // been served.
 func (r *round) returnAfter(w *waitingRequest, req *Request, q *serviceQueue, wait time.Duration) time.Duration {
+	if r.planner.asBefore {
+		return max(wait, minRetryAfter)
+	}
 	key := returnKey{req.Service, w.long}
 	order := r.planner.busyReturns[key]
 	if order == nil {
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -70,7 +70,7 @@
 		servers = r.planner.fewServers(&req, servers)
 	}
 	c, reservations, found := r.planner.place(r.now, &req, servers)
-	ok := found && c.firstEvent < req.firstEventTimeout() && !endsTooLate(&req, &c)
+	ok := found && c.firstEvent < req.firstEventTimeout() && !r.planner.endsTooLate(&req, &c)
 	switch {
 	case !ok && onTime:
 		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
@@ -129,7 +129,9 @@
 	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
 		wait, runTime = max(wait, longWait), max(runTime, longRunTime)
-		decode = r.planner.leastDecodeTime(req)
+		if !r.planner.asBefore {
+			decode = r.planner.leastDecodeTime(req)
+		}
 	}
 	q.ahead++
 	if wait+runTime > req.firstEventTimeout() || wait+runTime+decode > req.Deadline {
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -10,7 +10,7 @@
 // recordUse records the prefill time that a placed request uses for its workspace.
 func (p *Planner) recordUse(now time.Time, req *Request) {
 	engine := p.engines[req.Service]
-	if engine == nil {
+	if engine == nil || p.asBefore {
 		return
 	}
 	t := p.shares[req.Service]
