--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -19,6 +19,9 @@
 // Table holds the limits that backend servers have named, and a token bucket for each. It isn't safe for concurrent use;
 // all times passed to its methods must come from the same clock.
 type Table struct {
+	// Cold holds the limits of servers that have just started, which end by themselves.
+	Cold ColdTable
+
 	rows       map[string]*row // by replica ID
 	share      float64         // see SetShare
 	shareUntil time.Time       // see SetShare
@@ -119,8 +122,12 @@
 	r.filledAt = now
 }
 
-// MayTake reports whether a server may get a request now: it isn't limited, or its bucket holds a token.
+// MayTake reports whether a server may get a request now: it isn't limited, or its bucket holds a token, and the same holds
+// if it is cold.
 func (t *Table) MayTake(now time.Time, server replica.Replica) bool {
+	if !t.Cold.mayTake(now, server) {
+		return false
+	}
 	r := t.limitedRow(server)
 	if r == nil {
 		return true
@@ -129,34 +136,45 @@
 	return r.tokens >= 1 && t.share > 0 && now.Before(t.shareUntil)
 }
 
-// Take takes a token for a request to a server and reports whether the server is limited.
+// Take takes a token for a request to a server and reports whether the server is limited or cold.
 func (t *Table) Take(now time.Time, server replica.Replica) bool {
+	cold := t.Cold.take(now, server)
 	r := t.limitedRow(server)
 	if r == nil {
-		return false
+		return cold
 	}
 	t.fill(now, r)
 	r.tokens--
 	return true
 }
 
-// Rate returns the requests a second that this table may send to a limited server; 0 if the server isn't limited or the
-// share has ended.
+// Rate returns the requests a second that this table may send to a limited or cold server; 0 if the server is neither, or
+// if it is limited and the share has ended.
 func (t *Table) Rate(now time.Time, server replica.Replica) float64 {
 	r := t.limitedRow(server)
-	if r == nil || !now.Before(t.shareUntil) {
+	coldRate, _, cold := t.Cold.capacity(now, server)
+	switch {
+	case r == nil:
+		return coldRate
+	case !now.Before(t.shareUntil):
 		return 0
+	case cold:
+		return min(t.rate(r), coldRate)
 	}
 	return t.rate(r)
 }
 
-// Tokens returns the tokens in a limited server's bucket; 0 if the server isn't limited.
+// Tokens returns the tokens for a limited or cold server; 0 if the server is neither.
 func (t *Table) Tokens(now time.Time, server replica.Replica) float64 {
 	r := t.limitedRow(server)
+	_, coldTokens, cold := t.Cold.capacity(now, server)
 	if r == nil {
-		return 0
+		return coldTokens
 	}
 	t.fill(now, r)
+	if cold {
+		return min(r.tokens, coldTokens)
+	}
 	return r.tokens
 }
 
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -122,7 +122,7 @@
 	seen := make(map[string]bool, len(read))
 	for _, r := range read {
 		stale := now.Before(l.staleUntil) && r.Written <= l.staleRevision
-		r.Written = 0
+		r.Written, r.Cold = 0, Cold{}
 		if g, ok := l.gone[r.ID]; ok && g.born == r.Born && stale {
 			continue
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"time"
 )
 
 // Replica is one backend server, as described by its entry in the store. Hosts exchange replicas under the names of
@@ -21,6 +22,14 @@
 	Leaving bool `cbor:",omitempty"`
 	// Written is the store's revision at which the entry was last changed; 0 if this host didn't read the entry itself.
 	Written int64 `cbor:"-"`
+	// Cold is what the entry says of how long the backend server stays cold; hosts report that to each other by other means.
+	Cold Cold `cbor:"-"`
+}
+
+// Cold is what the entry of a backend server says of how long the server stays cold after its start.
+type Cold struct {
+	Stated    bool          // the entry says something
+	Remaining time.Duration // from when the entry was written; 0 if the server isn't cold
 }
 
 // TakesRequests reports whether new requests may be sent to the replica.
