--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -38,6 +38,8 @@
 	Pause     time.Duration // the server wants no requests from this host for so long; 0 if it doesn't say so
 	Limited   bool          // the server limits the rate of requests to Limit, until a response doesn't say so
 	Limit     float64       // requests a second that it takes from all hosts together; only if Limited
+	NamesCold bool          // the server says for how long it stays cold
+	Cold      time.Duration // that time; 0 if it isn't cold
 	Length    int64         // length of the body in bytes; -1 if unknown
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,8 +51,15 @@
 type Service struct {
 	Name   string
 	Engine *EngineParams // nil for a service without model engines
+	// ColdStart is how long a replica is cold after its start, and ColdRate the requests a second that a cold one takes from
+	// all hosts together. Replicas are cold only if both are above 0.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
+// HasColdReplicas reports whether replicas of the service are cold after their start.
+func (s *Service) HasColdReplicas() bool { return s.ColdStart > 0 && s.ColdRate > 0 }
+
 // Workspace is a customer who shares the system with others.
 type Workspace struct {
 	Name        string
@@ -123,6 +130,11 @@
 	})
 }
 
+// Services returns all services, ordered by name.
+func (c *Configuration) Services() []*Service {
+	return slices.SortedFunc(maps.Values(c.services), func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Service returns the named service, or nil if there is none.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -26,4 +26,8 @@
 	RetryRatio     float64       // retries allowed for each request of a service, over all hosts
 	RetrySlack     float64       // retries allowed beyond that in one RetryWindow, over all hosts
 	RetryWindow    time.Duration // period over which requests and retries are counted
+
+	// A cold replica gets at most its service's rate times ColdOver, plus ColdSlack, requests in any second.
+	ColdOver  float64
+	ColdSlack float64
 }
