--- a/internal/pass/pass.go
+++ b/internal/pass/pass.go
@@ -29,7 +29,7 @@
 // to its methods must not decrease.
 type Model struct {
 	Engine   *catalog.EngineParams
-	Slowdown float64 // ratio of actual to rated time; always 1 in the planner, tests change it
+	Slowdown float64 // ratio of actual to rated time; above 1 for an engine that has just started
 
 	decoding      map[string]int // context tokens that each decoding request adds to a decode step, by request id
 	splitDecoding int            // number of decoding requests whose prompt is split over several engines
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -22,6 +22,8 @@
 	helpers      []*server
 	reservations []int     // tokens of memory reserved at each helper replica
 	firstEvent   time.Time // time of the first event, predicted until it has arrived
+	placedAt     time.Time // when this planner placed the request; zero if another one did
+	slowdown     float64   // that of the server's engine at placedAt
 	firstTarget  time.Time // time until which the first event meets its target
 	expires      time.Time // time at which the job is removed if no host reported its end
 	memoryTokens int       // tokens of memory that it takes at server
--- a/internal/planner/limit.go
+++ b/internal/planner/limit.go
@@ -18,13 +18,23 @@
 // Limits returns the limits that replicas have named, as far as this planner knows, and what it may still send to them.
 func (p *Planner) Limits() *ratelimit.Table { return p.limits }
 
-// withinLimits returns those of the servers that may get a request now without exceeding a limit that they have named.
-func (p *Planner) withinLimits(now time.Time, servers []*server) []*server {
-	exceeds := func(s *server) bool { return !p.limits.MayTake(now, s.replica) }
-	if !slices.ContainsFunc(servers, exceeds) {
+// withinLimits returns those of the servers that may get a request now without exceeding a limit that they have named. If there
+// are such servers, it also returns cold ones for a long prompt, as helper replicas only.
+func (p *Planner) withinLimits(now time.Time, long bool, servers []*server) []*server {
+	exceeding := 0
+	for _, s := range servers {
+		s.beyondLimit = !p.limits.MayTake(now, s.replica)
+		if s.beyondLimit {
+			exceeding++
+		}
+	}
+	if exceeding == 0 {
 		return servers
 	}
-	return slices.DeleteFunc(slices.Clone(servers), exceeds)
+	mayHelp := long && exceeding < len(servers)
+	return slices.DeleteFunc(slices.Clone(servers), func(s *server) bool {
+		return s.beyondLimit && (!mayHelp || p.limits.Limited(s.replica))
+	})
 }
 
 // unlimitedServers returns the servers of a service without those that limit the rate of their requests, whose slots
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -72,6 +72,7 @@
 		helpers:      c.helpers,
 		reservations: reservations,
 		firstEvent:   now.Add(c.firstEvent),
+		placedAt:     now,
 		firstTarget:  now.Add(req.FirstTarget),
 		expires:      now.Add(req.Deadline + expiryGrace),
 		memoryTokens: req.PromptTokens + req.OutputTokens,
@@ -82,9 +83,13 @@
 	j.missesTarget = c.firstEvent > req.FirstTarget
 	p.addJob(j)
 	if s.model != nil {
+		j.slowdown = s.model.Slowdown
 		p.addPrefill(now, j, math.MaxInt64)
 	}
-	plan := &Plan{Replica: s.replica, FirstEventTime: c.firstEvent, PassTime: c.primary.passTime, RateLimited: limited}
+	plan := &Plan{
+		Replica: s.replica, FirstEventTime: c.firstEvent, PassTime: c.primary.passTime, RateLimited: limited,
+		Cold: p.limits.Cold.Remaining(now, s.replica) > 0,
+	}
 	for i, h := range c.helpers {
 		helper := Helper{Replica: h.replica.ID, Address: h.replica.Address}
 		if reservations != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -77,7 +77,7 @@
 		sortedServers: make(map[string][]*server),
 		jobs:          make(map[jobKey]*job),
 		quarantine:    quarantine.New(),
-		limits:        &ratelimit.Table{},
+		limits:        &ratelimit.Table{Cold: ratelimit.ColdTable{Seed: order}},
 		returns:       make(map[string]time.Time),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
@@ -111,9 +111,10 @@
 }
 
 // SetReplicas sets the active replicas. It keeps the state of replicas that it already knows with the same Born, and
-// forgets replicas that are not in the list.
-func (p *Planner) SetReplicas(now time.Time, replicas []replica.Replica) {
+// forgets replicas that are not in the list. It returns the number of new replicas that are assumed to be cold.
+func (p *Planner) SetReplicas(now time.Time, replicas []replica.Replica) int {
 	p.limits.Retain(now, replicas)
+	assumedCold := p.limits.Cold.Retain(now, replicas)
 	kept := make(map[string]bool, len(replicas))
 	for _, r := range replicas {
 		kept[r.ID] = true
@@ -144,6 +145,7 @@
 		}
 		p.sortedServers[service] = slices.SortedFunc(maps.Values(servers), compareServers)
 	}
+	return assumedCold
 }
 
 // recordRestarts records which of the listed replicas are later incarnations of known ones: those with the same ID or, in place of
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -13,6 +13,7 @@
 	if j == nil || j.decoding {
 		return
 	}
+	p.learnSlowdown(now, j)
 	j.decoding = true
 	j.firstEvent = now
 	p.quarantine.Alive(now, incarnation(&j.server.replica))
@@ -233,6 +234,7 @@
 		return
 	}
 	p.lastSweep = now
+	p.endWarmups(now)
 	for _, j := range p.jobs {
 		if now.After(j.expires) {
 			p.removeJob(now, j)
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -44,6 +44,9 @@
 	// RateLimited says that the primary replica limits the rate of its requests. The plan is then one of those that the
 	// limit allows, and holds for a short time only.
 	RateLimited bool `cbor:"5,keyasint,omitempty"`
+	// Cold says that the primary replica has just started and so takes few requests. The plan then has RateLimited too, and
+	// holds for an even shorter time.
+	Cold bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Cause is the reason for a refusal.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -55,7 +55,7 @@
 	}
 	q := r.queue(req.Service)
 	usable := servers
-	servers = r.planner.withinLimits(r.now, usable)
+	servers = r.planner.withinLimits(r.now, w.long, usable)
 	if len(servers) == 0 {
 		return !onTime && r.waitForLimit(w, &req, q, usable)
 	}
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -40,6 +40,8 @@
 	lastOutcome     time.Time   // time of the last recorded outcome
 	refusedUntil    time.Time   // after OutcomeRefused: is no primary replica before this time
 	pausedUntil     time.Time   // asked for a pause: gets no requests before this time
+	beyondLimit     bool        // its limit allows no request now, as withinLimits found last: it is no primary replica
+	lastCold        time.Time   // last first event while it was cold; zero if it is expected to run at its rated speed
 	lastAlive       time.Time   // time of the last first event or complete response from it
 	// When hosts reported that they can't reach it, by host; nil after a first event or complete response.
 	unreachableBy map[string]time.Time
@@ -120,7 +122,7 @@
 // canBePrimary reports whether the server can be the primary replica of a request that needs this many tokens of
 // memory.
 func (s *server) canBePrimary(now time.Time, tokens int) bool {
-	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.refusedUntil)
+	return len(s.jobs) < s.slots() && s.freeMemory() >= tokens && !now.Before(s.refusedUntil) && !s.beyondLimit
 }
 
 // shortSlotShare returns the share of the server's slots that short prompts take.
