--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -55,6 +55,9 @@
 	// OnChange, if not nil, is called in a goroutine of its own after the configuration or the replicas changed.
 	OnChange func()
 	Metrics  tally.Scope
+	// OnRead, if not nil, is called with the replicas that this host itself has read from the store, as their entries say. The
+	// read began at readAt; the store was then in the given era.
+	OnRead func(readAt time.Time, era int64, read []replica.Replica)
 
 	now func() time.Time // steady.Now, but for tests
 
@@ -290,14 +293,22 @@
 	if err != nil {
 		return err
 	}
+	if c.applyRead(readRevision, startedAt, replicas) && c.OnRead != nil {
+		c.OnRead(startedAt, readRevision.Era, replicas)
+	}
+	return nil
+}
+
+// applyRead takes over the replicas of a read of the store. It reports false if a later state of the store is known.
+func (c *Cache) applyRead(readRevision revision.Revision, readAt time.Time, replicas []replica.Replica) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.observeRead(c.now(), readRevision.Era)
 	if readRevision.Compare(c.replicaRevision) < 0 {
-		return nil
+		return false
 	}
-	c.setReplicas(readRevision, startedAt, c.replicaList.Update(startedAt, replicas))
-	return nil
+	c.setReplicas(readRevision, readAt, c.replicaList.Update(readAt, replicas))
+	return true
 }
 
 // setReplicas records that the list of replicas is that of a read at the given revision and time, and applies the changes
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,8 @@
 		Log:     g.Log,
 		Metrics: scope,
 		Paths:   g.Dialer,
+
+		ColdOver: g.Settings.ColdOver, ColdSlack: g.Settings.ColdSlack,
 	}
 	g.Dialer.Log, g.Dialer.Metrics, g.Dialer.OnChange = g.Log, scope, g.placement.PathsChanged
 	g.tunnels = &tunnel.Server{Connect: g.Dialer.DialForOther, Allowed: g.takesRequests, Metrics: scope}
@@ -168,6 +170,7 @@
 	g.placement.Init()
 	g.cache.MaxAge = g.placement.MaxStateAge
 	g.cache.OnChange = g.applyState
+	g.cache.OnRead = g.placement.EntriesRead
 	g.budget = &budget.Budget{
 		Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow, Hosts: g.placement.HostCount,
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -45,6 +45,7 @@
 	for _, r := range g.cache.Replicas() {
 		s.Replicas = append(s.Replicas, hoststatus.Replica{
 			ID: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Address: r.Address, Draining: r.Draining,
+			ColdRemainingMS: g.placement.ColdRemaining(r).Milliseconds(),
 		})
 	}
 	return s
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -88,8 +88,16 @@
 	// Detours are hosts through which the receiver can connect to backend servers, as its planner knows; only if a host has
 	// lost a path.
 	Detours []netip.AddrPort `cbor:"19,keyasint,omitempty"`
-	Follows bool             `cbor:"17,keyasint,omitempty"` // the receiver is the sender's planner
-	NoReply bool             `cbor:"8,keyasint,omitempty"`  // must not be replied to: a reply, or an unrequested report
+	// ColdDigest identifies what the sender knows of cold replicas; Cold are these statements, unless the receiver's last
+	// heartbeat had the same digest. The sender received the stamp that Echo repeats SinceEcho before it sent them.
+	ColdDigest uint64                    `cbor:"30,keyasint,omitempty"`
+	Cold       []ratelimit.ColdStatement `cbor:"31,keyasint,omitempty"`
+	SinceEcho  time.Duration             `cbor:"32,keyasint,omitempty"`
+	// SinceOther is the time since the sender last heard from an earlier planner, which may take it for a follower; 0 if that
+	// isn't known.
+	SinceOther time.Duration `cbor:"33,keyasint,omitempty"`
+	Follows    bool          `cbor:"17,keyasint,omitempty"` // the receiver is the sender's planner
+	NoReply    bool          `cbor:"8,keyasint,omitempty"`  // must not be replied to: a reply, or an unrequested report
 }
 
 // SetVersions sets the fields that identify the sender's configuration and replicas.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -52,6 +52,8 @@
 	Paths   Paths // nil for a host without paths of its own
 	// ServeTunnel carries a connection of another host to a backend server until it ends.
 	ServeTunnel func(c *net.TCPConn)
+	// A cold replica gets at most its service's rate times ColdOver, plus ColdSlack, requests from all hosts in any second.
+	ColdOver, ColdSlack float64
 
 	mu             sync.Mutex
 	lastTick       time.Time // when tick was last called; zero before the first call
@@ -70,6 +72,7 @@
 	startedAt time.Time // when Init was called
 	hostCount hostCount // as this host or its planner has counted
 	followers followers // of this host as planner
+	followed  followed  // the planners that this host has followed
 	ranking   ranking   // of the hosts that follow this one, as detours
 	// Another host has answered a heartbeat of this one, and so has reported what replicas have announced.
 	introduced bool
@@ -96,6 +99,7 @@
 	lostServers   []netip.AddrPort // the backend servers that this host last reported as lost
 	lostServersAt time.Time        // when that was
 	limitDigest   uint64           // of what the other host knows of the limits of replicas, as its last heartbeat said
+	coldDigest    uint64           // of what it knows of cold replicas
 }
 
 // Init makes the client ready for use; it must be called before any other method.
@@ -116,6 +120,9 @@
 	c.plannerSince = c.startedAt
 	c.hostCount.memory = hostCountMemory
 	c.followers = newFollowers()
+	c.followed = followed{otherHeard: c.startedAt}
+	c.localPlanner.Limits().Cold.SetBounds(c.ColdOver, c.ColdSlack)
+	c.localPlanner.Limits().Cold.SetShare(0, assumedHosts, c.startedAt)
 }
 
 func (c *Client) self() netip.AddrPort { return c.Roster.Self().Address }
@@ -223,7 +230,8 @@
 	config, _ := c.Cache.Active()
 	c.engines = engines(c.engines, config, replicas)
 	c.localPlanner.SetEngines(c.engines)
-	c.localPlanner.SetReplicas(now, replicas)
+	c.localPlanner.Limits().Cold.SetServices(coldServices(config))
+	c.recordAssumedCold(c.localPlanner.SetReplicas(now, replicas))
 	c.sendResults(now)
 	for p := range c.inbound {
 		c.sendHeartbeat(now, p, true)
--- a/internal/placement/followers.go
+++ b/internal/placement/followers.go
@@ -20,12 +20,16 @@
 // followers is the share of all entry hosts that follow this one as their planner.
 type followers struct {
 	until map[string]time.Time // by host: when it no longer counts
-	hosts hostCount            // all hosts, those that may be cut off from this one included
-	grown time.Time            // when hosts was last found to be larger
+	// By host: since when no earlier planner of the host counts it as a follower any more, whatever that planner has received.
+	settledAt map[string]time.Time
+	hosts     hostCount // all hosts, those that may be cut off from this one included
+	grown     time.Time // when hosts was last found to be larger
 }
 
 func newFollowers() followers {
-	return followers{until: make(map[string]time.Time), hosts: hostCount{memory: cutMemory}}
+	return followers{
+		until: make(map[string]time.Time), settledAt: make(map[string]time.Time), hosts: hostCount{memory: cutMemory},
+	}
 }
 
 // recordHosts takes over the number of hosts that this one knows at now.
@@ -72,3 +76,32 @@
 	maps.DeleteFunc(f.until, func(_ string, until time.Time) bool { return !now.Before(until) })
 	return slices.Collect(maps.Keys(f.until))
 }
+
+// settle takes over from a host's heartbeat how long ago the host heard from an earlier planner. That one counts the host for
+// followTime since then at most.
+func (f *followers) settle(now time.Time, host string, sinceOther time.Duration) {
+	if _, follows := f.until[host]; !follows {
+		delete(f.settledAt, host)
+		return
+	}
+	at := now.Add(max(followTime-sinceOther, 0))
+	if known, ok := f.settledAt[host]; !ok || at.Before(known) {
+		f.settledAt[host] = at
+	}
+}
+
+// settledShare returns which share of the given number of hosts follows this one and isn't counted by any other planner. This host
+// itself counts if ownSettled is set. Planners that take over from each other so never count a host at the same time.
+func (f *followers) settledShare(now time.Time, hosts int, ownSettled bool) float64 {
+	following := 0
+	if ownSettled {
+		following++
+	}
+	for _, host := range f.names(now) {
+		if at, ok := f.settledAt[host]; ok && !now.Before(at) {
+			following++
+		}
+	}
+	maps.DeleteFunc(f.settledAt, func(host string, _ time.Time) bool { return f.until[host].IsZero() })
+	return min(float64(following)/float64(max(hosts, 1)), 1)
+}
--- a/internal/placement/heartbeat.go
+++ b/internal/placement/heartbeat.go
@@ -46,6 +46,7 @@
 	c.addPaths(now, p, heartbeat)
 	heartbeat.Follows = p.address == c.plannerAddress
 	c.addLimits(now, p, heartbeat)
+	c.addCold(now, p, heartbeat)
 	p.link.Send(&link.Message{Heartbeat: heartbeat})
 }
 
@@ -111,6 +112,7 @@
 	}
 	c.localPlanner.Quarantine().Merge(now, heartbeat.Verdicts)
 	c.takeLimits(now, p, heartbeat)
+	c.takeCold(now, p, heartbeat)
 	c.takePaths(now, p, heartbeat)
 	p.verdictDigest = heartbeat.VerdictDigest
 	if p.lastStamp == 0 {
@@ -120,6 +122,7 @@
 	p.lastStamp = heartbeat.Stamp
 	p.lastStampAt = now
 	if p.address == c.plannerAddress {
+		c.followed.heard(now)
 		c.hostCount.record(now, heartbeat.HostCount)
 	}
 	if heartbeat.Echo >= p.sentStamp {
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -41,14 +41,25 @@
 	if !result.Plan.RateLimited && !c.isLimited(result.Plan.Replica) {
 		return true
 	}
+	if !result.Plan.Cold && c.isCold(result.Plan.Replica) {
+		return false
+	}
 	return result.Plan.RateLimited && steady.Now().Before(result.SendBefore)
 }
 
-// isLimited reports whether r is known to limit the rate of its requests.
+// planTime returns for how long a result may be used after it was decided, if its replica limits the rate of its requests.
+func planTime(result *planner.Result) time.Duration {
+	if result.Plan != nil && result.Plan.Cold {
+		return coldPlanTime
+	}
+	return limitedPlanTime
+}
+
+// isLimited reports whether r is known to limit the rate of its requests, or to be cold.
 func (c *Client) isLimited(r replica.Replica) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.localPlanner.Limits().Limited(r)
+	return c.localPlanner.Limits().Limited(r) || c.localPlanner.Limits().Cold.Remaining(steady.Now(), r) > 0
 }
 
 // updateFollowers passes to the local planner which hosts it plans for.
@@ -68,6 +79,7 @@
 		share = c.followers.share(now, c.followers.hosts.count)
 	}
 	c.localPlanner.Limits().SetShare(now, share, now.Add(limitShareTime))
+	c.updateColdShare(now)
 }
 
 // addLimits adds to a heartbeat what this host knows of the limits of replicas, unless the peer knows the same.
@@ -85,6 +97,7 @@
 	c.mergeLimits(now, heartbeat.Limits)
 	if c.inbound[p] && heartbeat.Echo != 0 {
 		c.followers.record(p.host, time.Unix(0, heartbeat.Echo), heartbeat.Follows)
+		c.followers.settle(now, p.host, heartbeat.SinceOther)
 	}
 }
 
@@ -118,7 +131,7 @@
 func (c *Client) deliverFromPlanner(sent *link.Result) {
 	result := sent.Result
 	if sent.Stamp != 0 {
-		result.SendBefore = time.Unix(0, sent.Stamp).Add(sent.SinceStamp + limitedPlanTime)
+		result.SendBefore = time.Unix(0, sent.Stamp).Add(sent.SinceStamp + planTime(&result))
 	}
 	c.deliver(result)
 }
--- a/internal/placement/limitfleet_test.go
+++ b/internal/placement/limitfleet_test.go
@@ -36,6 +36,12 @@
 	ids     int
 	calm    time.Time // since when all hosts have one planner that runs
 	refused int       // requests refused although a replica without a limit was there
+	// For a coldFleet, what sends a request, and the windows of cold replicas that were checked, with the most requests in one.
+	cold    bool
+	stay    bool // hosts don't choose other planners
+	arrive  func(h, p *simHost, result planner.Result, sentAt time.Time)
+	windows int
+	most    int
 }
 
 type simEvent struct {
@@ -52,6 +58,8 @@
 	group     int      // hosts of other groups can't be reached
 	follows   *simHost // its planner
 	frozenTo  time.Time
+	followed  followed
+	started   time.Time             // zero for long ago
 	stamps    map[*simHost]simStamp // newest heartbeat from each host
 	plans     map[string]func(planner.Result)
 }
@@ -140,6 +148,7 @@
 		share = h.followers.share(f.now, h.followers.hosts.count)
 	}
 	h.planner.Limits().SetShare(f.now, share, f.now.Add(limitShareTime))
+	f.setColdShare(h)
 	f.results(h)
 	if h.follows != h {
 		f.sendHeartbeat(h, h.follows, true)
@@ -149,12 +158,22 @@
 func (f *limitFleet) sendHeartbeat(from, to *simHost, wantsReply bool) {
 	stamp, echo, follows := f.now, from.stamps[to].stamp, from.follows == to
 	statements := from.planner.Limits().Statements(f.now)
+	cold, sinceOther := from.planner.Limits().Cold.Statements(f.now), from.followed.sinceOther(f.now)
+	sinceEcho := f.now.Sub(from.stamps[to].receivedAt)
 	f.send(from, to, func() {
 		to.stamps[from] = simStamp{stamp: stamp, receivedAt: f.now, echo: echo}
 		to.planner.Limits().Merge(f.now, statements)
+		if !echo.IsZero() {
+			to.planner.Limits().Cold.Merge(f.now, echo.Add(sinceEcho), cold)
+		}
+		if to.follows == from {
+			to.followed.heard(f.now)
+		}
+		to.followed.confirmed(fmt.Sprint(from.id), echo)
 		if wantsReply {
 			if !echo.IsZero() {
 				to.followers.record(fmt.Sprint(from.id), echo, follows)
+				to.followers.settle(f.now, fmt.Sprint(from.id), sinceOther)
 			}
 			f.sendHeartbeat(to, from, false)
 		}
@@ -173,8 +192,11 @@
 		next := f.hosts[i]
 		f.calm = f.now
 		f.after(time.Duration(f.random.IntN(1500))*time.Millisecond, h, func() {
-			if h.group == next.group {
+			if h.group == next.group && h.follows != next {
+				left := h.follows
+				h.followed.leave(f.now, fmt.Sprint(left.id), left == h)
 				h.follows = next
+				f.sendHeartbeat(h, left, true)
 			}
 		})
 	}
@@ -213,9 +235,9 @@
 		f.send(p, h, func() {
 			switch {
 			case h == p:
-				result.SendBefore = sentAt.Add(limitedPlanTime)
+				result.SendBefore = sentAt.Add(planTime(&result))
 			case !known.stamp.IsZero():
-				result.SendBefore = known.stamp.Add(sentAt.Sub(known.receivedAt) + limitedPlanTime)
+				result.SendBefore = known.stamp.Add(sentAt.Sub(known.receivedAt) + planTime(&result))
 			}
 			if take := h.plans[result.ID]; take != nil {
 				delete(h.plans, result.ID)
@@ -232,6 +254,10 @@
 		return
 	}
 	limits, r := h.planner.Limits(), result.Plan.Replica
+	if f.cold {
+		f.sendToCold(h, p, result)
+		return
+	}
 	if (result.Plan.RateLimited || limits.Limited(r)) && (!result.Plan.RateLimited || !f.now.Before(result.SendBefore)) {
 		f.send(h, p, func() { p.planner.Ended(f.now, result.Host, result.ID, planner.OutcomeCanceled) })
 		return
@@ -325,7 +351,9 @@
 	}
 	for end := f.now.Add(length); f.now.Before(end); {
 		f.step()
-		f.choose()
+		if !f.stay {
+			f.choose()
+		}
 		for range int(perSecond*simStep.Seconds() + f.random.Float64()) {
 			if h := f.hosts[f.random.IntN(len(f.hosts))]; !f.now.Before(h.frozenTo) {
 				f.request(h)
--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -156,7 +156,7 @@
 	for _, result := range c.localPlanner.Decide(now) {
 		delete(c.inSubmit, result.Host+"/"+result.ID)
 		if result.Host == c.self().String() {
-			result.SendBefore = now.Add(limitedPlanTime)
+			result.SendBefore = now.Add(planTime(&result))
 			c.deliver(result)
 			continue
 		}
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -250,8 +250,13 @@
 	c.Log.Event("planner_chosen", slog.String("planner", m.Address.String()),
 		slog.String("before", c.plannerAddress.String()), slog.Int("hosts", c.Roster.Size()))
 	c.leavePlanner()
+	c.followed.leave(now, c.plannerAddress.String(), c.plannerAddress == c.self())
+	left := c.linkToPlanner()
 	c.plannerAddress = m.Address
 	c.plannerSince = now
+	if left != nil {
+		c.sendHeartbeat(now, left, false)
+	}
 	c.updateLimitShare(now)
 	c.updateFollowers(now)
 	if p := c.linkToPlanner(); p != nil {
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -103,6 +103,7 @@
 func (p *racePlanner) IsLeaving(replica.Replica) bool                  { return false }
 func (p *racePlanner) MaySend(planner.Result) bool                     { return true }
 
+func (p *racePlanner) NamedCold(replica.Replica, time.Time, time.Duration)  {}
 func (p *racePlanner) NamedLimit(replica.Replica, time.Time, bool, float64) {}
 
 type noMemory struct{}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -32,6 +32,7 @@
 	limited map[string]bool // replicas that have named a limit to the host
 	leaving map[string]bool // replicas that have told the host that they leave
 	stated  []float64       // limits that were reported; -1 for none
+	cold    []string        // replicas that were reported as cold, with the time
 }
 
 func (p *unawarePlanner) Place(_ context.Context, req planner.Request) (planner.Result, error) {
@@ -80,6 +81,12 @@
 	p.stated = append(p.stated, perSecond)
 }
 
+func (p *unawarePlanner) NamedCold(r replica.Replica, _ time.Time, remaining time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cold = append(p.cold, r.ID+" "+remaining.String())
+}
+
 func (p *unawarePlanner) MaySend(result planner.Result) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -197,6 +204,17 @@
 	}
 }
 
+// Guards against a cold replica whose responses say so and that the planner doesn't hear of, whatever their status.
+func TestColdReplicaIsReported(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		r, p, _ := statingWorld(t, status, http.Header{"Cold-Remaining-Ms": {"1500"}, "Not-Executed": {"1"}})
+		serveOne(r, "r1")
+		if !slices.Equal(p.cold, []string{"a 1.5s"}) {
+			t.Errorf("status %d: reported %v", status, p.cold)
+		}
+	}
+}
+
 // The end of a limit is noticed by responses without it, but not by those that are no valid response of a replica.
 func TestEndOfLimitIsReported(t *testing.T) {
 	r, p, _ := statingWorld(t, http.StatusOK, nil)
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -125,6 +125,9 @@
 		a.relay.Log.Event("replica_asks_for_pause", slog.String("replica", server.ID),
 			slog.String("request_id", a.call.ID), eventlog.Milliseconds("retry_after_ms", head.Pause))
 	}
+	if head.NamesCold {
+		a.relay.PlannerClient.NamedCold(server, a.sentAt, head.Cold)
+	}
 	if head.Limited || head.Valid || head.NotRun {
 		a.relay.PlannerClient.NamedLimit(server, a.sentAt, head.Limited, head.Limit)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,7 +29,8 @@
 // server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have failed.
 // Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has. NamedLimit reports what a
 // response to a request that was sent at sentAt has said of the limit of its server's requests a second; MaySend reports
-// whether the limit still allows to send what the planner has placed.
+// whether the limit still allows to send what the planner has placed. NamedCold reports for how long the server of a response
+// stays cold.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
 	Started(id string)
@@ -38,6 +39,7 @@
 	Leaving(r replica.Replica)
 	IsLeaving(r replica.Replica) bool
 	NamedLimit(r replica.Replica, sentAt time.Time, limited bool, perSecond float64)
+	NamedCold(r replica.Replica, sentAt time.Time, remaining time.Duration)
 	MaySend(result planner.Result) bool
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -247,6 +247,9 @@
 	return n
 }
 
+// Known returns the number of hosts of which this one has heard, itself and its seeds included, whether or not they still run.
+func (r *Roster) Known() int { return 1 + len(r.entries) }
+
 // Planner returns the host that plans for this one: the first in the planning order, which all hosts compute alike, of
 // this host and those that it has recently heard from directly.
 func (r *Roster) Planner(now time.Time) Member {
--- a/pkg/hoststatus/status.go
+++ b/pkg/hoststatus/status.go
@@ -35,6 +35,8 @@
 	FailureDomain string         `json:"failure_domain"`
 	Address       netip.AddrPort `json:"address"`
 	Draining      bool           `json:"draining"` // whether it gets no new requests
+	// ColdRemainingMS is for how long it stays cold and takes few requests, in ms; 0 if it isn't cold.
+	ColdRemainingMS int64 `json:"cold_remaining_ms,omitempty"`
 }
 
 // Print writes the status to w as a table for operators. It returns the first error of w.
@@ -55,6 +57,9 @@
 		if r.Draining {
 			state = "  draining"
 		}
+		if r.ColdRemainingMS > 0 {
+			state += fmt.Sprintf("  cold for %d ms", r.ColdRemainingMS)
+		}
 		fmt.Fprintf(t, "\t%s  %s  %s  %s%s\n", r.ID, r.Service, r.FailureDomain, r.Address, state)
 	}
 	return t.Flush()
--- a/pkg/hoststatus/status_test.go
+++ b/pkg/hoststatus/status_test.go
@@ -19,6 +19,10 @@
 		Replicas: []hoststatus.Replica{
 			{ID: "i-1", Service: "llm", FailureDomain: "a", Address: netip.MustParseAddrPort("10.1.1.1:8100")},
 			{ID: "i-2", Service: "llm", FailureDomain: "b", Address: netip.MustParseAddrPort("10.2.1.1:8100"), Draining: true},
+			{
+				ID: "i-3", Service: "llm", FailureDomain: "b", Address: netip.MustParseAddrPort("10.2.1.2:8100"),
+				ColdRemainingMS: 1730,
+			},
 		},
 	}
 	var out bytes.Buffer
