--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -58,10 +58,9 @@
 }
 
 // ExpectCold takes the given replicas for cold until their entries or responses say otherwise, as after the end of an evacuation.
-func (c *Client) ExpectCold(replicas []replica.Replica) {
+func (c *Client) ExpectCold(now time.Time, replicas []replica.Replica) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := steady.Now()
 	c.coldChanged(now, c.localPlanner.Limits().Cold.Expect(now, replicas))
 }
 
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -128,3 +128,24 @@
 		}
 	}
 }
+
+// Guards against a host that has just started, knows no other one yet and spends the rate of a cold replica as if it were alone.
+func TestStartedHostTakesHostsForMany(t *testing.T) {
+	c := newTestClient(1)
+	knowColdServices(c)
+	c.NamedCold(coldReplica, steady.Now(), time.Hour)
+	rate := func(uptime time.Duration) float64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		now := c.startedAt.Add(uptime)
+		c.updateLimitShare(now)
+		return c.localPlanner.Limits().Cold.Rate(now, coldReplica)
+	}
+	const perSecond = 15
+	if got := rate(time.Second); got <= 0 || got > perSecond/float64(assumedHosts) {
+		t.Errorf("%v requests a second after a second, want at most the share of one of %d hosts", got, assumedHosts)
+	}
+	if got := rate(time.Minute); got < perSecond/2 {
+		t.Errorf("%v requests a second after a minute alone", got)
+	}
+}
--- a/internal/planner/cold_test.go
+++ b/internal/planner/cold_test.go
@@ -31,8 +31,9 @@
 func TestColdReplicaHelpsLongPrompt(t *testing.T) {
 	p := coldPlanner(8, 7)
 	now := at(1000)
-	for p.limits.MayTake(now, p.services["llm"]["i-00"].replica) {
-		for id := range p.services["llm"] {
+	for id := range p.services["llm"] {
+		// More tokens than a cold replica has at any time.
+		for range 10 {
 			p.limits.Take(now, p.services["llm"][id].replica)
 		}
 	}
--- a/internal/ratelimit/cold.go
+++ b/internal/ratelimit/cold.go
@@ -89,6 +89,11 @@
 			delete(t.rows, id)
 		}
 	}
+	for id, r := range t.rows {
+		if _, seen := t.seen[id]; !seen && !r.end.After(now) {
+			delete(t.rows, id) // another host had it listed, and this one never will
+		}
+	}
 	assumed := 0
 	for _, l := range listed {
 		service, ok := t.services[l.Service]
--- a/internal/ratelimit/cold_test.go
+++ b/internal/ratelimit/cold_test.go
@@ -205,6 +205,26 @@
 	}
 }
 
+// Guards against replicas that are gone and that hosts remind each other of for ever, since each forgets them at another time.
+func TestGoneServersAreForgotten(t *testing.T) {
+	tables := []*ColdTable{newColdTable(1, 2), newColdTable(2, 2)}
+	for i, table := range tables {
+		table.Retain(at(time.Duration(i)*300*time.Millisecond), []replica.Replica{coldServer})
+	}
+	tables[0].Responded(at(time.Second), replica.Replica{ID: "other", Born: 1, Service: "desk"}, at(0), 10*time.Second)
+	for now := at(time.Second); now.Before(at(3 * unlistedRetention)); now = now.Add(250 * time.Millisecond) {
+		for i, table := range tables {
+			table.Retain(now, nil)
+			table.Merge(now, now, tables[1-i].Statements(now))
+		}
+	}
+	for i, table := range tables {
+		if n := len(table.rows); n != 0 || table.Digest(at(3*unlistedRetention)) != 0 {
+			t.Errorf("table %d still knows %d servers", i, n)
+		}
+	}
+}
+
 // spend lets tables with the given shares (0 for a host that places alone) take all tokens that they get for 30 s, each in
 // bursts after pauses if idle is set, and returns the most requests in one second and the mean in a second.
 func spend(seed uint64, shares []float64, hosts int, idle time.Duration) (most int, mean float64) {
@@ -277,6 +297,24 @@
 	}
 }
 
+// Guards against a planner that was frozen and goes on with a share that others have taken over, and against a host that spends
+// anything before it knows how many others there are.
+func TestColdShareEnds(t *testing.T) {
+	table := newColdTable(1, 89)
+	table.Responded(start, coldServer, start, MaxCold)
+	table.SetShare(1, 89, at(time.Second))
+	before, _, _ := table.capacity(at(900*time.Millisecond), coldServer)
+	after, _, _ := table.capacity(at(1100*time.Millisecond), coldServer)
+	if before != testPerSecond || after != testPerSecond*aloneShare/89 {
+		t.Errorf("%v requests a second while the share holds, %v afterwards", before, after)
+	}
+	fresh := newColdTable(1, 0)
+	fresh.Responded(start, coldServer, start, MaxCold)
+	if rate, tokens, _ := fresh.capacity(at(time.Minute), coldServer); rate != 0 || tokens != 0 {
+		t.Errorf("%v requests a second, %v tokens without a number of hosts", rate, tokens)
+	}
+}
+
 // The rate that is aimed at leaves room in the bound for what planners and hosts spend that don't know of each other.
 func TestAimLeavesMargin(t *testing.T) {
 	for _, test := range []struct{ perSecond, over, slack, want float64 }{
--- a/internal/ratelimit/coldpace.go
+++ b/internal/ratelimit/coldpace.go
@@ -132,6 +132,12 @@
 	return true
 }
 
+// Rate returns the requests a second that this table may send to a cold server; 0 if the server isn't cold.
+func (t *ColdTable) Rate(now time.Time, server replica.Replica) float64 {
+	rate, _, _ := t.capacity(now, server)
+	return rate
+}
+
 // capacity returns the tokens a second and those that can be used now for a cold server. It reports false if the server isn't
 // cold.
 func (t *ColdTable) capacity(now time.Time, server replica.Replica) (rate, tokens float64, cold bool) {
--- a/internal/ratelimit/coldstatement.go
+++ b/internal/ratelimit/coldstatement.go
@@ -33,12 +33,16 @@
 
 // Merge takes over what another host knows better, and returns those of its statements that say something new. The other host
 // has sent them at sentAfter or later, by the clock of this one. They may have been on their way for any time since, so a later
-// end counts as if they had just been sent, and an earlier one as if they had been sent at sentAfter.
+// end counts as if they had just been sent, and an earlier one as if they had been sent at sentAfter. Statements about warm servers
+// that aren't listed here are ignored, or hosts would remind each other for ever of servers that are gone.
 func (t *ColdTable) Merge(now, sentAfter time.Time, statements []ColdStatement) []ColdStatement {
 	var taken []ColdStatement
 	for _, s := range statements {
 		end := now.Add(min(max(s.Remaining, 0), MaxCold))
 		r := t.rows[s.Replica]
+		if _, seen := t.seen[s.Replica]; !seen && r == nil && !end.After(now) {
+			continue
+		}
 		if r != nil && r.born == s.Born && r.assumed && s.Number == 0 {
 			// Who has seen the server first knows best how old it is at least.
 			if end.Before(r.end) {
