--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,6 +50,9 @@
 	PauseTarget   time.Duration // target for pauses between events: a longer one misses it
 	Priority      int           // priority; 0 is the highest
 	ConfigVersion int64         // version of the configuration under which it was admitted
+	// AllowedRegions are the regions outside of which it reaches no replica, and its body no host but the one that received it;
+	// none for no restriction.
+	AllowedRegions []string
 }
 
 // Deadline returns the time at which the caller's timeout or the route's limit ends, whichever is first.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -29,6 +29,8 @@
 	PauseTarget time.Duration  // target for the longest pause between events
 	Priority    int            // priority, 0 is the highest; see Workspace.Priority
 	Public      bool           // calls need no key
+	// AllowedRegions are the regions in which calls may be served; none for any. See Workspace.AllowedRegions.
+	AllowedRegions []string
 }
 
 // EngineParams holds the parameters of a service's model engines from which their behavior is predicted. Times are at
@@ -65,6 +67,8 @@
 	Name        string
 	Priority    int  // priority of its calls, 0 is the highest; valid if HasPriority
 	HasPriority bool // Priority overrides the route's
+	// AllowedRegions are the regions in which its calls may be served; none for any. Those of the route apply as well.
+	AllowedRegions []string
 }
 
 // Limits restricts what a caller may send and how long its connection may take.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -9,6 +9,8 @@
 type Settings struct {
 	Host          string // name of the host
 	FailureDomain string
+	Region        string            // region of the host; empty if unknown
+	Regions       map[string]string // region of each failure domain that is known
 
 	CallerAddress    netip.AddrPort   // where callers connect
 	ReadinessAddress netip.AddrPort   // where the load balancer checks whether the host is ready
