--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -126,7 +126,7 @@
 		if s.pausedUntil.After(until) {
 			until = s.pausedUntil
 		}
-		if wait := until.Sub(now); wait > 0 && s.replica.TakesRequests() {
+		if wait := until.Sub(now); wait > 0 && s.replica.TakesRequests() && p.inAllowedRegion(req, s) {
 			after = min(after, wait)
 		}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -16,7 +16,7 @@
 	var untried []*server
 	for _, s := range all {
 		switch {
-		case slices.Contains(req.ExcludedReplicas, s.replica.ID):
+		case slices.Contains(req.ExcludedReplicas, s.replica.ID) || !p.inAllowedRegion(req, s):
 		case s.usable(now, req.Host):
 			servers = append(servers, s)
 		case s.untried(now, req.Host):
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -48,12 +48,13 @@
 	shortRates    map[string]*shortRateMeter // of short prompts, by service
 	// By host: the addresses of the servers that it can't connect to directly.
 	lostServers map[string]map[netip.AddrPort]bool
-	followers   []string    // hosts that this planner plans for
-	results     []Result    // results of the current call of Decide
-	exclusions  []Exclusion // since the last call of TakeExclusions
-	lastSweep   time.Time   // time at which expired entries were last removed
-	lastTry     time.Time   // time at which waiting requests were last tried again
-	slotFreed   bool        // a slot has become free since lastTry
+	regions     map[string]string // see SetRegions
+	followers   []string          // hosts that this planner plans for
+	results     []Result          // results of the current call of Decide
+	exclusions  []Exclusion       // since the last call of TakeExclusions
+	lastSweep   time.Time         // time at which expired entries were last removed
+	lastTry     time.Time         // time at which waiting requests were last tried again
+	slotFreed   bool              // a slot has become free since lastTry
 }
 
 // waitingRequest is a placement request without a result.
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -26,6 +26,7 @@
 	UntilDisconnect  time.Duration `cbor:"14,keyasint,omitempty"` // estimated time until the caller disconnects; 0 for none
 	PauseTimeout     time.Duration `cbor:"15,keyasint,omitempty"` // pause after which the caller disconnects
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
+	AllowedRegions   []string      `cbor:"30,keyasint,omitempty"` // regions whose replicas may get it; none for all
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -66,8 +66,8 @@
 	ok := found && c.firstEvent < req.firstEventTimeout()
 	switch {
 	case !ok && onTime:
-		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
-		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0
+		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0 && len(req.AllowedRegions) == 0
+		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0 && len(req.AllowedRegions) == 0
 		return false
 	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
@@ -116,6 +116,9 @@
 // so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
 func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
+	if len(req.AllowedRegions) > 0 {
+		wait = max(wait, r.allowedSlotFreeAfter(req))
+	}
 	runTime := minRunTime
 	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
