--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -25,6 +25,8 @@
 	Priority  int // priority in the server's queue, 0 to 9; 0 is the highest
 	// NewConnection says that the call was sent to the address before, so that no kept connection may carry it.
 	NewConnection bool
+	// Passes, if not nil, reports whether the call may be sent through another host.
+	Passes func(host netip.AddrPort) bool
 }
 
 // ResponseHead is the decoded status line and header of a server's response.
--- a/internal/backend/copies_test.go
+++ b/internal/backend/copies_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
@@ -22,6 +23,10 @@
 // reusingDialer connects directly or, if host is valid, through that host, and allows each connection to be used again.
 type reusingDialer struct{ host netip.AddrPort }
 
+func (d reusingDialer) DialThrough(ctx context.Context, server netip.AddrPort, _ func(netip.AddrPort) bool) (netconn.Conn, error) {
+	return d.Dial(ctx, server)
+}
+
 func (d reusingDialer) Dial(ctx context.Context, server netip.AddrPort) (netconn.Conn, error) {
 	if d.host.IsValid() {
 		return tunnel.Dial(ctx, netconn.Connect, d.host, server)
@@ -90,3 +95,42 @@
 		}
 	}
 }
+
+// Guards against a call that takes an idle connection through a host that must not see it (incident HOME), and against one that
+// doesn't take a direct one.
+func TestRestrictedCallTakesDirectIdleConnectionOnly(t *testing.T) {
+	var requests atomic.Int32
+	address := listener.Serve(t, func(c *net.TCPConn) {
+		for {
+			if _, err := c.Read(make([]byte, 4<<10)); err != nil {
+				return
+			}
+			id := []string{"second", "first"}[requests.Add(1)%2]
+			_, _ = io.WriteString(c, namedResponse("200 OK", id, "done"))
+		}
+	})
+	carrier := &tunnel.Server{
+		Connect: reusingDialer{}.Dial, Allowed: func(netip.AddrPort) bool { return true }, Metrics: tally.NoopScope,
+	}
+	for way, d := range map[string]reusingDialer{"directly": {}, "through a host": {host: listener.Serve(t, carrier.Serve)}} {
+		p := &Pool{Codec: refusalCodec{}, Dialer: d}
+		dials := 0
+		p.OnDial = func() { dials++ }
+		a := &Attempt{Replica: replica.Replica{Address: address}}
+		for _, id := range []string{"first", "second"} {
+			c := &call.Call{ID: id, Method: http.MethodPost, Target: "/", RetryMode: call.RetryNever}
+			x, err := p.Open(context.Background(), c, a, testWait, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := x.ReadAll(context.Background(), &payload.Budget{}, 1<<10); err != nil {
+				t.Fatal(err)
+			}
+			x.Finish()
+			a.Passes = func(netip.AddrPort) bool { return false }
+		}
+		if want := map[string]int{"directly": 1, "through a host": 2}[way]; dials != want {
+			t.Errorf("%s: %d connections, want %d", way, dials, want)
+		}
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -19,11 +19,12 @@
 	maxIdleUnrepeatable = 500 * time.Millisecond
 )
 
-// Dialer connects to the backend server at an address, which is dialer.Dialer. If Dial fails, nothing has been sent. Answered
+// Dialer connects to the backend server at an address, which is dialer.Dialer. If DialThrough fails, nothing has been sent; it
+// connects only through hosts for which passes returns true, through any if that is nil. Answered
 // records that a response has come on a connection; MayReuse reports whether an idle one may carry another call; Check reports
 // whether a new one can be made in the way of one on which nothing comes.
 type Dialer interface {
-	Dial(ctx context.Context, server netip.AddrPort) (netconn.Conn, error)
+	DialThrough(ctx context.Context, server netip.AddrPort, passes func(host netip.AddrPort) bool) (netconn.Conn, error)
 	Answered(c netconn.Conn, server netip.AddrPort)
 	MayReuse(c netconn.Conn, server netip.AddrPort) bool
 	Check(c netconn.Conn, server netip.AddrPort) bool
@@ -48,10 +49,10 @@
 ) (*Exchange, error) {
 	var cn *conn
 	if c.ID != "" && !a.NewConnection {
-		cn = p.takeIdle(a.Replica.Address, c.RetryMode == call.RetryNever)
+		cn = p.takeIdle(a.Replica.Address, c.RetryMode == call.RetryNever, a.Passes)
 	}
 	if cn == nil {
-		c, err := p.Dialer.Dial(ctx, a.Replica.Address)
+		c, err := p.Dialer.DialThrough(ctx, a.Replica.Address, a.Passes)
 		if err != nil {
 			kind := KindUnreachable
 			if ctx.Err() != nil {
@@ -76,8 +77,9 @@
 }
 
 // takeIdle removes a usable idle connection to address from the pool and returns it, or nil if there is none. It closes
-// those that are no longer usable. With fresh set it leaves those that have been idle for longer than maxIdleUnrepeatable.
-func (p *Pool) takeIdle(address netip.AddrPort, fresh bool) *conn {
+// those that are no longer usable. With fresh set it leaves those that have been idle for longer than maxIdleUnrepeatable. With
+// passes set it takes only a direct one: which host a connection goes through is known to the Dialer alone.
+func (p *Pool) takeIdle(address netip.AddrPort, fresh bool, passes func(host netip.AddrPort) bool) *conn {
 	now := steady.Now()
 	for {
 		p.mu.Lock()
@@ -87,6 +89,10 @@
 			return nil
 		}
 		cn := list[len(list)-1]
+		if passes != nil && !cn.net.Direct() {
+			p.mu.Unlock()
+			return nil
+		}
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
 		if p.usable(now, cn) {
--- a/internal/backend/reset_test.go
+++ b/internal/backend/reset_test.go
@@ -21,7 +21,7 @@
 // slowWriteDialer connects to servers with connections whose second write, that of the body, says late how it has ended.
 type slowWriteDialer struct{ err error }
 
-func (d slowWriteDialer) Dial(ctx context.Context, server netip.AddrPort) (netconn.Conn, error) {
+func (d slowWriteDialer) DialThrough(ctx context.Context, server netip.AddrPort, _ func(netip.AddrPort) bool) (netconn.Conn, error) {
 	c, err := netconn.Connect(ctx, server)
 	return &slowWriteConn{TCP: netconn.TCP{TCPConn: c}, err: d.err}, err
 }
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -125,3 +125,32 @@
 		t.Error("an idle direct connection is used though the path is lost")
 	}
 }
+
+// Guards against a call that goes through a host that must not see it (incident HOME).
+func TestDialLeavesOutHosts(t *testing.T) {
+	server := listener.Serve(t, func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) })
+	var hosts []netip.AddrPort
+	for range 3 {
+		other, _ := newDialer([]netip.AddrPort{server})
+		carrier := &tunnel.Server{
+			Connect: other.DialForOther, Allowed: func(netip.AddrPort) bool { return true }, Metrics: tally.NoopScope,
+		}
+		hosts = append(hosts, listener.Serve(t, carrier.Serve))
+	}
+	for allowed := range hosts {
+		d, own := newDialer([]netip.AddrPort{server})
+		d.SetDetours(hosts[:1], hosts[1:])
+		own.set(pathRefuses)
+		c, err := d.DialThrough(context.Background(), server, func(host netip.AddrPort) bool { return host == hosts[allowed] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if through := c.(*tunnel.Conn).Host; through != hosts[allowed] {
+			t.Errorf("connected through %v, only %v is allowed", through, hosts[allowed])
+		}
+		_ = c.Close()
+		if c, err := d.DialThrough(context.Background(), server, func(netip.AddrPort) bool { return false }); err == nil {
+			t.Errorf("connected through %v though no host is allowed", c.(*tunnel.Conn).Host)
+		}
+	}
+}
--- a/internal/dialer/race.go
+++ b/internal/dialer/race.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericshunt/turmericshunt/internal/detour"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/tunnel"
@@ -27,19 +29,44 @@
 	err  error
 }
 
-// Dial connects to a backend server within dialTimeout: directly, unless this host is known not to reach it, and through other
-// hosts if that fails or takes long. Its errors are of type *Error; nothing was sent to the server then.
+// Dial is as DialThrough, through any host.
 func (d *Dialer) Dial(ctx context.Context, server netip.AddrPort) (netconn.Conn, error) {
+	return d.DialThrough(ctx, server, nil)
+}
+
+// DialThrough connects to a backend server within dialTimeout: directly, unless this host is known not to reach it, and through
+// other hosts if that fails or takes long: those for which passes returns true, any if it is nil. Its errors are of type *Error; nothing was sent to the server then.
+func (d *Dialer) DialThrough(ctx context.Context, server netip.AddrPort, passes func(host netip.AddrPort) bool) (
+	netconn.Conn, error,
+) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	r := &race{dialer: d, server: server, ctx: ctx, results: make(chan result)}
-	c, err := r.run(&way.Search{Server: server, Hosts: &d.detours, Lost: d.paths.Lost(server)})
+	c, err := r.run(&way.Search{Server: server, Hosts: allowedHosts{&d.detours, passes}, Lost: d.paths.Lost(server)})
 	if err != nil {
 		return nil, &Error{Op: "connect to " + server.String(), Kind: KindUnreachable, Err: err}
 	}
 	return c, nil
 }
 
+// allowedHosts are those hosts of a table for which passes returns true; all of them if it is nil.
+type allowedHosts struct {
+	table  *detour.Table
+	passes func(host netip.AddrPort) bool
+}
+
+// Next is as detour.Table.Next.
+func (h allowedHosts) Next(now time.Time, server netip.AddrPort, tried []netip.AddrPort) (netip.AddrPort, bool) {
+	tried = slices.Clone(tried)
+	for {
+		host, ok := h.table.Next(now, server, tried)
+		if !ok || h.passes == nil || h.passes(host) {
+			return host, ok
+		}
+		tried = append(tried, host)
+	}
+}
+
 // run returns the connection of the first way that succeeds, or the error of the last one that has failed.
 func (r *race) run(search *way.Search) (netconn.Conn, error) {
 	var err error
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -109,7 +110,8 @@
 	g.ingress.SetRevocationTime(s.RevocationTime)
 	needsRestart := s.CallerAddress != g.Settings.CallerAddress ||
 		s.ReadinessAddress != g.Settings.ReadinessAddress || s.PeerAddress != g.Settings.PeerAddress ||
-		s.StoreAddress != g.Settings.StoreAddress
+		s.StoreAddress != g.Settings.StoreAddress || s.Region != g.Settings.Region ||
+		!maps.Equal(s.Regions, g.Settings.Regions)
 	g.Log.Event("settings_reloaded", slog.Int("seeds", len(s.Seeds)), slog.Bool("needs_restart", needsRestart))
 }
 
@@ -150,7 +152,7 @@
 
 // initComponents creates the components of the host and connects them to one another.
 func (g *Gateway) initComponents() {
-	self := roster.Member{Address: g.Settings.PeerAddress, Weight: g.Settings.CPUCores}
+	self := roster.Member{Address: g.Settings.PeerAddress, Weight: g.Settings.CPUCores, Region: g.Settings.Region}
 	g.metrics = metrics.New()
 	scope := g.metrics.Scope
 	g.cache = &feed.Cache{Store: g.Store, Decode: g.DecodeConfiguration, Log: g.Log, Metrics: scope}
@@ -162,7 +164,7 @@
 		Metrics: scope,
 		Paths:   g.Dialer,
 
-		ColdOver: g.Settings.ColdOver, ColdSlack: g.Settings.ColdSlack,
+		ColdOver: g.Settings.ColdOver, ColdSlack: g.Settings.ColdSlack, Regions: g.Settings.Regions,
 	}
 	g.Dialer.Log, g.Dialer.Metrics, g.Dialer.OnChange = g.Log, scope, g.placement.PathsChanged
 	g.tunnels = &tunnel.Server{Connect: g.Dialer.DialForOther, Allowed: g.takesRequests, Metrics: scope}
@@ -180,6 +182,7 @@
 	g.relay = &relay.Relay{
 		Pool:          g.pool,
 		PlannerClient: g.placement,
+		Regions:       g.placement,
 		Memory:        g.Memory,
 		Budget:        g.budget,
 		Payloads:      payloads,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 	retryUnverified = 500 * time.Millisecond
 	retryStopping   = 200 * time.Millisecond
 	retryNoMemory   = time.Second
+	// After a refusal because the route and the workspace allow no common region. Only another configuration can change that.
+	retryNoRegion = time.Minute
 	// The configuration must have been verified more recently than the limit by this margin, to allow for the
 	// time that a request takes to arrive.
 	verificationMargin = 300 * time.Millisecond
@@ -185,9 +188,33 @@
 			eventlog.Milliseconds("proof_age_ms", c.Received.Sub(verifiedAt)))
 		return false
 	}
+	allowed, ok := allowedRegions(route, workspace)
+	if !ok {
+		g.refuse(w, c, retryNoRegion, "no region is allowed")
+		return false
+	}
+	c.AllowedRegions = allowed
 	return true
 }
 
+// allowedRegions returns the regions that both the route and the workspace, which may be nil, allow; none if neither restricts
+// them. It returns false if there is a restriction and no region is left.
+func allowedRegions(route *catalog.Route, workspace *catalog.Workspace) ([]string, bool) {
+	switch {
+	case workspace == nil || len(workspace.AllowedRegions) == 0:
+		return route.AllowedRegions, true
+	case len(route.AllowedRegions) == 0:
+		return workspace.AllowedRegions, true
+	}
+	var both []string
+	for _, region := range route.AllowedRegions {
+		if slices.Contains(workspace.AllowedRegions, region) {
+			both = append(both, region)
+		}
+	}
+	return both, len(both) > 0
+}
+
 // applyRoute sets the fields of c that the route determines. A route without a limit gets the caller's timeout.
 func applyRoute(c *call.Call, config *catalog.Configuration, route *catalog.Route) {
 	c.Route = route.Name
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -146,3 +147,37 @@
 		t.Errorf("%d bytes are in use at the end", used)
 	}
 }
+
+// Guards against a workspace whose regions widen those of a route, or the other way round, and against a call that goes anywhere
+// since no region is left (incident HOME).
+func TestRegionsOfRouteAndWorkspaceBothApply(t *testing.T) {
+	for _, test := range []struct {
+		route, workspace, want []string
+		ok                     bool
+	}{
+		{nil, nil, nil, true},
+		{[]string{"n"}, nil, []string{"n"}, true},
+		{nil, []string{"n", "s"}, []string{"n", "s"}, true},
+		{[]string{"n", "e"}, []string{"s", "n"}, []string{"n"}, true},
+		{[]string{"n"}, []string{"s"}, nil, false},
+	} {
+		got, ok := allowedRegions(&catalog.Route{AllowedRegions: test.route}, &catalog.Workspace{AllowedRegions: test.workspace})
+		if !slices.Equal(got, test.want) || ok != test.ok {
+			t.Errorf("route %v, workspace %v: %v, %v", test.route, test.workspace, got, ok)
+		}
+	}
+	if got, ok := allowedRegions(&catalog.Route{AllowedRegions: []string{"n"}}, nil); !ok || !slices.Equal(got, []string{"n"}) {
+		t.Errorf("without a workspace: %v, %v", got, ok)
+	}
+	log := eventlog.New(io.Discard, "h")
+	t.Cleanup(log.Close)
+	g := &Ingress{Log: log, Metrics: tally.NoopScope, Relay: &relay.Relay{Marker: noMarker{}, Log: log, Metrics: tally.NoopScope}}
+	routes := []*catalog.Route{{Name: "r", Host: "a.example", Prefix: "/", AllowedRegions: []string{"n"}}}
+	keys := map[string]*catalog.Workspace{"k": {Name: "w", AllowedRegions: []string{"s"}}}
+	w := httptest.NewRecorder()
+	c := &call.Call{ID: "1", Host: "a.example", Target: "/1", APIKey: "k", Received: steady.Now()}
+	admitted := g.admit(w, c, catalog.New(1, catalog.Limits{}, routes, nil, keys, true), steady.Now())
+	if admitted || w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("admitted %v, status %d, Retry-After %q", admitted, w.Code, w.Header().Get("Retry-After"))
+	}
+}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -54,6 +54,7 @@
 	ServeTunnel func(c *net.TCPConn)
 	// A cold replica gets at most its service's rate times ColdOver, plus ColdSlack, requests from all hosts in any second.
 	ColdOver, ColdSlack float64
+	Regions             map[string]string // region of each failure domain that is known
 
 	mu             sync.Mutex
 	lastTick       time.Time // when tick was last called; zero before the first call
@@ -121,6 +122,7 @@
 	c.hostCount.memory = hostCountMemory
 	c.followers = newFollowers()
 	c.followed = followed{otherHeard: c.startedAt}
+	c.localPlanner.SetRegions(c.Regions)
 	c.localPlanner.Limits().Cold.SetBounds(c.ColdOver, c.ColdSlack)
 	c.localPlanner.Limits().Cold.SetShare(0, assumedHosts, c.startedAt)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,6 +48,7 @@
 		LastEvent:     a.lastEvent,
 		Priority:      min(a.call.Priority, maxPriority),
 		NewConnection: a.hasTried(plan.Replica.Address),
+		Passes:        a.relay.passes(a.call),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -15,6 +15,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/dialer"
+	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -33,12 +35,14 @@
 	leaving map[string]bool // replicas that have told the host that they leave
 	stated  []float64       // limits that were reported; -1 for none
 	cold    []string        // replicas that were reported as cold, with the time
+	regions [][]string      // allowed regions of the placement requests
 }
 
 func (p *unawarePlanner) Place(_ context.Context, req planner.Request) (planner.Result, error) {
 	p.mu.Lock()
 	held := p.held
 	p.held = nil
+	p.regions = append(p.regions, req.AllowedRegions)
 	p.mu.Unlock()
 	if p.panics && len(req.ExcludedReplicas) > 0 {
 		panic("placement of " + req.ID)
@@ -250,3 +254,62 @@
 	}
 	time.Sleep(50 * time.Millisecond) // until the reservation is released
 }
+
+// regionsOf says which replicas are in an allowed region, by ID.
+type regionsOf map[string]bool
+
+func (r regionsOf) AllowPlan(_ []string, p *planner.Plan) bool { return r[p.Replica.ID] }
+
+func (regionsOf) AllowHost([]string, netip.AddrPort) bool { return false }
+
+// restrictedDialer counts the connections that may go through any host.
+type restrictedDialer struct {
+	dialer.Dialer
+	anyHost int
+}
+
+func (d *restrictedDialer) DialThrough(ctx context.Context, server netip.AddrPort, passes func(netip.AddrPort) bool) (
+	netconn.Conn, error,
+) {
+	if passes == nil || passes(server) {
+		d.anyHost++
+	}
+	return d.Dialer.DialThrough(ctx, server, passes)
+}
+
+// Guards against a call with allowed regions that is sent as a planner of an earlier version plans it, to any replica, and against
+// one that is sent by a host that knows no regions (incident HOME).
+func TestCallsStayInAllowedRegions(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		regions relay.Regions
+		allowed []string
+		status  int
+		want    []int // requests that the replicas get
+	}{
+		{"first allowed", regionsOf{"a": true}, []string{"north"}, http.StatusOK, []int{1, 0}},
+		{"second allowed", regionsOf{"b": true}, []string{"north"}, http.StatusOK, []int{0, 1}},
+		{"none allowed", regionsOf{}, []string{"north"}, http.StatusServiceUnavailable, []int{0, 0}},
+		{"no regions known", nil, []string{"north"}, http.StatusServiceUnavailable, []int{0, 0}},
+		{"any region", regionsOf{}, nil, http.StatusOK, []int{1, 0}},
+	} {
+		r, p, replicas := statingWorld(t, http.StatusOK, nil)
+		r.Regions = test.regions
+		d := &restrictedDialer{}
+		r.Pool.Dialer = d
+		w := httptest.NewRecorder()
+		r.Serve(context.Background(), w, &call.Call{
+			ID: "r1", Method: http.MethodGet, Host: "shop.example", Target: "/x", Received: steady.Now(), Service: "desk",
+			Header: http.Header{"Request-Id": {"r1"}}, AllowedRegions: test.allowed,
+			CallerTimeout: 5 * time.Second, RouteTimeout: 5 * time.Second, RetryMode: call.RetryFromStart, MaxAttempts: 3,
+		})
+		got := []int{replicas[0].requests, replicas[1].requests}
+		if w.Code != test.status || !slices.Equal(got, test.want) {
+			t.Errorf("%s: status %d, requests %v; want %d, %v", test.name, w.Code, got, test.status, test.want)
+		}
+		if !slices.Equal(p.regions[0], test.allowed) || d.anyHost > 0 && test.allowed != nil {
+			t.Errorf("%s: the planner was asked for regions %v, %d connections could go through any host", test.name,
+				p.regions[0], d.anyHost)
+		}
+	}
+}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -56,6 +57,7 @@
 		UntilDisconnect:  untilDisconnect,
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
+		AllowedRegions:   c.AllowedRegions,
 	}
 }
 
@@ -73,7 +75,7 @@
 			return result, err
 		default:
 			r.logPlan(c, result.Plan, now.Sub(requestedAt))
-			if r.maySend(result) {
+			if r.maySend(result) && r.allowsRegions(c, result.Plan) {
 				return result, nil
 			}
 			r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, planner.Pause{})
@@ -93,6 +95,20 @@
 	return r.PlannerClient.Place(ctx, req)
 }
 
+// allowsRegions reports whether the replicas of a plan are known to be in regions that the call allows. A planner of an earlier
+// version knows nothing of regions.
+func (r *Relay) allowsRegions(c *call.Call, p *planner.Plan) bool {
+	return len(c.AllowedRegions) == 0 || r.Regions != nil && r.Regions.AllowPlan(c.AllowedRegions, p)
+}
+
+// passes returns which other hosts may pass on a call; nil for any.
+func (r *Relay) passes(c *call.Call) func(host netip.AddrPort) bool {
+	if len(c.AllowedRegions) == 0 {
+		return nil
+	}
+	return func(host netip.AddrPort) bool { return r.Regions != nil && r.Regions.AllowHost(c.AllowedRegions, host) }
+}
+
 // maySend reports whether a call may be sent as planned: its server doesn't leave, hasn't asked this host for a pause, and
 // its limit allows the call. The planner may not know that yet, or the plan may be old.
 func (r *Relay) maySend(result planner.Result) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,13 @@
 	MaySend(result planner.Result) bool
 }
 
+// Regions knows the regions of replicas and hosts, which is placement.Client: AllowPlan reports whether all replicas of a plan are
+// known to be in one of the allowed regions, AllowHost whether a host is.
+type Regions interface {
+	AllowPlan(allowed []string, p *planner.Plan) bool
+	AllowHost(allowed []string, host netip.AddrPort) bool
+}
+
 // MemoryReserver reserves memory at the engine with the given address. Reserve also renews a reservation that the
 // engine holds under the same ticket; a reservation that is not renewed expires when its lease ends.
 type MemoryReserver interface {
@@ -59,6 +66,7 @@
 type Relay struct {
 	Pool          *backend.Pool
 	PlannerClient PlannerClient
+	Regions       Regions // nil if none are known: calls with allowed regions aren't sent
 	Memory        MemoryReserver
 	Budget        *budget.Budget
 	Payloads      *payload.Budget // of responses that are read as a whole
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,6 +39,7 @@
 	Weight   float64        `cbor:"2,keyasint"` // CPU cores; 0 for a seed that hasn't reported it yet
 	Age      time.Duration  `cbor:"3,keyasint"` // time since any host last heard from this member directly
 	Stopping bool           `cbor:"4,keyasint,omitempty"`
+	Region   string         `cbor:"5,keyasint,omitempty"` // empty if unknown
 }
 
 // entry is what this host knows of another host, or of itself.
@@ -92,6 +93,17 @@
 	return e != nil && e.member.Stopping
 }
 
+// Region returns the region of the host at address, which may be this one; empty if it isn't known.
+func (r *Roster) Region(address netip.AddrPort) string {
+	if address == r.self.Address {
+		return r.self.Region
+	}
+	if e := r.entries[address]; e != nil {
+		return e.member.Region
+	}
+	return ""
+}
+
 // Self returns this host's description of itself.
 func (r *Roster) Self() Member { return r.self }
 
