--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -197,7 +197,7 @@
 		MetricsAddress: freePort(c.t),
 		PeerAddress:    c.peers[i], Seeds: c.peers[:min(c.seeds, len(c.peers))], StoreAddress: c.storeAddress, CPUCores: 1,
 		MemoryBytes: 500 << 20, GracePeriod: 5 * time.Second, RevocationTime: 3 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5,
 	}
 	logs := &syncBuffer{}
 	log := eventlog.New(logs, s.Host)
