--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -28,6 +28,8 @@
 	// MaySend, if not nil, reports whether the call may still be sent. It is called when the connection is there, since
 	// making one takes time, and right before the first byte is sent.
 	MaySend func() bool
+	// Passes, if not nil, reports whether the call may be sent through another host.
+	Passes func(host netip.AddrPort) bool
 }
 
 // ResponseHead is the decoded status line and header of a server's response.
@@ -41,6 +43,8 @@
 	Pause     time.Duration // the server wants no requests from this host for so long; 0 if it doesn't say so
 	Limited   bool          // the server limits the rate of requests to Limit, until a response doesn't say so
 	Limit     float64       // requests a second that it takes from all hosts together; only if Limited
+	NamesCold bool          // the server says for how long it stays cold
+	Cold      time.Duration // that time; 0 if it isn't cold
 	Length    int64         // length of the body in bytes; -1 if unknown
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -29,6 +29,8 @@
 	PauseTarget time.Duration  // target for the longest pause between events
 	Priority    int            // priority, 0 is the highest; see Workspace.Priority
 	Public      bool           // calls need no key
+	// AllowedRegions are the regions in which calls may be served; none for any. See Workspace.AllowedRegions.
+	AllowedRegions []string
 }
 
 // EngineParams holds the parameters of a service's model engines from which their behavior is predicted. Times are at
@@ -51,13 +53,22 @@
 type Service struct {
 	Name   string
 	Engine *EngineParams // nil for a service without model engines
+	// ColdStart is how long a replica is cold after its start, and ColdRate the requests a second that a cold one takes from
+	// all hosts together. Replicas are cold only if both are above 0.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
+// HasColdReplicas reports whether replicas of the service are cold after their start.
+func (s *Service) HasColdReplicas() bool { return s.ColdStart > 0 && s.ColdRate > 0 }
+
 // Workspace is a customer who shares the system with others.
 type Workspace struct {
 	Name        string
 	Priority    int  // priority of its calls, 0 is the highest; valid if HasPriority
 	HasPriority bool // Priority overrides the route's
+	// AllowedRegions are the regions in which its calls may be served; none for any. Those of the route apply as well.
+	AllowedRegions []string
 }
 
 // Limits restricts what a caller may send and how long its connection may take.
@@ -123,6 +134,11 @@
 	})
 }
 
+// Services returns all services, ordered by name.
+func (c *Configuration) Services() []*Service {
+	return slices.SortedFunc(maps.Values(c.services), func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Service returns the named service, or nil if there is none.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,7 +153,7 @@
 
 // initComponents creates the components of the host and connects them to one another.
 func (g *Gateway) initComponents() {
-	self := roster.Member{Address: g.Settings.PeerAddress, Weight: g.Settings.CPUCores}
+	self := roster.Member{Address: g.Settings.PeerAddress, Weight: g.Settings.CPUCores, Region: g.Settings.Region}
 	g.metrics = metrics.New()
 	scope := g.metrics.Scope
 	g.cache = &feed.Cache{Store: g.Store, Decode: g.DecodeConfiguration, Log: g.Log, Metrics: scope}
@@ -165,6 +165,8 @@
 		Log:     g.Log,
 		Metrics: scope,
 		Paths:   g.Dialer,
+
+		ColdOver: g.Settings.ColdOver, ColdSlack: g.Settings.ColdSlack, Regions: g.Settings.Regions,
 	}
 	g.Dialer.Log, g.Dialer.Metrics, g.Dialer.OnChange = g.Log, scope, g.placement.PathsChanged
 	g.tunnels = &tunnel.Server{Connect: g.Dialer.DialForOther, Allowed: g.takesRequests, Metrics: scope}
@@ -172,6 +174,7 @@
 	g.placement.Init()
 	g.cache.MaxAge = g.placement.MaxStateAge
 	g.cache.OnChange = g.applyState
+	g.cache.OnRead = g.placement.EntriesRead
 	g.budget = &budget.Budget{
 		Ratio: g.Settings.RetryRatio, Slack: g.Settings.RetrySlack, Window: g.Settings.RetryWindow, Hosts: g.placement.HostCount,
 	}
@@ -181,6 +184,7 @@
 	g.relay = &relay.Relay{
 		Pool:          g.pool,
 		PlannerClient: g.placement,
+		Regions:       g.placement,
 		Memory:        g.Memory,
 		Budget:        g.budget,
 		Payloads:      payloads,
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -45,7 +45,8 @@
 	for _, r := range g.cache.Replicas() {
 		s.Replicas = append(s.Replicas, hoststatus.Replica{
 			ID: r.ID, Service: r.Service, FailureDomain: r.FailureDomain, Address: r.Address, Draining: r.Draining,
-			Evacuated: g.cache.IsEvacuated(r),
+			Evacuated:       g.cache.IsEvacuated(r),
+			ColdRemainingMS: g.placement.ColdRemaining(r).Milliseconds(),
 		})
 	}
 	s.Evacuations = g.evacuations()
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -205,6 +205,7 @@
 		PeerAddress:    c.peers[i], Seeds: c.peers[:min(c.seeds, len(c.peers))], StoreAddress: c.storeAddress, CPUCores: 1,
 		MemoryBytes: 500 << 20, GracePeriod: 5 * time.Second, RevocationTime: 3 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, EvacuationTime: c.evacuationTime,
+		ColdOver: 1.5, ColdSlack: 5,
 	}
 	if c.evacuationTime > 0 {
 		s.RetrySlack = 20000 // of which hosts that have just started take a small part only
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,13 +54,14 @@
 	shortRates    map[string]*shortRateMeter       // of short prompts, by service
 	// By host: the addresses of the servers that it can't connect to directly.
 	lostServers map[string]map[netip.AddrPort]bool
-	evacuated   map[string]bool // failure domains whose servers get no placements
-	followers   []string        // hosts that this planner plans for
-	results     []Result        // results of the current call of Decide
-	exclusions  []Exclusion     // since the last call of TakeExclusions
-	lastSweep   time.Time       // time at which expired entries were last removed
-	lastTry     time.Time       // time at which waiting requests were last tried again
-	slotFreed   bool            // a slot has become free since lastTry
+	evacuated   map[string]bool   // failure domains whose servers get no placements
+	regions     map[string]string // see SetRegions
+	followers   []string          // hosts that this planner plans for
+	results     []Result          // results of the current call of Decide
+	exclusions  []Exclusion       // since the last call of TakeExclusions
+	lastSweep   time.Time         // time at which expired entries were last removed
+	lastTry     time.Time         // time at which waiting requests were last tried again
+	slotFreed   bool              // a slot has become free since lastTry
 }
 
 // waitingRequest is a placement request without a result.
@@ -85,7 +86,7 @@
 		sortedServers: make(map[string][]*server),
 		jobs:          make(map[jobKey]*job),
 		quarantine:    quarantine.New(),
-		limits:        &ratelimit.Table{},
+		limits:        &ratelimit.Table{Cold: ratelimit.ColdTable{Seed: order}},
 		returns:       make(map[string]time.Time),
 		busyReturns:   make(map[returnKey]*appointment.Order),
 		shares:        make(map[string]*share.Table),
@@ -121,9 +122,10 @@
 }
 
 // SetReplicas sets the active replicas. It keeps the state of replicas that it already knows with the same Born, and
-// forgets replicas that are not in the list.
-func (p *Planner) SetReplicas(now time.Time, replicas []replica.Replica) {
+// forgets replicas that are not in the list. It returns the number of new replicas that are assumed to be cold.
+func (p *Planner) SetReplicas(now time.Time, replicas []replica.Replica) int {
 	p.limits.Retain(now, replicas)
+	assumedCold := p.limits.Cold.Retain(now, replicas)
 	kept := make(map[string]bool, len(replicas))
 	for _, r := range replicas {
 		kept[r.ID] = true
@@ -155,6 +157,7 @@
 		}
 		p.sortedServers[service] = slices.SortedFunc(maps.Values(servers), compareServers)
 	}
+	return assumedCold
 }
 
 // recordRestarts records which of the listed replicas are later incarnations of known ones: those with the same ID or, in place of
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -27,6 +27,7 @@
 	PauseTimeout     time.Duration `cbor:"15,keyasint,omitempty"` // pause after which the caller disconnects
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
 	Workspace        string        `cbor:"18,keyasint,omitempty"` // whose request it is; empty if the host doesn't say
+	AllowedRegions   []string      `cbor:"30,keyasint,omitempty"` // regions whose replicas may get it; none for all
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
@@ -45,6 +46,9 @@
 	// RateLimited says that the primary replica limits the rate of its requests. The plan is then one of those that the
 	// limit allows, and holds for a short time only.
 	RateLimited bool `cbor:"5,keyasint,omitempty"`
+	// Cold says that the primary replica has just started and so takes few requests. The plan then has RateLimited too, and
+	// holds for an even shorter time.
+	Cold bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Cause is the reason for a refusal.
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -56,7 +56,7 @@
 	}
 	q := r.queue(req.Service)
 	usable := servers
-	servers = r.planner.withinLimits(r.now, usable)
+	servers = r.planner.withinLimits(r.now, w.long, usable)
 	if len(servers) == 0 {
 		return !onTime && r.waitForLimit(w, &req, q, usable)
 	}
@@ -73,9 +73,9 @@
 	ok := found && c.firstEvent < req.firstEventTimeout() && !r.planner.endsTooLate(&req, &c)
 	switch {
 	case !ok && onTime:
-		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
-		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0
-		q.shareWaiting = q.shareWaiting || w.long && req.FirstTarget > 0 && !w.excess
+		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0 && len(req.AllowedRegions) == 0
+		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0 && len(req.AllowedRegions) == 0
+		q.shareWaiting = q.shareWaiting || w.long && req.FirstTarget > 0 && len(req.AllowedRegions) == 0 && !w.excess
 		return false
 	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
@@ -125,6 +125,9 @@
 // response that has begun, so a resumed request waits for engines until its caller disconnects. It reports whether it refused the request.
 func (r *round) waitOrRefuse(w *waitingRequest, req *Request, q *serviceQueue) bool {
 	wait := r.slotFreeAfter(req.Service, q)
+	if len(req.AllowedRegions) > 0 {
+		wait = max(wait, r.allowedSlotFreeAfter(req))
+	}
 	runTime, decode := minRunTime, time.Duration(0)
 	if w.long && !req.Resumed {
 		longWait, longRunTime := r.longTimes(req, q, w.longAhead)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,6 +50,7 @@
 		Priority:      min(a.call.Priority, maxPriority),
 		NewConnection: a.hasTried(plan.Replica.Address),
 		MaySend:       func() bool { return !a.relay.PlannerClient.IsEvacuated(plan) },
+		Passes:        a.relay.passes(a.call),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -105,6 +105,7 @@
 func (p *racePlanner) EvacuatedReplicas(string) []string               { return nil }
 func (p *racePlanner) MaySend(planner.Result) bool                     { return true }
 
+func (p *racePlanner) NamedCold(replica.Replica, time.Time, time.Duration)  {}
 func (p *racePlanner) NamedLimit(replica.Replica, time.Time, bool, float64) {}
 
 type noMemory struct{}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -58,6 +59,7 @@
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
 		Workspace:        c.Workspace,
+		AllowedRegions:   c.AllowedRegions,
 	}
 }
 
@@ -75,7 +77,7 @@
 			return result, err
 		default:
 			r.logPlan(c, result.Plan, now.Sub(requestedAt))
-			if r.maySend(result) {
+			if r.maySend(result) && r.allowsRegions(c, result.Plan) {
 				return result, nil
 			}
 			r.PlannerClient.Ended(result.ID, planner.OutcomeCanceled, planner.Pause{})
@@ -111,11 +113,27 @@
 	return evacuated
 }
 
-// maySend reports whether a call may be sent as planned: its server doesn't leave, neither it nor a helper replica is
-// evacuated, it hasn't asked this host for a pause, and its limit allows the call. The planner may not know that yet, or the plan may be old.
+// allowsRegions reports whether the replicas of a plan are known to be in regions that the call allows. A planner of an earlier
+// version knows nothing of regions.
+func (r *Relay) allowsRegions(c *call.Call, p *planner.Plan) bool {
+	return len(c.AllowedRegions) == 0 || r.Regions != nil && r.Regions.AllowPlan(c.AllowedRegions, p)
+}
+
+// passes returns which other hosts may pass on a call; nil for any.
+func (r *Relay) passes(c *call.Call) func(host netip.AddrPort) bool {
+	if len(c.AllowedRegions) == 0 {
+		return nil
+	}
+	return func(host netip.AddrPort) bool { return r.Regions != nil && r.Regions.AllowHost(c.AllowedRegions, host) }
+}
+
+// maySend reports whether a call may be sent as planned: its server doesn't leave and hasn't asked this host for a pause, its
+// limit allows the call, and neither it nor a helper replica is evacuated. The planner may not know that yet, or the plan may be
+// old.
 func (r *Relay) maySend(result planner.Result) bool {
 	s := result.Plan.Replica
-	return !r.PlannerClient.IsLeaving(s) && !r.PlannerClient.IsEvacuated(result.Plan) && !r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
+	return !r.PlannerClient.IsLeaving(s) && !r.PlannerClient.IsEvacuated(result.Plan) &&
+		!r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
 }
 
 func (r *Relay) logPlan(c *call.Call, p *planner.Plan, askedFor time.Duration) {
@@ -143,6 +161,9 @@
 		a.relay.Log.Event("replica_asks_for_pause", slog.String("replica", server.ID),
 			slog.String("request_id", a.call.ID), eventlog.Milliseconds("retry_after_ms", head.Pause))
 	}
+	if head.NamesCold {
+		a.relay.PlannerClient.NamedCold(server, a.sentAt, head.Cold)
+	}
 	if head.Limited || head.Valid || head.NotRun {
 		a.relay.PlannerClient.NamedLimit(server, a.sentAt, head.Limited, head.Limit)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,7 +30,8 @@
 // Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has. IsEvacuated reports whether
 // a plan uses a replica of an evacuated failure domain; EvacuatedReplicas returns the IDs of those of a service. NamedLimit reports what a
 // response to a request that was sent at sentAt has said of the limit of its server's requests a second; MaySend reports
-// whether the limit still allows to send what the planner has placed.
+// whether the limit still allows to send what the planner has placed. NamedCold reports for how long the server of a response
+// stays cold.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
 	Started(id string)
@@ -41,9 +42,17 @@
 	IsEvacuated(plan *planner.Plan) bool
 	EvacuatedReplicas(service string) []string
 	NamedLimit(r replica.Replica, sentAt time.Time, limited bool, perSecond float64)
+	NamedCold(r replica.Replica, sentAt time.Time, remaining time.Duration)
 	MaySend(result planner.Result) bool
 }
 
+// Regions knows the regions of replicas and hosts, which is placement.Client: AllowPlan reports whether all replicas of a plan are
+// known to be in one of the allowed regions, AllowHost whether a host is.
+type Regions interface {
+	AllowPlan(allowed []string, p *planner.Plan) bool
+	AllowHost(allowed []string, host netip.AddrPort) bool
+}
+
 // MemoryReserver reserves memory at the engine with the given address. Reserve also renews a reservation that the
 // engine holds under the same ticket; a reservation that is not renewed expires when its lease ends.
 type MemoryReserver interface {
@@ -60,6 +69,7 @@
 type Relay struct {
 	Pool          *backend.Pool
 	PlannerClient PlannerClient
+	Regions       Regions // nil if none are known: calls with allowed regions aren't sent
 	Memory        MemoryReserver
 	Budget        *budget.Budget
 	Payloads      *payload.Budget // of responses that are read as a whole
