--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -1,9 +1,14 @@
 package placement
 
 import (
+	"bytes"
+	"compress/flate"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -149,3 +154,36 @@
 		t.Errorf("%v requests a second after a minute alone", got)
 	}
 }
+
+// Guards against a rush on the replicas of a failure domain whose evacuation has just ended: they may have become cold, and their
+// entries don't say so yet.
+func TestReplicasAreExpectedColdAfterEvacuation(t *testing.T) {
+	c := newTestClient(1)
+	c.Cache.EvacuationTime = time.Second
+	c.Cache.Decode = func([]byte) (*catalog.Configuration, error) {
+		orders := &catalog.Service{Name: "orders", ColdStart: 3 * time.Second, ColdRate: 15}
+		return catalog.New(1, catalog.Limits{}, nil, []*catalog.Service{orders}, nil, false), nil
+	}
+	var document bytes.Buffer
+	w, _ := flate.NewWriter(&document, flate.BestSpeed)
+	_ = w.Close()
+	r := coldReplica
+	r.FailureDomain, r.Address = "a", netip.MustParseAddrPort("10.9.0.1:80")
+	apply := func(revision int64, evacuated ...string) {
+		c.Cache.Import(steady.Now(), feed.State{
+			ConfigRevision: 1, ConfigVersion: 1, ConfigData: document.Bytes(),
+			ReplicaRevision: revision, HasReplicas: true, Replicas: []replica.Replica{r},
+			EvacuationRevision: revision, Evacuated: evacuated,
+		})
+		c.ApplyState()
+	}
+	apply(1, "a")
+	c.NamedCold(r, steady.Now(), 0)
+	if c.isCold(r) {
+		t.Fatal("cold during the evacuation, though the replica says that it is warm")
+	}
+	apply(2)
+	if !c.isCold(r) {
+		t.Error("not expected to be cold after the evacuation")
+	}
+}
