--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
@@ -18,6 +20,7 @@
 func (p *Program) gatewayCommand() *cobra.Command {
 	var file string
 	var checkOnly bool
+	var crossingPrice float64
 	cmd := &cobra.Command{
 		Use:   "gateway",
 		Short: "Runs an entry host on the users' platform until it is told to stop",
@@ -33,6 +36,9 @@
 			if file == "" {
 				file = p.Getenv(platform.SettingsVariable)
 			}
+			if !(crossingPrice >= 0) || math.IsInf(crossingPrice, 1) {
+				return &Error{Op: "gateway", Kind: KindUsage, Err: errors.Errorf("--crossing-price %v is not a price", crossingPrice)}
+			}
 			s, err := platform.LoadSettings(file)
 			if err != nil {
 				return &Error{Op: "gateway", Kind: KindInvalid, Err: err}
@@ -54,6 +60,7 @@
 				DecodeConfiguration: platform.DecodeConfiguration,
 				Log:                 log,
 				Version:             p.Version,
+				CrossingPrice:       crossingPrice,
 				WatchSettings:       (&settingsWatcher{path: file, log: log, hangups: hangups}).run,
 			}
 			if err := g.Run(cmd.Context()); err != nil {
@@ -64,6 +71,8 @@
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file; by default the one that $"+platform.SettingsVariable+" names")
 	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
+	cmd.Flags().Float64Var(&crossingPrice, "crossing-price", 0,
+		"value of a request per GB that crosses between failure domains; 0 for no preference among them")
 	cmd.AddCommand(p.gatewayStatusCommand(), p.checkConfigCommand())
 	return cmd
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,9 @@
 	DecodeConfiguration func(data []byte) (*catalog.Configuration, error) // decodes a configuration document
 	Log                 *eventlog.Log
 	Version             string // version of the program
+	// CrossingPrice is the value of a request per GB that crosses between failure domains; at 0 the host doesn't
+	// distinguish failure domains.
+	CrossingPrice float64
 	// WatchSettings calls reload with the new settings each time they have changed, and returns when ctx ends. If it is
 	// nil, the host keeps the settings that it started with.
 	WatchSettings func(ctx context.Context, reload func(s *site.Settings)) error
@@ -161,6 +164,8 @@
 		Log:     g.Log,
 		Metrics: scope,
 		Paths:   g.Dialer,
+
+		FailureDomain: g.Settings.FailureDomain, CrossingPrice: g.CrossingPrice,
 	}
 	g.Dialer.Log, g.Dialer.Metrics, g.Dialer.OnChange = g.Log, scope, g.placement.PathsChanged
 	g.tunnels = &tunnel.Server{Connect: g.Dialer.DialForOther, Allowed: g.takesRequests, Metrics: scope}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -50,6 +50,10 @@
 	Log     *eventlog.Log
 	Metrics tally.Scope
 	Paths   Paths // nil for a host without paths of its own
+	// FailureDomain is that of this host, and CrossingPrice the value of a request per GB that crosses between failure
+	// domains; see planner.SetCrossingPrice. Both are left out of placement requests if the price is 0.
+	FailureDomain string
+	CrossingPrice float64
 	// ServeTunnel carries a connection of another host to a backend server until it ends.
 	ServeTunnel func(c *net.TCPConn)
 
@@ -101,6 +105,7 @@
 // Init makes the client ready for use; it must be called before any other method.
 func (c *Client) Init() {
 	c.localPlanner = planner.New(xxhash.Sum64String(c.self().String()))
+	c.localPlanner.SetCrossingPrice(c.CrossingPrice)
 	c.outbound = make(map[netip.AddrPort]*peerLink)
 	c.pending = make(map[string]*pendingRequest)
 	c.placed = make(map[string]*placedRequest)
--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -52,6 +52,9 @@
 func (c *Client) Place(ctx context.Context, req planner.Request) (planner.Result, error) {
 	requestedAt := steady.Now()
 	req.Host = c.self().String()
+	if c.CrossingPrice > 0 {
+		req.FailureDomain = c.FailureDomain
+	}
 	pending := newPendingRequest(req, requestedAt)
 	c.mu.Lock()
 	c.pending[req.ID] = pending
--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -50,27 +50,56 @@
 			views = append(views, v)
 		}
 	}
-	load := p.shortLoadOf(now, req.Service, len(servers), busy)
-	maxEngines := maxLongPromptEngines(len(servers)) - busy
+	all := longGroup{
+		views: views, maxEngines: maxLongPromptEngines(len(servers)) - busy,
+		load: p.shortLoadOf(now, req.Service, len(servers), busy), crossing: p.crossingOf(req),
+	}
+	best, reservations, found := p.bestLong(now, req, &all, servers)
+	if !found || best.imposedLoss > placementGain(req, best.firstEvent) {
+		return choice{}, nil, false
+	}
+	if best.firstEvent > req.FirstTarget && onTimeIfDeferred(req, views, len(servers)) {
+		return choice{}, nil, false
+	}
+	return best, reservations, true
+}
+
+// bestLong returns the best choice of engines for a long prompt. It is one in the failure domain of the host unless the
+// others save more loss than the risk of depending on them costs.
+func (p *Planner) bestLong(now time.Time, req *Request, all *longGroup, servers []*server) (choice, []int, bool) {
+	var best choice
+	var reservations []int
+	found := false
+	if all.crossing.domain != "" {
+		own := all.ownGroup(servers)
+		best, reservations, found = p.bestInGroup(now, req, &own)
+		if found && best.loss-p.longFloor(req) <= domainRisk*requestValue(req.PromptTokens) {
+			return best, reservations, true
+		}
+		all.distances = all.crossing.distances(all.views)
+	}
+	c, splitReservations, ok := p.bestInGroup(now, req, all)
+	if ok && (!found || c.loss < best.loss) {
+		return c, splitReservations, true
+	}
+	return best, reservations, found
+}
+
+// bestInGroup returns the best choice of engines of a group.
+func (p *Planner) bestInGroup(now time.Time, req *Request, g *longGroup) (choice, []int, bool) {
 	var best choice
 	var reservations []int
 	found := false
 	for _, engines := range engineCounts {
-		if engines > len(views) || engines > maxEnginesPerPrompt || engines > maxEngines {
+		if engines > len(g.views) || engines > maxEnginesPerPrompt || engines > g.maxEngines {
 			break
 		}
-		c, splitReservations, ok := p.bestSplit(now, req, views, load, engines)
+		c, splitReservations, ok := p.bestSplit(now, req, g, engines)
 		if ok && (!found || c.loss < best.loss) {
 			best, reservations, found = c, splitReservations, true
 		}
 	}
-	if !found || best.imposedLoss > placementGain(req, best.firstEvent) {
-		return choice{}, nil, false
-	}
-	if best.firstEvent > req.FirstTarget && onTimeIfDeferred(req, views, len(servers)) {
-		return choice{}, nil, false
-	}
-	return best, reservations, true
+	return best, reservations, found
 }
 
 // longCandidates returns the servers that come into question for a long prompt, and how many of the others prefill long
@@ -137,12 +166,10 @@
 // bestSplit returns the best choice of the given number of engines, one of which is the primary replica, and the tokens
 // of memory to reserve at each helper replica. It reports false if too few engines are available, none of them can be
 // the primary replica, or they lack memory.
-func (p *Planner) bestSplit(now time.Time, req *Request, views []view, load shortLoad,
-	engines int,
-) (choice, []int, bool) {
-	candidates := make([]candidate, 0, len(views))
-	for i := range views {
-		v := &views[i]
+func (p *Planner) bestSplit(now time.Time, req *Request, g *longGroup, engines int) (choice, []int, bool) {
+	candidates := make([]candidate, 0, len(g.views))
+	for i := range g.views {
+		v := &g.views[i]
 		prefill := pass.PrefillTime(v.server.model.Engine, req.PromptTokens, engines)
 		if v.queuedParts+v.queuedOwn <= maxQueuedPrefill || v.queuedParts+v.queuedOwn+prefill <= maxCombinedPrefill {
 			candidates = append(candidates, v.candidateFor(prefill, true))
@@ -151,7 +178,7 @@
 	if len(candidates) < engines {
 		return choice{}, nil, false
 	}
-	sortCandidates(candidates, req)
+	sortCandidates(candidates, req, g.distances)
 	primary := primaryIndex(now, candidates, req, engines)
 	if primary < 0 {
 		return choice{}, nil, false
@@ -176,8 +203,9 @@
 	if engines > 1 {
 		c.firstEvent += mergeTime
 	}
-	c.imposedLoss += load.loss(engines, c.primary.passTime)
-	c.loss += c.imposedLoss + ownLoss(req, c.firstEvent, &c.primary) + extraEngineLoss*float64(engines-1)
+	c.imposedLoss += g.load.loss(engines, c.primary.passTime)
+	c.loss += c.imposedLoss + ownLoss(req, c.firstEvent, &c.primary) + extraEngineLoss*float64(engines-1) +
+		g.crossing.spanLoss(req, c.primary.server, c.helpers)
 	return c, reservations, true
 }
 
@@ -213,12 +241,16 @@
 }
 
 // sortCandidates computes the cost of prefilling a part at each candidate and sorts the candidates by it, lowest first.
-func sortCandidates(candidates []candidate, req *Request) {
+// The argument distances has those of the failure domains; it may be nil.
+func sortCandidates(candidates []candidate, req *Request, distances map[string]float64) {
 	value := requestValue(req.PromptTokens)
 	for i := range candidates {
 		c := &candidates[i]
 		c.cost = c.imposedLoss + value*(c.failureRate+firstEventLossPerSecond*c.prefillEnd.Seconds()) +
 			shortSlotLoss*c.server.shortSlotShare()
+		if len(distances) > 0 {
+			c.cost += domainRisk * value * distances[c.server.replica.FailureDomain]
+		}
 	}
 	slices.SortFunc(candidates, func(x, y candidate) int {
 		if c := cmp.Compare(x.cost, y.cost); c != 0 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -54,6 +54,8 @@
 	lastSweep   time.Time   // time at which expired entries were last removed
 	lastTry     time.Time   // time at which waiting requests were last tried again
 	slotFreed   bool        // a slot has become free since lastTry
+	// Value of a request per GB that crosses between failure domains; 0 if the planner doesn't distinguish them.
+	crossingPrice float64
 }
 
 // waitingRequest is a placement request without a result.
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -26,6 +26,8 @@
 	UntilDisconnect  time.Duration `cbor:"14,keyasint,omitempty"` // estimated time until the caller disconnects; 0 for none
 	PauseTimeout     time.Duration `cbor:"15,keyasint,omitempty"` // pause after which the caller disconnects
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
+	FailureDomain    string        `cbor:"21,keyasint,omitempty"` // of Host, if it prefers servers there; empty if it doesn't
+	Bytes            int           `cbor:"22,keyasint,omitempty"` // expected bytes of body and response
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
