--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -54,15 +54,20 @@
 
 // BenchmarkWave measures the decisions on the short prompts of about one second of high load, with long prompts
 // waiting.
-func BenchmarkWave(b *testing.B) {
+func BenchmarkWave(b *testing.B) { benchmarkWave(b, newTestPlanner) }
+
+// BenchmarkCrossingWave is BenchmarkWave with hosts and engines in three failure domains and a price for bytes that cross.
+func BenchmarkCrossingWave(b *testing.B) { benchmarkWave(b, newCrossingPlanner) }
+
+func benchmarkWave(b *testing.B, newPlanner func(replicas int) *Planner) {
 	for b.Loop() {
-		p := newTestPlanner(16)
+		p := newPlanner(16)
 		now := start
 		for i := range 150 {
 			now = now.Add(7 * time.Millisecond)
-			p.Submit(now, shortRequest(i))
+			p.Submit(now, from(domainOf(i), shortRequest(i)))
 			if i%30 == 0 {
-				p.Submit(now, longRequest(i))
+				p.Submit(now, from(domainOf(i/30), longRequest(i)))
 			}
 			for _, result := range p.Decide(now) {
 				p.Started(now, result.Host, result.ID)
@@ -74,7 +79,13 @@
 
 // BenchmarkLargeWave measures the decisions on ten seconds of a wave of long prompts on 135 engines, some of which wait
 // for engines. It plays the engines by the times that the plans predict.
-func BenchmarkLargeWave(b *testing.B) {
+func BenchmarkLargeWave(b *testing.B) { benchmarkLargeWave(b, newTestPlanner) }
+
+// BenchmarkCrossingLargeWave is BenchmarkLargeWave with hosts and engines in three failure domains and a price for bytes that
+// cross.
+func BenchmarkCrossingLargeWave(b *testing.B) { benchmarkLargeWave(b, newCrossingPlanner) }
+
+func benchmarkLargeWave(b *testing.B, newPlanner func(replicas int) *Planner) {
 	const (
 		duration     = 10 * time.Second
 		shortsPerSec = 65
@@ -82,7 +93,7 @@
 	)
 	for b.Loop() {
 		random := rand.New(rand.NewPCG(1, 2))
-		p := newTestPlanner(135)
+		p := newPlanner(135)
 		var running []runningRequest
 		arrived := 0
 		for now := start; now.Before(start.Add(duration)); now = now.Add(time.Second / (shortsPerSec + longsPerSec)) {
@@ -92,7 +103,7 @@
 				req = longRequest(arrived)
 				req.PromptTokens = min(int(90000*math.Exp(0.9*random.NormFloat64())), 700000)
 			}
-			p.Submit(now, req)
+			p.Submit(now, from(domainOf(arrived), req))
 			for _, result := range p.Decide(now) {
 				if result.Plan != nil {
 					first := now.Add(result.Plan.FirstEventTime)
--- a/internal/planner/crossing.go
+++ b/internal/planner/crossing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/pass"
 )
@@ -10,6 +11,18 @@
 	// Share of the value of a long prompt that each further failure domain costs which it depends on, beside that of its
 	// host. The loss of any of them breaks the prompt, and its prefill is done again.
 	domainRisk = 0.02
+	// Loss for a prompt that crosses, beside its bytes and its delay. It exceeds what preferences among servers come to that
+	// all meet the targets (shortSlotLoss and passLoss), so that only the risk of missing a target makes a prompt cross. Since
+	// it counts in both directions, two failure domains send each other prompts only if their losses differ by twice as much.
+	crossingLoss = 0.06
+	// Share of the value of a request that it costs to use servers of a failure domain which has just placed requests in that of
+	// the host. It falls to 0 within reversalTime, which is longer than reports take to come, and than a wave of requests
+	// takes to be seen in what servers do.
+	reversalLoss = 0.5
+	reversalTime = 3 * time.Second
+	// The same for a call of a plain service, whose servers are compared by the share of their slots that is taken.
+	plainCrossingLoss    = 0.5
+	defaultCrossingDelay = 5 * time.Millisecond
 	// The unit of the price of bytes that cross.
 	bytesPerGB = 1e9
 )
@@ -23,14 +36,41 @@
 type crossing struct {
 	domain string  // of the host; empty if it isn't known or the planner doesn't distinguish failure domains
 	bytes  float64 // cost of the bytes of the request if it crosses
+	delay  time.Duration
+	// By failure domain: the loss because it has itself sent requests to the host's, as a share of the value; nil for none.
+	reversals map[string]float64
+}
+
+// domainPair is a direction of traffic between two failure domains.
+type domainPair struct{ from, to string }
+
+// recordCrossing records that a job uses servers of other failure domains than its host's.
+func (p *Planner) recordCrossing(now time.Time, j *job) {
+	if p.crossingPrice <= 0 {
+		return
+	}
+	x := crossing{domain: j.request.FailureDomain}
+	for i := -1; i < len(j.helpers); i++ {
+		s := j.server
+		if i >= 0 {
+			s = j.helpers[i]
+		}
+		s.domain.placed++
+		if x.crosses(s) {
+			p.lastCrossings[domainPair{x.domain, s.replica.FailureDomain}] = now
+		}
+	}
 }
 
 // crossingOf returns what it costs a request to cross.
-func (p *Planner) crossingOf(req *Request) crossing {
+func (p *Planner) crossingOf(now time.Time, req *Request) crossing {
 	if p.crossingPrice <= 0 || req.FailureDomain == "" {
 		return crossing{}
 	}
-	return crossing{domain: req.FailureDomain, bytes: p.crossingPrice * float64(req.Bytes) / bytesPerGB}
+	return crossing{
+		domain: req.FailureDomain, bytes: p.crossingPrice * float64(req.Bytes) / bytesPerGB, delay: defaultCrossingDelay,
+		reversals: p.reversals(now, req),
+	}
 }
 
 // crosses reports whether a request crosses that uses the server. A server whose failure domain isn't known counts as
@@ -39,6 +79,24 @@
 	return x.domain != "" && s.replica.FailureDomain != "" && s.replica.FailureDomain != x.domain
 }
 
+// reversals returns the loss for crossing to each failure domain that has lately sent requests to that of the host.
+func (p *Planner) reversals(now time.Time, req *Request) map[string]float64 {
+	var losses map[string]float64
+	for pair, at := range p.lastCrossings {
+		if left := reversalTime - now.Sub(at); pair.to == req.FailureDomain && left > 0 {
+			if losses == nil {
+				losses = make(map[string]float64)
+			}
+			losses[pair.from] = reversalLoss * requestValue(req.PromptTokens) * float64(left) / float64(reversalTime)
+		}
+	}
+	return losses
+}
+
+// cost returns the cost of the bytes of a request that crosses to use the server, and that of turning round the traffic between
+// the two failure domains.
+func (x *crossing) cost(s *server) float64 { return x.bytes + x.reversals[s.replica.FailureDomain] }
+
 // spanLoss returns the expected loss of a long prompt because it depends on the failure domains of all its servers, and
 // the cost of its bytes if its primary replica is in another one than its host.
 func (x *crossing) spanLoss(req *Request, primary *server, helpers []*server) float64 {
@@ -57,6 +115,7 @@
 		}
 		if x.crosses(s) && !slices.Contains(domains, s.replica.FailureDomain) {
 			domains = append(domains, s.replica.FailureDomain)
+			loss += x.reversals[s.replica.FailureDomain]
 		}
 	}
 	return loss + domainRisk*requestValue(req.PromptTokens)*float64(len(domains)-1)
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -21,6 +21,7 @@
 	server       *server
 	helpers      []*server
 	reservations []int     // tokens of memory reserved at each helper replica
+	placed       time.Time // when the planner placed it; zero if another one did
 	firstEvent   time.Time // time of the first event, predicted until it has arrived
 	firstTarget  time.Time // time until which the first event meets its target
 	expires      time.Time // time at which the job is removed if no host reported its end
--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -52,7 +52,7 @@
 	}
 	all := longGroup{
 		views: views, maxEngines: maxLongPromptEngines(len(servers)) - busy,
-		load: p.shortLoadOf(now, req.Service, len(servers), busy), crossing: p.crossingOf(req),
+		load: p.shortLoadOf(now, req.Service, len(servers), busy), crossing: p.crossingOf(now, req),
 	}
 	best, reservations, found := p.bestLong(now, req, &all, servers)
 	if !found || best.imposedLoss > placementGain(req, best.firstEvent) {
--- a/internal/planner/loss.go
+++ b/internal/planner/loss.go
@@ -194,24 +194,41 @@
 // placeShort returns the best server for a short prompt. It reports false if no server can take the prompt, or if its
 // first event would come too late there.
 func (p *Planner) placeShort(now time.Time, req *Request, servers []*server) (choice, bool) {
+	x := p.crossingOf(now, req)
+	best, found := p.bestShort(now, req, servers, &x, false)
+	if x.domain != "" && (!found || best.loss > x.bytes+crossingLoss-shortSlotLoss) {
+		if far, ok := p.bestShort(now, req, servers, &x, true); ok && (!found || far.loss < best.loss) {
+			best, found = far, true
+		}
+	}
+	if found && best.firstEvent > max(req.FirstTarget, maxLateFirstEvent) {
+		// It would miss its target there; another server may be free long before.
+		return choice{}, false
+	}
+	return best, found
+}
+
+// bestShort returns the best server for a short prompt among those that it must cross to use, or among the others.
+func (p *Planner) bestShort(now time.Time, req *Request, servers []*server, x *crossing, cross bool) (choice, bool) {
 	best, found := choice{loss: math.Inf(1)}, false
 	for _, s := range servers {
-		if !s.canBePrimary(now, req.PromptTokens+req.OutputTokens) {
+		if x.crosses(s) != cross || !s.canBePrimary(now, req.PromptTokens+req.OutputTokens) {
 			continue
 		}
 		v := viewOf(now, s)
 		cand := v.candidateFor(pass.PrefillTime(s.model.Engine, req.PromptTokens, 1), false)
-		loss := cand.imposedLoss + ownLoss(req, cand.prefillEnd, &cand) - shortSlotLoss*s.shortSlotShare()
+		loss := cand.imposedLoss - shortSlotLoss*s.shortSlotShare()
+		if cross {
+			loss += ownLoss(req, cand.prefillEnd+x.delay, &cand) + crossingLoss + x.cost(s)
+		} else {
+			loss += ownLoss(req, cand.prefillEnd, &cand)
+		}
 		if loss < best.loss {
 			best, found = choice{
 				primary: cand, imposedLoss: cand.imposedLoss, loss: loss, firstEvent: cand.prefillEnd,
 			}, true
 		}
 	}
-	if found && best.firstEvent > max(req.FirstTarget, maxLateFirstEvent) {
-		// It would miss its target there; another server may be free long before.
-		return choice{}, false
-	}
 	return best, found
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -32,9 +32,10 @@
 // place chooses servers for one request. It also returns the tokens of memory to reserve at each helper replica. It
 // reports false if the request must wait.
 func (p *Planner) place(now time.Time, req *Request, servers []*server) (choice, []int, bool) {
+	servers = p.withinRamp(now, req, servers)
 	switch {
 	case servers[0].model == nil:
-		c, ok := p.placePlain(now, servers)
+		c, ok := p.placePlain(now, req, servers)
 		return c, nil, ok
 	case p.isLong(req):
 		return p.placeLong(now, req, servers)
@@ -46,13 +47,17 @@
 
 // placePlain returns the least loaded server of a service without an engine, avoiding those with failures. It reports
 // false if none has a free slot.
-func (p *Planner) placePlain(now time.Time, servers []*server) (choice, bool) {
+func (p *Planner) placePlain(now time.Time, req *Request, servers []*server) (choice, bool) {
+	x := p.crossingOf(now, req)
 	best, found := choice{loss: math.Inf(1)}, false
 	for _, s := range servers {
 		if len(s.jobs) >= s.slots() || now.Before(s.refusedUntil) {
 			continue
 		}
 		loss := float64(len(s.jobs))/float64(s.slots()) + 2*s.failureRate(now)
+		if x.crosses(s) {
+			loss += plainCrossingLoss + x.cost(s)
+		}
 		if loss < best.loss {
 			best, found = choice{primary: candidate{server: s}, loss: loss}, true
 		}
@@ -71,6 +76,7 @@
 		server:       s,
 		helpers:      c.helpers,
 		reservations: reservations,
+		placed:       now,
 		firstEvent:   now.Add(c.firstEvent),
 		firstTarget:  now.Add(req.FirstTarget),
 		expires:      now.Add(req.Deadline + expiryGrace),
@@ -81,6 +87,7 @@
 	}
 	j.missesTarget = c.firstEvent > req.FirstTarget
 	p.addJob(j)
+	p.recordCrossing(now, j)
 	if s.model != nil {
 		p.addPrefill(now, j, math.MaxInt64)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -56,6 +56,11 @@
 	slotFreed   bool        // a slot has become free since lastTry
 	// Value of a request per GB that crosses between failure domains; 0 if the planner doesn't distinguish them.
 	crossingPrice float64
+	domainStates  map[string]map[string]*domainState // by service and failure domain
+	delays        recentDelays
+	lookups       int                      // calls of observeDomains
+	slowServers   bool                     // learnSlowdown has been used
+	lastCrossings map[domainPair]time.Time // when a request was last placed from one failure domain in another
 }
 
 // waitingRequest is a placement request without a result.
@@ -83,6 +88,8 @@
 		returns:       make(map[string]time.Time),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
+		domainStates:  make(map[string]map[string]*domainState),
+		lastCrossings: make(map[domainPair]time.Time),
 	}
 }
 
@@ -134,6 +141,7 @@
 			servers[r.ID] = s
 		}
 		s.replica = r
+		s.domain = p.domainStateOf(now, r.Service, r.FailureDomain)
 	}
 	for service, servers := range p.services {
 		for id := range servers {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -14,6 +14,7 @@
 		return
 	}
 	j.decoding = true
+	p.learnSlowdown(now, j)
 	j.firstEvent = now
 	p.quarantine.Alive(now, incarnation(&j.server.replica))
 	if now.After(j.firstTarget) {
@@ -147,6 +148,7 @@
 		}
 	}
 	p.addJob(j)
+	p.recordCrossing(now, j)
 	switch {
 	case s.model == nil:
 		j.decoding = placement.Decoding
@@ -233,6 +235,7 @@
 		return
 	}
 	p.lastSweep = now
+	p.forgetSlowdowns()
 	for _, j := range p.jobs {
 		if now.After(j.expires) {
 			p.removeJob(now, j)
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -29,7 +29,8 @@
 // server is one replica and the requests placed on it.
 type server struct {
 	replica         replica.Replica
-	rank            uint64      // in the planner's order
+	rank            uint64 // in the planner's order
+	domain          *domainState
 	model           *pass.Model // predicts its engine's passes; nil for a service without an engine
 	jobs            []*job      // requests that it decodes or will decode
 	shortJobs       int         // number of jobs whose prompts are not long
