--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -62,6 +62,13 @@
 	lastSweep   time.Time         // time at which expired entries were last removed
 	lastTry     time.Time         // time at which waiting requests were last tried again
 	slotFreed   bool              // a slot has become free since lastTry
+	// Value of a request per GB that crosses between failure domains; 0 if the planner doesn't distinguish them.
+	crossingPrice float64
+	domainStates  map[string]map[string]*domainState // by service and failure domain
+	delays        recentDelays
+	lookups       int                      // calls of observeDomains
+	slowServers   bool                     // learnSlowdown has been used
+	lastCrossings map[domainPair]time.Time // when a request was last placed from one failure domain in another
 }
 
 // waitingRequest is a placement request without a result.
@@ -92,6 +99,8 @@
 		shares:        make(map[string]*share.Table),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
+		domainStates:  make(map[string]map[string]*domainState),
+		lastCrossings: make(map[domainPair]time.Time),
 	}
 }
 
@@ -145,6 +154,7 @@
 		}
 		s.replica = r
 		p.updateEvacuated(s)
+		s.domain = p.domainStateOf(now, r.Service, r.FailureDomain)
 	}
 	for service, servers := range p.services {
 		for id := range servers {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -13,6 +13,7 @@
 	if j == nil || j.decoding {
 		return
 	}
+	p.learnWarmup(now, j)
 	p.learnSlowdown(now, j)
 	j.decoding = true
 	j.firstEvent = now
@@ -148,6 +149,7 @@
 		}
 	}
 	p.addJob(j)
+	p.recordCrossing(now, j)
 	switch {
 	case s.model == nil:
 		j.decoding = placement.Decoding
@@ -235,6 +237,7 @@
 	}
 	p.lastSweep = now
 	p.endWarmups(now)
+	p.forgetSlowdowns()
 	for _, j := range p.jobs {
 		if now.After(j.expires) {
 			p.removeJob(now, j)
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -28,6 +28,8 @@
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
 	Workspace        string        `cbor:"18,keyasint,omitempty"` // whose request it is; empty if the host doesn't say
 	AllowedRegions   []string      `cbor:"30,keyasint,omitempty"` // regions whose replicas may get it; none for all
+	FailureDomain    string        `cbor:"21,keyasint,omitempty"` // of Host, if it prefers servers there; empty if it doesn't
+	Bytes            int           `cbor:"22,keyasint,omitempty"` // expected bytes of body and response
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
