--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,7 @@
 	reused        bool         // the connection has carried earlier calls
 	writtenBefore int64        // bytes of these
 	written       int64        // bytes of this call, once the exchange has ended
+	read          atomic.Int64 // bytes of the body of the response that were read
 }
 
 // Transmission says what was sent of a call, and how.
@@ -32,11 +34,12 @@
 	Local   string // address of the connection at this host; "" if there was none
 	Reused  bool   // the connection has carried earlier calls
 	Written int64  // bytes of the request that the system has taken
+	Read    int64  // bytes of the body of the response that were read
 }
 
 // Transmission returns what was sent so far.
 func (x *Exchange) Transmission() Transmission {
-	return Transmission{Local: x.conn.net.LocalAddr().String(), Reused: x.reused, Written: x.bytesWritten()}
+	return Transmission{Local: x.conn.net.LocalAddr().String(), Reused: x.reused, Written: x.bytesWritten(), Read: x.read.Load()}
 }
 
 // bytesWritten returns the number of bytes of the call that the system has taken.
@@ -124,7 +127,9 @@
 	if x.resp.ContentLength == 0 {
 		return 0, io.EOF
 	}
-	return x.resp.Body.Read(b)
+	n, err := x.resp.Body.Read(b)
+	x.read.Add(int64(n))
+	return n, err
 }
 
 // Direct reports whether the exchange goes to the server without another host between.
--- a/internal/cli/gatewaytools_test.go
+++ b/internal/cli/gatewaytools_test.go
@@ -78,3 +78,13 @@
 		t.Errorf("exit code %d for a host that is down", code)
 	}
 }
+
+// Guards against a price that makes a host prefer other failure domains, or never leave its own.
+func TestInvalidCrossingPriceIsRejected(t *testing.T) {
+	for _, price := range []string{"-1", "NaN", "+Inf"} {
+		out, code := runProgram(t, "gateway", "--crossing-price", price)
+		if code != ExitUsage || !strings.Contains(out, "--crossing-price "+price) {
+			t.Errorf("price %s: exit code %d and\n%s", price, code, out)
+		}
+	}
+}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -37,8 +37,10 @@
 	ConnectHost func(ctx context.Context, address netip.AddrPort) (*net.TCPConn, error)
 	// OnChange is called when other backend servers than before can't be reached directly; once in checkInterval at most.
 	OnChange func()
-	Log      *eventlog.Log
-	Metrics  tally.Scope
+	// OnConnect, if not nil, is called with the time that each direct connection to a backend server took.
+	OnConnect func(server netip.AddrPort, took time.Duration)
+	Log       *eventlog.Log
+	Metrics   tally.Scope
 
 	paths   reach.Table
 	detours detour.Table
@@ -114,8 +116,12 @@
 	if connect == nil {
 		connect = netconn.Connect
 	}
+	began := steady.Now()
 	c, err := connect(dialCtx, server)
 	if err == nil {
+		if d.OnConnect != nil {
+			d.OnConnect(server, steady.Now().Sub(began))
+		}
 		d.connected(server)
 		return netconn.TCP{TCPConn: c}, nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/budget"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/crossing"
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
@@ -99,6 +100,7 @@
 	tunnels   *tunnel.Server
 	metrics   *metrics.Root
 	budget    *budget.Budget // retry budget
+	crossings *crossing.Meter
 	relay     *relay.Relay
 	ingress   *ingress.Ingress
 }
@@ -178,6 +180,8 @@
 	}
 	dialed := scope.Counter("backend_connections")
 	g.pool = &backend.Pool{Codec: g.HeaderCodec, Dialer: g.Dialer, OnDial: func() { dialed.Inc(1) }}
+	g.crossings = &crossing.Meter{FailureDomain: g.Settings.FailureDomain, Metrics: scope}
+	g.Dialer.OnConnect = g.recordConnect
 	payloads := &payload.Budget{Limit: int64(payloadShare * float64(g.Settings.MemoryBytes))}
 	g.relay = &relay.Relay{
 		Pool:          g.pool,
@@ -185,6 +189,7 @@
 		Memory:        g.Memory,
 		Budget:        g.budget,
 		Payloads:      payloads,
+		Crossings:     g.crossings,
 		Marker:        g.HeaderCodec,
 		Log:           g.Log,
 		Metrics:       scope,
@@ -196,6 +201,16 @@
 	g.ingress.Init()
 }
 
+// recordConnect records the time that a connection to a backend server took.
+func (g *Gateway) recordConnect(server netip.AddrPort, took time.Duration) {
+	for _, r := range g.cache.Replicas() {
+		if r.Address == server {
+			g.crossings.RecordConnect(r.FailureDomain, took)
+			return
+		}
+	}
+}
+
 // applyState passes the active configuration and replicas on to the components that use them.
 func (g *Gateway) applyState() {
 	var addresses []netip.AddrPort
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -38,6 +38,8 @@
 		WaitingRequests: g.placement.Waiting(),
 		Hosts:           g.placement.Members(),
 	}
+	s.Crossings.Requests, s.Crossings.Bytes = g.crossings.Totals()
+	s.Crossings.Price = g.CrossingPrice
 	if config, verifiedAt := g.cache.Active(); config != nil {
 		s.Configuration.Version = config.Version
 		s.Configuration.VerifiedAgeMS = steady.Now().Sub(verifiedAt).Milliseconds()
--- a/internal/placement/pending.go
+++ b/internal/placement/pending.go
@@ -54,6 +54,8 @@
 	req.Host = c.self().String()
 	if c.CrossingPrice > 0 {
 		req.FailureDomain = c.FailureDomain
+	} else {
+		req.Bytes, req.CrossingDelay = 0, 0
 	}
 	pending := newPendingRequest(req, requestedAt)
 	c.mu.Lock()
--- a/internal/planner/crossing.go
+++ b/internal/planner/crossing.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,7 +22,8 @@
 	reversalLoss = 0.5
 	reversalTime = 3 * time.Second
 	// The same for a call of a plain service, whose servers are compared by the share of their slots that is taken.
-	plainCrossingLoss    = 0.5
+	plainCrossingLoss = 0.5
+	// The delay of a request that crosses while its host doesn't know the round trips.
 	defaultCrossingDelay = 5 * time.Millisecond
 	// The unit of the price of bytes that cross.
 	bytesPerGB = 1e9
@@ -34,9 +36,9 @@
 // crossing is what it costs a request to use servers of other failure domains than its host's. Its zero value costs
 // nothing.
 type crossing struct {
-	domain string  // of the host; empty if it isn't known or the planner doesn't distinguish failure domains
-	bytes  float64 // cost of the bytes of the request if it crosses
-	delay  time.Duration
+	domain string        // of the host; empty if it isn't known or the planner doesn't distinguish failure domains
+	bytes  float64       // cost of the bytes of the request if it crosses
+	delay  time.Duration // by which the first event comes later
 	// By failure domain: the loss because it has itself sent requests to the host's, as a share of the value; nil for none.
 	reversals map[string]float64
 }
@@ -68,7 +70,7 @@
 		return crossing{}
 	}
 	return crossing{
-		domain: req.FailureDomain, bytes: p.crossingPrice * float64(req.Bytes) / bytesPerGB, delay: defaultCrossingDelay,
+		domain: req.FailureDomain, bytes: p.crossingPrice * float64(req.Bytes) / bytesPerGB, delay: cmp.Or(req.CrossingDelay, defaultCrossingDelay),
 		reversals: p.reversals(now, req),
 	}
 }
--- a/internal/planner/crossing_test.go
+++ b/internal/planner/crossing_test.go
@@ -95,6 +95,38 @@
 	}
 }
 
+// Failure: bytes or round trips that cost more than waiting in the host's own failure domain are ignored.
+func TestBytesAndDelayCountAgainstCrossing(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(req *Request)
+		want   string // failure domain
+	}{
+		{"near and small", func(*Request) {}, "a"},
+		{"many bytes", func(req *Request) { req.Bytes = 2e9 }, "b"},
+		{"long round trips", func(req *Request) { req.CrossingDelay = 400 * time.Millisecond }, "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newCrossingPlanner(12)
+			for _, s := range p.services["llm"] {
+				switch s.replica.FailureDomain {
+				case "b":
+					s.model.AddPrefill(start, passOf(340*time.Millisecond))
+				case "c":
+					s.refusedUntil = at(1000)
+				}
+			}
+			req := from("b", shortRequest(1))
+			req.FirstTarget = 385 * time.Millisecond
+			tt.change(&req)
+			if domain := mustPlan(t, p, start, req).Replica.FailureDomain; domain != tt.want {
+				t.Errorf("the request goes to %s, want %s", domain, tt.want)
+			}
+		})
+	}
+}
+
 // submitAt adds a request and returns what is decided at once.
 func submitAt(p *Planner, now time.Time, req Request) []Result {
 	p.Submit(now, req)
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -28,6 +28,7 @@
 	Resumed          bool          `cbor:"16,keyasint,omitempty"` // the caller has received a part of the response
 	FailureDomain    string        `cbor:"21,keyasint,omitempty"` // of Host, if it prefers servers there; empty if it doesn't
 	Bytes            int           `cbor:"22,keyasint,omitempty"` // expected bytes of body and response
+	CrossingDelay    time.Duration `cbor:"23,keyasint,omitempty"` // by how much a round trip to another failure domain is longer; 0 if unknown
 }
 
 // Helper is a helper replica: it prefills a part of a prompt for the primary replica.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -142,6 +142,8 @@
 	}
 	if a.exchange != nil {
 		a.exchange.Abort()
+		sent := a.exchange.Transmission()
+		a.relay.Crossings.Record(a.call.Service, a.placement.Plan.Replica.FailureDomain, sent.Written, sent.Read)
 	}
 	if a.releaseMemory != nil {
 		a.releaseMemory()
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -22,6 +22,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/budget"
 	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/crossing"
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/payload"
@@ -117,8 +118,8 @@
 	return &relay.Relay{
 		Pool: &backend.Pool{Codec: platform.HeaderCodec{}, Dialer: &dialer.Dialer{}}, PlannerClient: p, Memory: noMemory{},
 		Budget:   &budget.Budget{Ratio: 10, Slack: 1e6, Window: time.Second, Hosts: func() int { return 1 }},
-		Payloads: &payload.Budget{},
-		Marker:   platform.HeaderCodec{}, Log: eventlog.New(out, "h"), Metrics: scope,
+		Payloads: &payload.Budget{}, Crossings: &crossing.Meter{Metrics: scope},
+		Marker: platform.HeaderCodec{}, Log: eventlog.New(out, "h"), Metrics: scope,
 	}
 }
 
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -56,6 +56,8 @@
 		UntilDisconnect:  untilDisconnect,
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
+		Bytes:            t.relay.Crossings.ExpectedBytes(c.Service, len(c.Body)),
+		CrossingDelay:    t.relay.Crossings.Delay(),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/budget"
 	"github.com/turmericshunt/turmericshunt/internal/call"
+	"github.com/turmericshunt/turmericshunt/internal/crossing"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/pause"
 	"github.com/turmericshunt/turmericshunt/internal/payload"
@@ -60,6 +61,7 @@
 	Memory        MemoryReserver
 	Budget        *budget.Budget
 	Payloads      *payload.Budget // of responses that are read as a whole
+	Crossings     *crossing.Meter
 	Marker        ResponseMarker
 	Log           *eventlog.Log
 	Metrics       tally.Scope
--- a/pkg/hoststatus/status.go
+++ b/pkg/hoststatus/status.go
@@ -18,6 +18,7 @@
 	IsPlanner       bool             `json:"plans_here"`     // whether this host plans for itself, perhaps for others too
 	WaitingRequests int              `json:"asks_waiting"`   // number of placement requests waiting at this host's planner
 	Hosts           []netip.AddrPort `json:"hosts"`          // peer addresses of the hosts that it knows, its own first
+	Crossings       Crossings        `json:"crossings"`      // its traffic to other failure domains
 	Configuration   Configuration    `json:"configuration"`  // the active configuration
 	Replicas        []Replica        `json:"replicas"`       // the active replicas
 }
@@ -28,6 +29,13 @@
 	VerifiedAgeMS int64 `json:"proof_age_ms"` // time since the configuration was last verified to be the newest, in ms
 }
 
+// Crossings is the traffic of a host to servers of other failure domains since it started.
+type Crossings struct {
+	Requests int64   `json:"requests"`
+	Bytes    int64   `json:"bytes"`        // of requests and bodies of responses
+	Price    float64 `json:"price_per_gb"` // value of a request per GB; 0 if the host doesn't distinguish failure domains
+}
+
 // Replica is an active replica: a backend server that the host may send requests to.
 type Replica struct {
 	ID            string         `json:"id"`
@@ -45,6 +53,8 @@
 	fmt.Fprintf(t, "planner\t%s\n", s.planner())
 	fmt.Fprintf(t, "configuration\tversion %d, known to be the newest %d ms ago\n", s.Configuration.Version,
 		s.Configuration.VerifiedAgeMS)
+	fmt.Fprintf(t, "crossings\t%d requests to other failure domains, %d bytes, price %g per GB\n", s.Crossings.Requests,
+		s.Crossings.Bytes, s.Crossings.Price)
 	fmt.Fprintf(t, "hosts\t%d\n", len(s.Hosts))
 	for _, h := range s.Hosts {
 		fmt.Fprintf(t, "\t%s\n", h)
--- a/pkg/hoststatus/status_test.go
+++ b/pkg/hoststatus/status_test.go
@@ -15,6 +15,7 @@
 	s := hoststatus.Status{
 		Host: "front-1", FailureDomain: "a", Version: "1.2.0", Ready: true, InFlight: 7, Planner: self, IsPlanner: true,
 		WaitingRequests: 2, Hosts: []netip.AddrPort{self, netip.MustParseAddrPort("10.2.0.4:8001")},
+		Crossings:     hoststatus.Crossings{Requests: 3, Bytes: 4100, Price: 2.5},
 		Configuration: hoststatus.Configuration{Version: 12, VerifiedAgeMS: 340},
 		Replicas: []hoststatus.Replica{
 			{ID: "i-1", Service: "llm", FailureDomain: "a", Address: netip.MustParseAddrPort("10.1.1.1:8100")},
