--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -60,6 +60,8 @@
 		Resumed:          t.events.forwarded > 0,
 		Workspace:        c.Workspace,
 		AllowedRegions:   c.AllowedRegions,
+		Bytes:            t.relay.Crossings.ExpectedBytes(c.Service, len(c.Body)),
+		CrossingDelay:    t.relay.Crossings.Delay(),
 	}
 }
 
