--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := $(shell $(GO) env GOPATH)/bin
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: build deploy check measure demo bench proofs soak soak-seeds soak-short fuzz fmt lint vet test model tools spin clean
+.PHONY: build deploy check measure demo bench proofs soak soak-seeds soak-short overload fuzz fmt lint vet test model tools spin clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -14,7 +14,7 @@
 	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
 
 # Runs every check with the same verdict each time.
-check: lint vet build deploy test model measure soak-short
+check: lint vet build deploy test overload model measure soak-short
 
 $(LINT):
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
@@ -28,6 +28,7 @@
 	$(LINT) fmt --diff
 	$(LINT) run
 	$(LINT) run --build-tags soak ./internal/soak/...
+	$(LINT) run --build-tags overload ./internal/overload/...
 
 vet:
 	$(GO) vet ./...
@@ -35,6 +36,10 @@
 test:
 	scripts/test
 
+# Runs the crowds of callers that don't keep to the limits, one at a time.
+overload:
+	scripts/overload
+
 # Compares the measurements with their targets.
 measure: build
 	scripts/bench
