--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -22,6 +22,8 @@
 	HTTP *http.Server // must be set before Serve; its ConnState is the Server's own
 	// FirstRequestTime is how long Stop waits for the first requests on connections that it has accepted.
 	FirstRequestTime time.Duration
+	// ConnState, if not nil, is called as that of http.Server. It must be set before Serve.
+	ConnState func(net.Conn, http.ConnState)
 
 	mu       sync.Mutex
 	listener *queueListener
@@ -54,8 +56,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closing = true
-	tcp, ok := l.Listener.(*net.TCPListener)
-	if !ok || tcp.SetDeadline(time.Now().Add(queueTime)) != nil {
+	limited, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok || limited.SetDeadline(time.Now().Add(queueTime)) != nil {
 		_ = l.Close()
 	}
 }
@@ -84,6 +86,9 @@
 
 // track records on which connections no request has been read yet.
 func (s *Server) track(c net.Conn, state http.ConnState) {
+	if s.ConnState != nil {
+		s.ConnState(c, state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
 	"github.com/turmericshunt/turmericshunt/internal/ingress"
+	"github.com/turmericshunt/turmericshunt/internal/intake"
 	"github.com/turmericshunt/turmericshunt/internal/metrics"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/payload"
@@ -39,8 +40,6 @@
 	sweepInterval = time.Second
 	// memoryLimitShare is the Go runtime's soft memory limit as a share of the host's memory.
 	memoryLimitShare = 0.75
-	// payloadShare is the share of the host's memory that the payloads of requests and responses may take together.
-	payloadShare = 0.5
 	// minStopTime is how long a stopping host keeps its listener open at least, so that the load balancer notices that
 	// the host is not ready before its connections are refused. It is as long as the stoppingTime of package ingress,
 	// after which requests are refused.
@@ -95,6 +94,7 @@
 	pool      *backend.Pool
 	tunnels   *tunnel.Server
 	metrics   *metrics.Root
+	accounts  []namedAccount
 	budget    *budget.Budget // retry budget
 	relay     *relay.Relay
 	ingress   *ingress.Ingress
@@ -116,7 +116,7 @@
 // Run serves until ctx ends, then stops the host gracefully and returns nil. It returns an *Error if it can't listen
 // on an address, or as soon as a server or background loop fails.
 func (g *Gateway) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(g.Settings.MemoryBytes)))
+	debug.SetMemoryLimit(runtimeLimit(g.Settings.MemoryBytes))
 	g.initComponents()
 	defer g.metrics.Close()
 	g.Log.Event("host_started", slog.String("version", g.Version), slog.String("failure_domain", g.Settings.FailureDomain),
@@ -165,6 +165,7 @@
 	g.Dialer.Log, g.Dialer.Metrics, g.Dialer.OnChange = g.Log, scope, g.placement.PathsChanged
 	g.tunnels = &tunnel.Server{Connect: g.Dialer.DialForOther, Allowed: g.takesRequests, Metrics: scope}
 	g.placement.ServeTunnel = g.tunnels.Serve
+	g.placement.Newcomers = g.newAccount("peers", newcomerBytes, newcomerConnections)
 	g.placement.Init()
 	g.cache.MaxAge = g.placement.MaxStateAge
 	g.cache.OnChange = g.applyState
@@ -173,7 +174,8 @@
 	}
 	dialed := scope.Counter("backend_connections")
 	g.pool = &backend.Pool{Codec: g.HeaderCodec, Dialer: g.Dialer, OnDial: func() { dialed.Inc(1) }}
-	payloads := &payload.Budget{Limit: int64(payloadShare * float64(g.Settings.MemoryBytes))}
+	callers := g.newCallersAccount()
+	payloads := &payload.Budget{Limit: largePayloadBytes(callers.Bytes), Responses: callers}
 	g.relay = &relay.Relay{
 		Pool:          g.pool,
 		PlannerClient: g.placement,
@@ -186,6 +188,7 @@
 	}
 	g.ingress = &ingress.Ingress{
 		Cache: g.cache, Relay: g.relay, Decoder: g.HeaderCodec, Payloads: payloads, Log: g.Log, Metrics: scope,
+		Account: callers, Fields: g.Settings.HeaderFields,
 	}
 	g.ingress.SetRevocationTime(g.Settings.RevocationTime)
 	g.ingress.Init()
@@ -211,33 +214,27 @@
 // addServers adds to group the servers for callers, for the load balancer's readiness checks and, if the settings
 // have a metrics address, for monitoring. It returns an *Error if the host can't listen on an address.
 func (g *Gateway) addServers(group *run.Group) error {
-	callers, err := listen(g.Settings.CallerAddress, nil)
+	callers, err := listen(g.Settings.CallerAddress, intake.Control)
 	if err != nil {
 		return err
 	}
 	group.Add(func() error { return g.ingress.Run(callers) }, func(error) { _ = callers.Close() })
-	ready, err := listen(g.Settings.ReadinessAddress, netconn.SetUserTimeout)
+	ready, err := listen(g.Settings.ReadinessAddress, controlBounded)
 	if err != nil {
 		return err
 	}
-	addServer(group, ready, http.HandlerFunc(g.serveReady))
+	g.addBoundedServer(group, ready, http.HandlerFunc(g.serveReady), "readiness", checkConnections)
 	if !g.Settings.MetricsAddress.IsValid() {
 		return nil
 	}
-	monitoring, err := listen(g.Settings.MetricsAddress, netconn.SetUserTimeout)
+	monitoring, err := listen(g.Settings.MetricsAddress, controlBounded)
 	if err != nil {
 		return err
 	}
-	addServer(group, monitoring, g.monitoringHandler())
+	g.addBoundedServer(group, monitoring, g.monitoringHandler(), "metrics", metricConnections)
 	return nil
 }
 
-// addServer adds to group a server that serves h on l.
-func addServer(group *run.Group, l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	group.Add(func() error { return server.Serve(l) }, func(error) { _ = server.Close() })
-}
-
 // addLoops adds to group the loops that run in the background: exchange with peers, updates from the store, discovery
 // of hosts, closing of idle connections and reloads of the settings. They run until ctx ends; the group calls cancel,
 // which must end ctx, to stop them. addLoops returns an *Error if the host can't listen for peers.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -37,6 +37,7 @@
 		IsPlanner:       g.placement.IsPlanner(),
 		WaitingRequests: g.placement.Waiting(),
 		Hosts:           g.placement.Members(),
+		Holdings:        g.holdings(),
 	}
 	if config, verifiedAt := g.cache.Active(); config != nil {
 		s.Configuration.Version = config.Version
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,24 +15,30 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericshunt/turmericshunt/internal/account"
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/drain"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/intake"
 	"github.com/turmericshunt/turmericshunt/internal/payload"
 	"github.com/turmericshunt/turmericshunt/internal/relay"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
 const (
-	// Limits for callers. Of these, the configuration can replace only defaultMaxBody. Idle connections are kept open
+	// Limits for callers. Of these, the configuration can replace maxHeaderBytes and defaultMaxBody. Idle connections are kept open
 	// for longer than callers use them.
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 64 << 10
+	headSlack      = 4 << 10 // bytes that a head may have over the limit, as with net/http
 	defaultMaxBody = 4 << 20 // bytes, if the configuration sets no limit
 	maxDiscard     = 8 << 20 // bytes of a body over the limit that are read and dropped before the response
 	bodyTimeout    = 10 * time.Second
+	// workBytes is what a request takes beside its head and body while a replica works on it: stacks and buffers of its
+	// goroutines, and its placement.
+	workBytes = 48 << 10
 	// Retry-After times of refusals: configuration missing or not verified recently enough, host stopping, and no memory for
 	// the body.
 	retryUnverified = 500 * time.Millisecond
@@ -64,7 +70,9 @@
 	Cache    Configurations
 	Relay    *relay.Relay
 	Decoder  Decoder
-	Payloads *payload.Budget // of requests
+	Payloads *payload.Budget  // of requests
+	Account  *account.Account // of what callers make the host hold; nil for no limits
+	Fields   int              // header fields of a request at most; 0 means as many as the header's size allows
 	Log      *eventlog.Log
 	Metrics  tally.Scope
 
@@ -79,6 +87,12 @@
 
 // Run serves callers on listener until Stop is called; it returns nil in that case.
 func (g *Ingress) Run(listener net.Listener) error {
+	if g.Account != nil {
+		bounded := &intake.Listener{Listener: listener, Account: g.Account, Limits: g.headLimits}
+		g.server.ConnState = bounded.ConnState
+		g.server.HTTP.ConnContext = intake.ConnContext
+		listener = bounded
+	}
 	err := g.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -89,7 +103,7 @@
 // Init creates the server. It must be called before Run.
 func (g *Ingress) Init() {
 	g.server = &drain.Server{FirstRequestTime: firstRequestTime, HTTP: &http.Server{
-		Handler:           g,
+		Handler:           g.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -97,6 +111,24 @@
 	}}
 }
 
+// handler returns the handler of the server.
+func (g *Ingress) handler() http.Handler {
+	if g.Account == nil {
+		return g
+	}
+	return intake.Handler(g)
+}
+
+// headLimits returns the limits of a head by the active configuration.
+func (g *Ingress) headLimits() intake.Limits {
+	limits := intake.Limits{HeaderBytes: maxHeaderBytes, Fields: g.Fields}
+	if config, _ := g.Cache.Active(); config != nil && config.Limits.MaxHeaderBytes > 0 {
+		limits.HeaderBytes = config.Limits.MaxHeaderBytes
+	}
+	limits.HeaderBytes += headSlack
+	return limits
+}
+
 // serverErrorLog writes the messages of net/http, including panics with their stacks, to the log.
 type serverErrorLog struct{ log *eventlog.Log }
 
@@ -144,10 +176,16 @@
 		return
 	}
 	config, verifiedAt := g.Cache.Active()
+	entry := intake.ConnOf(r.Context()).Entry()
 	if !g.admit(w, c, config, verifiedAt) || !g.readBody(w, r, c, config.Limits) {
 		return
 	}
-	defer g.Payloads.Release(c.Body)
+	defer g.Payloads.ReleaseFor(entry, c.Body)
+	if !entry.Work(workBytes) {
+		g.refuse(w, c, retryNoMemory, "no memory for the request", slog.Int64("payload_bytes", g.Payloads.Used()))
+		return
+	}
+	defer entry.EndWork(workBytes)
 	g.Relay.Serve(r.Context(), w, c)
 }
 
@@ -222,7 +260,7 @@
 	// If the connection has no read deadlines, the caller's timeout still limits the call.
 	_ = controller.SetReadDeadline(time.Now().Add(min(bodyTimeout, c.CallerTimeout)))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := g.Payloads.Read(r.Body, r.ContentLength, limit)
+	body, err := g.Payloads.ReadFor(intake.ConnOf(r.Context()).Entry(), r.Body, r.ContentLength, limit)
 	if err == nil {
 		c.Body = body
 		return true
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,6 +22,8 @@
 	maxFrameBytes = 16 << 20
 	// The length of a frame's header, which is the length of the payload as a big-endian integer.
 	headerBytes = 4
+	// The bytes of a newcomer's frame that are read at first. The memory for more grows with what has come.
+	newcomerBytes = 64 << 10
 	// The size of the read buffer of a link.
 	readBufferBytes = 2 << 10
 	// The link is closed if writing one frame takes longer than this.
@@ -30,8 +32,17 @@
 	readTimeout = 8 * time.Second
 )
 
+// Newcomer counts what a connection holds on which no valid message has come, which is *account.Entry.
+type Newcomer interface {
+	Take(bytes int64) bool
+	Close()
+}
+
 // Link is a connection to another entry host.
 type Link struct {
+	// Newcomer, if not nil, counts the first frame, and is closed once its message has been decoded. It must be set before Run.
+	Newcomer Newcomer
+
 	conn   net.Conn
 	queue  chan []byte   // frames to write
 	closed chan struct{} // closed when the link ends
@@ -105,6 +116,10 @@
 			l.fail(err)
 			return l.err
 		}
+		if l.Newcomer != nil {
+			l.Newcomer.Close()
+			l.Newcomer = nil
+		}
 		handle(m)
 	}
 }
@@ -121,9 +136,9 @@
 	if size > maxFrameBytes {
 		return nil, &Error{Op: "read", Kind: KindInvalid, Err: errors.Errorf("frame too long: %d bytes", size)}
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(reader, payload); err != nil {
-		return nil, &Error{Op: "read", Kind: KindBroken, Err: err}
+	payload, err := l.readPayload(reader, int(size))
+	if err != nil {
+		return nil, err
 	}
 	m, err := Decode(payload)
 	if err != nil {
@@ -132,6 +147,31 @@
 	return m, nil
 }
 
+// readPayload reads the payload of a frame. A newcomer's is read in steps, each twice the one before, so that it takes memory for what
+// has come and not for what it announces.
+func (l *Link) readPayload(reader io.Reader, size int) ([]byte, error) {
+	step := size
+	if l.Newcomer != nil {
+		step = min(size, newcomerBytes)
+	}
+	payload := make([]byte, 0, step)
+	for {
+		if l.Newcomer != nil && !l.Newcomer.Take(int64(step-len(payload))) {
+			return nil, &Error{Op: "read", Kind: KindInvalid, Err: errors.New("no memory for the first frame")}
+		}
+		n, err := io.ReadFull(reader, payload[len(payload):step])
+		payload = payload[:len(payload)+n]
+		if err != nil {
+			return nil, &Error{Op: "read", Kind: KindBroken, Err: err}
+		}
+		if len(payload) == size {
+			return payload, nil
+		}
+		step = min(2*step, size)
+		payload = append(make([]byte, 0, step), payload...)
+	}
+}
+
 // Decode decodes the payload of a frame. Its errors are of KindInvalid.
 func Decode(payload []byte) (*Message, error) {
 	m := new(Message)
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -50,6 +50,26 @@
 	return setOption(c, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 }
 
+// LimitReceiveBuffer sets the receive buffer of a socket before it listens; its connections inherit it. The kernel holds at most twice
+// as many bytes that nobody has read.
+func LimitReceiveBuffer(c syscall.RawConn, bytes int) error {
+	return setOption(c, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+}
+
+// UnreadBytes returns how many bytes the kernel has received on a connection and nobody has read.
+func UnreadBytes(c *net.TCPConn) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var n int
+	var ioctlErr error
+	if err := raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }); err != nil {
+		return 0, err
+	}
+	return n, ioctlErr
+}
+
 func setOption(c syscall.RawConn, level, option, value int) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), level, option, value) })
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericshunt/turmericshunt/internal/account"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
@@ -52,6 +53,8 @@
 	Paths   Paths // nil for a host without paths of its own
 	// ServeTunnel carries a connection of another host to a backend server until it ends.
 	ServeTunnel func(c *net.TCPConn)
+	// Newcomers, if not nil, bounds the accepted connections on which no valid message has come.
+	Newcomers *account.Account
 
 	mu             sync.Mutex
 	lastTick       time.Time // when tick was last called; zero before the first call
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericshunt/turmericshunt/internal/account"
 	"github.com/turmericshunt/turmericshunt/internal/link"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/planner"
@@ -22,6 +23,8 @@
 	acceptPause = 50 * time.Millisecond
 	// How long another host may take to send something on a connection that it has opened.
 	firstByteTimeout = 8 * time.Second
+	// What an accepted connection takes before its first message: its goroutine and buffers.
+	newcomerBytes = 16 << 10
 	// How often the local planner is polled while placement requests wait there.
 	pollInterval = 20 * time.Millisecond
 	// A connection to a host other than the planner is closed if tick has not chosen the host as a contact for this
@@ -105,6 +108,14 @@
 
 // serveAccepted serves a connection that another host has opened: a tunnel to a backend server, or one for messages.
 func (c *Client) serveAccepted(conn net.Conn) {
+	newcomer, ok := c.openNewcomer(conn)
+	if !ok {
+		_ = conn.Close()
+		return
+	}
+	if newcomer != nil {
+		defer newcomer.Close()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if ok && c.ServeTunnel != nil {
 		_ = tcp.SetReadDeadline(time.Now().Add(firstByteTimeout))
@@ -114,17 +125,33 @@
 			return
 		}
 		if first == tunnel.FirstByte {
+			if newcomer != nil {
+				newcomer.Close()
+			}
 			c.ServeTunnel(tcp)
 			return
 		}
 	}
 	p := &peerLink{link: link.New(conn)}
+	if newcomer != nil {
+		p.link.Newcomer = newcomer
+	}
 	c.mu.Lock()
 	c.inbound[p] = true
 	c.mu.Unlock()
 	c.serve(p)
 }
 
+// openNewcomer adds an accepted connection to Newcomers, if the client has it, and reports whether there is room for it.
+func (c *Client) openNewcomer(conn net.Conn) (*account.Entry, bool) {
+	if c.Newcomers == nil {
+		return nil, true
+	}
+	address, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
+	e := c.Newcomers.Open(address.Addr(), newcomerBytes, func() { _ = conn.Close() })
+	return e, e != nil
+}
+
 // serve handles the messages of a connection until it ends. When a host's newest accepted connection ends, the local
 // planner drops the requests of that host; when a connection that this host opened ends and tick has not removed it,
 // the other host counts as lost.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -20,6 +20,13 @@
 
 	CPUCores    float64 // CPU time that the host may use, in cores
 	MemoryBytes int64   // memory that the host may use
+	Descriptors int     // descriptors that the host may have open; 0 means no limit
+
+	// Limits on callers; 0 means the default.
+	CallerBytes                 int64 // what callers may make the host hold, in bytes
+	CallerConnections           int   // open connections of callers, and requests that replicas work on, at most
+	CallerConnectionsPerAddress int   // open connections from one address at most; by default no limit
+	HeaderFields                int   // header fields of a request at most; by default as many as its size allows
 
 	GracePeriod    time.Duration // from the request to stop until the process is killed
 	RevocationTime time.Duration // longest time that a revoked key remains usable; 0 means no limit
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,8 @@
 	closeTimeout = 2 * time.Second
 	// The maximum number of tunnels through one host.
 	maxTunnels = 256
+	// The maximum number of connections whose beginning is being read.
+	maxOpening = 32
 	// Bytes to the server that are copied at once.
 	copyBytes = 8 << 10
 )
@@ -35,6 +38,8 @@
 	Allowed func(server netip.AddrPort) bool
 	Metrics tally.Scope
 
+	opening atomic.Int64 // connections whose beginning is being read
+
 	mu       sync.Mutex
 	tunnels  map[*carried]bool
 	stopping bool
@@ -54,7 +59,12 @@
 func (s *Server) Serve(c *net.TCPConn) {
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(openTimeout))
+	if s.opening.Add(1) > maxOpening {
+		s.opening.Add(-1)
+		return
+	}
 	address, err := readHead(c)
+	s.opening.Add(-1)
 	if err != nil {
 		return
 	}
--- a/pkg/hoststatus/status.go
+++ b/pkg/hoststatus/status.go
@@ -20,6 +20,7 @@
 	Hosts           []netip.AddrPort `json:"hosts"`          // peer addresses of the hosts that it knows, its own first
 	Configuration   Configuration    `json:"configuration"`  // the active configuration
 	Replicas        []Replica        `json:"replicas"`       // the active replicas
+	Holdings        []Holding        `json:"holdings"`       // what callers make the host hold, by listener
 }
 
 // Configuration describes the active configuration.
@@ -37,6 +38,15 @@
 	Draining      bool           `json:"draining"` // whether it gets no new requests
 }
 
+// Holding is what the connections of one listener make the host hold. A limit of 0 means none.
+type Holding struct {
+	Listener         string `json:"listener"`
+	Bytes            int64  `json:"bytes"` // memory, and bytes that were received and not read
+	BytesLimit       int64  `json:"bytes_limit"`
+	Connections      int    `json:"connections"`
+	ConnectionsLimit int    `json:"connections_limit"`
+}
+
 // Print writes the status to w as a table for operators. It returns the first error of w.
 func (s *Status) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -57,6 +67,10 @@
 		}
 		fmt.Fprintf(t, "\t%s  %s  %s  %s%s\n", r.ID, r.Service, r.FailureDomain, r.Address, state)
 	}
+	for _, h := range s.Holdings {
+		fmt.Fprintf(t, "held by %s\t%d of %d bytes, %d of %d connections\n", h.Listener, h.Bytes, h.BytesLimit, h.Connections,
+			h.ConnectionsLimit)
+	}
 	return t.Flush()
 }
 
