--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericshunt/turmericshunt/internal/account"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/feed"
@@ -59,6 +60,8 @@
 	// A cold replica gets at most its service's rate times ColdOver, plus ColdSlack, requests from all hosts in any second.
 	ColdOver, ColdSlack float64
 	Regions             map[string]string // region of each failure domain that is known
+	// Newcomers, if not nil, bounds the accepted connections on which no valid message has come.
+	Newcomers *account.Account
 
 	mu             sync.Mutex
 	lastTick       time.Time // when tick was last called; zero before the first call
