--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -21,6 +21,8 @@
 	countInterval = 100 * time.Millisecond
 	// The largest number of bytes that the kernel holds unread for a connection; it gives twice the buffer asked for.
 	maxUnreadBytes = 2 * windowBytes
+	// Before its unread bytes are counted, no connection takes more than one in assumedParts of an account.
+	assumedParts = 16
 	// Retry-After of a head for which there is no memory.
 	retryNoMemory = time.Second
 	// minFieldBytes is the length of the shortest header field with its end.
@@ -83,17 +85,28 @@
 	if c.entry == nil {
 		return nil
 	}
+	if l.add(c) {
+		// Its buffer counts as full until it is counted: a crowd fills its buffers sooner than that.
+		l.Account.SetUnread(c.entry, min(maxUnreadBytes, l.Account.Bytes/assumedParts))
+		l.Account.Shed()
+	}
+	return c
+}
+
+// add adds a connection and reports whether unread bytes could exceed the account; they are counted then.
+func (l *Listener) add(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.connections == nil {
 		l.connections = make(map[*Conn]bool)
 	}
 	l.connections[c] = true
-	if !l.counting && l.mayExceed() {
+	short := l.mayExceed()
+	if short && !l.counting {
 		l.counting = true
 		go l.countUnread()
 	}
-	return c
+	return short
 }
 
 func (c *Conn) address() netip.Addr {
