--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -37,6 +37,7 @@
 		IsPlanner:       g.placement.IsPlanner(),
 		WaitingRequests: g.placement.Waiting(),
 		Hosts:           g.placement.Members(),
+		Holdings:        g.holdings(),
 	}
 	s.Crossings.Requests, s.Crossings.Bytes = g.crossings.Totals()
 	s.Crossings.Price = g.CrossingPrice
