--- a/internal/overload/table_test.go
+++ b/internal/overload/table_test.go
@@ -1,20 +1,18 @@
-//go:build overload
+//go:build overload && table
 
 package overload
 
 import (
-	"os"
-	"strconv"
+	"flag"
 	"testing"
 )
 
-// TestTable measures the table of docs/design/intake.md at a host of 136 MB. It runs only if the variable CONNECTIONS says with how many
-// connections, and sets no bound but the host's memory.
+var connections = flag.Int("connections", 400, "connections of each crowd")
+
+// TestTable measures the table of docs/design/intake.md at a host of 136 MB. It has a build tag of its own, and sets no bound but
+// the host's memory.
 func TestTable(t *testing.T) {
-	n, _ := strconv.Atoi(os.Getenv("CONNECTIONS"))
-	if n <= 0 {
-		t.Skip("CONNECTIONS isn't set")
-	}
+	n := *connections
 	const memory = 136
 	for name, test := range map[string]struct {
 		ready bool
--- a/internal/planner/contention_test.go
+++ b/internal/planner/contention_test.go
@@ -82,7 +82,7 @@
 	refusals  int
 	left      bool // its caller has given up
 	placed    bool
-	events1   time.Duration // from arrival to the first event
+	first     time.Duration // from arrival to the first event
 	last      time.Time     // of its last event
 	pause     time.Duration // its longest
 	done      bool
@@ -102,7 +102,7 @@
 }
 
 func (r *prompt) inTime() bool {
-	return r.done && r.events1 <= r.class.firstTarget && r.pause <= r.class.pauseTarget
+	return r.done && r.first <= r.class.firstTarget && r.pause <= r.class.pauseTarget
 }
 
 // logbookArrivals returns the prompts of the phases by time of arrival. Workspace i has a weight of 1 over i+1.
@@ -210,7 +210,7 @@
 		return
 	}
 	if e.Number == 1 {
-		r.events1 = e.At.Sub(r.arrived) + logbookDelay
+		r.first = e.At.Sub(r.arrived) + logbookDelay
 		s.policy.started(now, r)
 	} else {
 		r.pause = max(r.pause, e.At.Sub(r.last))
