--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -236,8 +236,9 @@
 			maxColdStart)
 		return
 	}
+	neverCold := s.ColdStart != nil && *s.ColdStart == 0
 	switch {
-	case s.ColdRate == nil:
+	case s.ColdRate == nil, neverCold && *s.ColdRate == 0:
 	case *s.ColdRate <= 0:
 		i.add(EntryService, index, FieldColdRate, "service %q: a cold replica takes %g requests a second", s.Name, *s.ColdRate)
 	case s.ColdStart != nil && *s.ColdStart > 0 && *s.ColdRate*s.ColdStart.Seconds() < 1:
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -64,6 +64,10 @@
 		}, []Field{FieldRegions}},
 		{"unused service", func(d *Document) { d.Services = append(d.Services, Service{Name: "t"}) }, []Field{FieldNone}},
 		{"no cold requests", func(d *Document) { d.Services[0].ColdRate = &none }, []Field{FieldColdRate}},
+		{"never cold", func(d *Document) {
+			neverCold := time.Duration(0)
+			d.Services[0].ColdRate, d.Services[0].ColdStart = &none, &neverCold
+		}, nil},
 		{"negative cold time", func(d *Document) { d.Services[0].ColdStart = &negative }, []Field{FieldColdStart}},
 		{"long cold time", func(d *Document) { d.Services[0].ColdStart = &long }, []Field{FieldColdStart}},
 		{"no key", func(d *Document) { d.Workspaces[0].Keys = nil }, []Field{FieldKeys}},
