--- a/internal/placement/change_test.go
+++ b/internal/placement/change_test.go
@@ -139,8 +139,10 @@
 func TestPlannerThatIsLeftDropsRequests(t *testing.T) {
 	host, first, _, _ := newFleet(t)
 	results := queueOrder(t, host, first)
+	first.mu.Lock()
+	first.Roster.SetStopping() // which it also says in its reply to the heartbeat with which the host leaves it
+	first.mu.Unlock()
 	stopping := first.Roster.Self()
-	stopping.Stopping = true
 	host.mu.Lock()
 	host.Roster.RecordHeartbeat(steady.Now(), stopping)
 	host.choosePlanner(steady.Now())
