--- a/internal/planner/crossing_test.go
+++ b/internal/planner/crossing_test.go
@@ -211,6 +211,23 @@
 	}
 }
 
+// Failure: while only requests with allowed regions come, the failure domains of other regions count as absent, and get few
+// requests for the time of a ramp after it.
+func TestAllowedRegionsShowNoAbsence(t *testing.T) {
+	p := newCrossingPlanner(12)
+	p.SetRegions(map[string]string{"a": "north", "b": "south", "c": "south"})
+	submitAt(p, at(0), from("a", shortRequest(0)))
+	for ms := 100; ms < 3000; ms += 100 {
+		req := from("a", shortRequest(ms))
+		req.AllowedRegions = []string{"north"}
+		submitAt(p, at(ms), req)
+	}
+	submitAt(p, at(3000), from("c", shortRequest(3000)))
+	if p.domainStates["llm"]["c"].ramping(at(3000)) {
+		t.Error("a failure domain counts as absent for which no request came")
+	}
+}
+
 // Failure: calls of a plain service, whose replicas take them in milliseconds, go to all failure domains alike. They stay in that
 // of their host until much more of its slots is taken than elsewhere, and then leave it in part.
 func TestPlainCallsStayUntilSlotsAreShort(t *testing.T) {
--- a/internal/planner/ramp.go
+++ b/internal/planner/ramp.go
@@ -65,7 +65,7 @@
 }
 
 // observeDomains records which failure domains have servers that a request may use, and reports whether one of them has
-// returned less than rampTime ago. A request that excludes replicas doesn't show that a failure domain is absent.
+// returned less than rampTime ago. A request that excludes replicas or regions doesn't show that a failure domain is absent.
 func (p *Planner) observeDomains(now time.Time, req *Request, servers []*server) bool {
 	p.lookups++
 	for _, s := range servers {
@@ -76,7 +76,7 @@
 	}
 	ramping := false
 	for _, state := range p.domainStates[req.Service] {
-		state.observe(now, state.lookup == p.lookups, len(req.ExcludedReplicas) == 0)
+		state.observe(now, state.lookup == p.lookups, len(req.ExcludedReplicas) == 0 && len(req.AllowedRegions) == 0)
 		ramping = ramping || state.ramping(now)
 	}
 	return ramping
