--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-2/standin2 ./review/_standin2
+go build -o target/review-2/standin3 ./review/_standin3
