feed: changes of the replicas are logged with their source and the age of the read

Whether a replica without an entry comes from this host's own read after a pause or from another host's list could not be told from the logs. replica_* events now name the source and the age of the read, and replica_kept says that a replica was kept without an entry. The tests of an outage want exactly these changes where they wanted none.

--- a/internal/feed/evacuation.go
+++ b/internal/feed/evacuation.go
@@ -174,5 +174,5 @@
 // earlier versions send none.
 func (c *Cache) importEvacuations(base time.Time, s State) {
 	at := revision.New(s.EvacuationEra, s.EvacuationRevision)
-	c.takeEvacuations(evacuation.New(s.Evacuated, at, base.Add(s.EvacuationRead)), "peer")
+	c.takeEvacuations(evacuation.New(s.Evacuated, at, base.Add(s.EvacuationRead)), sourcePeer)
 }
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -190,9 +190,9 @@
 			return
 		}
 		doc.Data = data
-		c.applyDocument(doc, base.Add(s.ConfigVerified), "peer")
+		c.applyDocument(doc, base.Add(s.ConfigVerified), sourcePeer)
 	case doc.Revision == c.document.Revision:
-		c.applyDocument(doc, base.Add(s.ConfigVerified), "peer")
+		c.applyDocument(doc, base.Add(s.ConfigVerified), sourcePeer)
 	}
 }
 
@@ -212,20 +212,20 @@
 	switch {
 	case s.ReplicaRevision == 0 || !newer:
 	case s.HasReplicas:
-		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, s.Replicas))
+		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, s.Replicas), sourcePeer)
 	case s.ReplicaData != nil:
 		replicas, err := unpackReplicas(s.ReplicaData)
 		if err != nil {
 			c.Log.Warn("replicas_unreadable", slog.String("error", err.Error()))
 			return
 		}
-		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, replicas))
+		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, replicas), sourcePeer)
 	case s.ReplicaDelta != nil:
 		if changes, ok := c.replicaList.Apply(readAt, s.ReplicaDelta); ok {
-			c.setReplicas(readRevision, readAt, changes)
+			c.setReplicas(readRevision, readAt, changes, sourcePeer)
 		}
 	case s.ReplicaDigest == c.replicaDigest:
 		c.replicaList.ConfirmRead(readAt)
-		c.setReplicas(readRevision, readAt, nil)
+		c.setReplicas(readRevision, readAt, nil, sourcePeer)
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,6 +34,13 @@
 	rewriteTime = 2 * time.Second
 )
 
+// What a host has learnt something from, as logs name it.
+const (
+	sourceStore        = "store"
+	sourcePeer         = "peer"
+	sourceAnnouncement = "announcement" // of a replica that leaves
+)
+
 // Document is a configuration document as read from the store.
 type Document struct {
 	Data     []byte
@@ -232,8 +239,8 @@
 	defer c.mu.Unlock()
 	c.observeRead(c.now(), doc.Revision.Era)
 	evacuated.ReadAt = startedAt
-	c.takeEvacuations(evacuated, "store")
-	c.applyDocument(doc, c.verifiedBy(startedAt), "store")
+	c.takeEvacuations(evacuated, sourceStore)
+	c.applyDocument(doc, c.verifiedBy(startedAt), sourceStore)
 	return nil
 }
 
@@ -326,16 +333,16 @@
 	if readRevision.Compare(c.replicaRevision) < 0 {
 		return false
 	}
-	c.setReplicas(readRevision, readAt, c.replicaList.Update(readAt, replicas))
+	c.setReplicas(readRevision, readAt, c.replicaList.Update(readAt, replicas), sourceStore)
 	return true
 }
 
 // setReplicas records that the list of replicas is that of a read at the given revision and time, and applies the changes
 // that the read has made to the list.
-func (c *Cache) setReplicas(readRevision revision.Revision, readAt time.Time, changes []replica.Change) {
+func (c *Cache) setReplicas(readRevision revision.Revision, readAt time.Time, changes []replica.Change, source string) {
 	c.replicaRevision = readRevision
 	c.replicasReadAt = readAt
-	c.applyChanges(changes)
+	c.applyChanges(changes, source)
 }
 
 // MarkLeaving marks the replica with the given id, if it started at born, as leaving, and reports whether that is new.
@@ -344,7 +351,7 @@
 	defer c.mu.Unlock()
 	change, ok := c.replicaList.MarkLeaving(c.now(), id, born)
 	if ok {
-		c.applyChanges([]replica.Change{change})
+		c.applyChanges([]replica.Change{change}, sourceAnnouncement)
 	}
 	return ok
 }
@@ -364,8 +371,9 @@
 	return ok && known.Born == r.Born && known.Leaving
 }
 
-// applyChanges makes the list of replicas active after an update of the list, and logs the changes.
-func (c *Cache) applyChanges(changes []replica.Change) {
+// applyChanges makes the list of replicas active after an update of the list, and logs the changes with what this host has
+// learnt them from.
+func (c *Cache) applyChanges(changes []replica.Change, source string) {
 	if len(changes) == 0 {
 		return
 	}
@@ -375,7 +383,8 @@
 	for _, change := range changes {
 		c.Log.Event("replica_"+string(change.Kind), slog.String("replica", change.Replica.ID),
 			slog.String("service", change.Replica.Service), slog.String("address", change.Replica.Address.String()),
-			slog.Int64("revision", c.replicaRevision.Number))
+			slog.Int64("revision", c.replicaRevision.Number), slog.String("source", source),
+			eventlog.Milliseconds("read_age_ms", c.now().Sub(c.replicasReadAt)))
 	}
 	c.logUnknownEvacuated()
 	c.notifyChanged()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -107,7 +107,7 @@
 	now := steady.Now()
 	c.applyDocument(document(5, 50), now, "store")
 	c.replicasReadAt = now
-	c.applyChanges(c.replicaList.Update(now, []replica.Replica{{ID: "a"}}))
+	c.applyChanges(c.replicaList.Update(now, []replica.Replica{{ID: "a"}}), sourceStore)
 	s := c.Export(now, c.Versions())
 	if s.ConfigData != nil || s.HasReplicas || s.Replicas != nil {
 		t.Errorf("exported what the peer has: %+v", s)
@@ -193,7 +193,7 @@
 		}
 		from.replicaRevision = revision.New(0, int64(step+1))
 		from.replicasReadAt = now
-		from.applyChanges(from.replicaList.Update(now, replicas))
+		from.applyChanges(from.replicaList.Update(now, replicas), sourceStore)
 		from.applyDocument(Document{
 			Data:     []byte(strconv.Itoa(step+1) + strings.Repeat(" ", 5000)),
 			Revision: revision.New(0, int64(step+1)),
@@ -215,11 +215,11 @@
 	now := steady.Now()
 	from.replicaRevision = revision.New(0, 1)
 	from.replicasReadAt = now
-	from.applyChanges(from.replicaList.Update(now, []replica.Replica{{ID: "a"}}))
+	from.applyChanges(from.replicaList.Update(now, []replica.Replica{{ID: "a"}}), sourceStore)
 	from.applyDocument(document(5, 50), now, "store")
 	before := from.Versions()
 	from.replicasReadAt = now.Add(time.Second)
-	from.applyChanges(from.replicaList.Update(now.Add(time.Second), []replica.Replica{{ID: "a"}, {ID: "b"}}))
+	from.applyChanges(from.replicaList.Update(now.Add(time.Second), []replica.Replica{{ID: "a"}, {ID: "b"}}), sourceStore)
 	from.applyDocument(document(6, 60), now, "store")
 	s := from.Export(now, before)
 	if s.ConfigPatch == nil || s.ReplicaDelta == nil {
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -57,6 +57,7 @@
 	ChangeNew      ChangeKind = "new"
 	ChangeDraining ChangeKind = "draining" // started to drain or announced that it leaves
 	ChangeUpdated  ChangeKind = "moved"    // any other field changed
+	ChangeKept     ChangeKind = "kept"     // it has no entry any more, which may have expired during an outage of the store
 	ChangeGone     ChangeKind = "gone"
 )
 
@@ -134,7 +135,14 @@
 		}
 	}
 	for id, r := range l.replicas {
-		if seen[id] || l.mayBeRenewed(now, id) {
+		_, kept := l.missing[id]
+		if seen[id] {
+			continue
+		}
+		if l.mayBeRenewed(now, id) {
+			if !kept {
+				changes = append(changes, Change{Replica: r, Kind: ChangeKept})
+			}
 			continue
 		}
 		delete(l.replicas, id)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -40,8 +40,8 @@
 	l := NewList()
 	l.Update(start, []Replica{{ID: "a"}, {ID: "b"}})
 	outageEnd := start.Add(5 * time.Second)
-	if changes := l.Update(outageEnd, nil); len(changes) != 0 {
-		t.Errorf("changes at the first read after the outage: %v", kinds(changes))
+	if got := kinds(l.Update(outageEnd, nil)); len(got) != 2 || got["a"] != ChangeKept || got["b"] != ChangeKept {
+		t.Errorf("changes at the first read after the outage: %v, want a and b kept", got)
 	}
 	if changes := l.Update(outageEnd.Add(time.Second), []Replica{{ID: "a"}}); len(changes) != 0 {
 		t.Errorf("changes a second later: %v", kinds(changes))
@@ -99,8 +99,8 @@
 	l.Update(now, []Replica{{ID: "a", Born: 1, Draining: true}, {ID: "c", Born: 3}})
 	now = now.Add(time.Second)
 	l.BeginRestore(now)
-	if changes := l.Update(now, before); len(changes) != 0 {
-		t.Errorf("changes at the first read after the restore: %v", kinds(changes))
+	if got := kinds(l.Update(now, before)); len(got) != 1 || got["c"] != ChangeKept {
+		t.Errorf("changes at the first read after the restore: %v, want only c kept", got)
 	}
 	if changes := l.Update(now.Add(renewalTime/2), before); len(changes) != 0 {
 		t.Errorf("changes within renewalTime: %v", kinds(changes))
