replica: a pause of the readers is no outage of the store, and left replicas don't come back

Cause: a host that had read nothing for 1.5 s took that for an outage of the store and kept replicas without an entry for 2 s. Its list was the one that was read last, so all other hosts took it over, though they had seen the replicas leave.

Change: an outage needs a read of this host that failed, and hosts tell each other since when the store was available (uptime.Interval). A replica that is kept without an entry is marked in the list that hosts exchange; one that saw it leave, or knows of no outage, doesn't take it over. The mark and the time of the outage travel with the list, so that replicas whose entries did expire are now also kept when the planner changes. A host that learnt of a restore of the store from others doesn't take its own first read, however late, for one after an outage.

The tests of an outage now record the failed read that it takes.

--- a/internal/feed/evacuation_test.go
+++ b/internal/feed/evacuation_test.go
@@ -176,7 +176,7 @@
 	}
 	for range 2 {
 		c.replicasReadAt = now
-		c.applyChanges(c.replicaList.Update(now, []replica.Replica{{ID: "1", FailureDomain: "b"}}), sourceStore)
+		c.applyChanges(c.replicaList.Update(now, 0, []replica.Replica{{ID: "1", FailureDomain: "b"}}), sourceStore)
 		c.mustRead(t)
 	}
 	c.Log.Close()
--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
+	"github.com/turmericshunt/turmericshunt/internal/uptime"
 )
 
 // State is the configuration and the replicas that one host sends to another. Revisions are sent as numbers with the
@@ -38,6 +39,8 @@
 	EvacuationRevision int64         `cbor:"19,keyasint,omitempty"` // of the store when they were read
 	EvacuationEra      int64         `cbor:"20,keyasint,omitempty"` // of EvacuationRevision
 	EvacuationRead     time.Duration `cbor:"21,keyasint,omitempty"` // when they were read, as ReplicaRead
+	// ReplicaSince says since when the store was available until ReplicaRead. Hosts of earlier versions omit it.
+	ReplicaSince time.Duration `cbor:"22,keyasint,omitempty"`
 }
 
 // HasContent reports whether the state contains the configuration or replicas, or a change of them.
@@ -95,6 +98,7 @@
 		ReplicaDigest:   c.replicaDigest,
 		ConfigVerified:  c.verifiedAt.Sub(base),
 		ReplicaRead:     c.replicasReadAt.Sub(base),
+		ReplicaSince:    c.availableSince().Sub(base),
 		Era:             c.era,
 		UntilRewritten:  max(c.rewrittenAt.Sub(c.now()), 0),
 	}
@@ -204,28 +208,56 @@
 	return applyPatch(c.document.Data, s.ConfigPatch)
 }
 
-// importReplicas takes over the replicas in the state if they are newer.
+// availableSince returns since when the store was available until the active replicas were read.
+func (c *Cache) availableSince() time.Time {
+	available := c.replicaList.Available()
+	if available.Era != c.replicaRevision.Era || available.Since.After(c.replicasReadAt) {
+		return c.replicasReadAt
+	}
+	return available.Since
+}
+
+// importReplicas takes over the replicas in the state if they are newer, and in any case when the store was available.
 func (c *Cache) importReplicas(base time.Time, s State) {
+	if s.ReplicaRevision == 0 {
+		return
+	}
 	readAt := base.Add(s.ReplicaRead)
+	available := uptime.Interval{Era: s.ReplicaEra, Since: readAt, Until: readAt}
+	if since := base.Add(s.ReplicaSince); since.Before(readAt) {
+		available.Since = since
+	}
 	readRevision := revision.New(s.ReplicaEra, s.ReplicaRevision)
-	newer := isLaterRead(readRevision, readAt, c.replicaRevision, c.replicasReadAt)
+	if !isLaterRead(readRevision, readAt, c.replicaRevision, c.replicasReadAt) {
+		c.applyChanges(c.replicaList.Join(available), sourcePeer)
+		return
+	}
+	changes, ok := c.replaceReplicas(available, s)
+	if !ok {
+		c.applyChanges(c.replicaList.Join(available), sourcePeer)
+		return
+	}
+	c.setReplicas(readRevision, readAt, changes, sourcePeer)
+}
+
+// replaceReplicas replaces the list of replicas by that in the state, which was read at the end of the given time, and returns
+// what has changed. It returns false if the state contains none that this host can use.
+func (c *Cache) replaceReplicas(available uptime.Interval, s State) ([]replica.Change, bool) {
 	switch {
-	case s.ReplicaRevision == 0 || !newer:
 	case s.HasReplicas:
-		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, s.Replicas), sourcePeer)
+		return c.replicaList.Replace(available, s.Replicas), true
 	case s.ReplicaData != nil:
 		replicas, err := unpackReplicas(s.ReplicaData)
 		if err != nil {
 			c.Log.Warn("replicas_unreadable", slog.String("error", err.Error()))
-			return
+			return nil, false
 		}
-		c.setReplicas(readRevision, readAt, c.replicaList.Replace(readAt, replicas), sourcePeer)
+		return c.replicaList.Replace(available, replicas), true
 	case s.ReplicaDelta != nil:
-		if changes, ok := c.replicaList.Apply(readAt, s.ReplicaDelta); ok {
-			c.setReplicas(readRevision, readAt, changes, sourcePeer)
-		}
+		return c.replicaList.Apply(available, s.ReplicaDelta)
 	case s.ReplicaDigest == c.replicaDigest:
-		c.replicaList.ConfirmRead(readAt)
-		c.setReplicas(readRevision, readAt, nil, sourcePeer)
+		return c.replicaList.Confirm(available), true
+	default:
+		return nil, false
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -317,6 +317,7 @@
 	startedAt := c.now()
 	replicas, readRevision, err := c.Store.Replicas(ctx)
 	if err != nil {
+		c.recordFailedRead(startedAt)
 		return err
 	}
 	if c.applyRead(readRevision, startedAt, replicas) && c.OnRead != nil {
@@ -325,6 +326,13 @@
 	return nil
 }
 
+// recordFailedRead records that a read of the replicas failed, which was started at the given time.
+func (c *Cache) recordFailedRead(startedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicaList.RecordFailure(startedAt)
+}
+
 // applyRead takes over the replicas of a read of the store. It reports false if a later state of the store is known.
 func (c *Cache) applyRead(readRevision revision.Revision, readAt time.Time, replicas []replica.Replica) bool {
 	c.mu.Lock()
@@ -333,7 +341,7 @@
 	if readRevision.Compare(c.replicaRevision) < 0 {
 		return false
 	}
-	c.setReplicas(readRevision, readAt, c.replicaList.Update(readAt, replicas), sourceStore)
+	c.setReplicas(readRevision, readAt, c.replicaList.Update(readAt, readRevision.Era, replicas), sourceStore)
 	return true
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -90,7 +91,7 @@
 	now := steady.Now()
 	verifiedAt := now.Add(-400 * time.Millisecond)
 	from.applyDocument(document(5, 50), verifiedAt, "store")
-	from.replicaList.Update(now, nil)
+	from.replicaList.Update(now, 0, nil)
 	stampSent := now.Add(-30 * time.Millisecond)
 	stampReceived := now.Add(-20 * time.Millisecond) // after 10 ms in transit
 	to.Import(stampSent, from.Export(stampReceived, Versions{}))
@@ -107,7 +108,7 @@
 	now := steady.Now()
 	c.applyDocument(document(5, 50), now, "store")
 	c.replicasReadAt = now
-	c.applyChanges(c.replicaList.Update(now, []replica.Replica{{ID: "a"}}), sourceStore)
+	c.applyChanges(c.replicaList.Update(now, 0, []replica.Replica{{ID: "a"}}), sourceStore)
 	s := c.Export(now, c.Versions())
 	if s.ConfigData != nil || s.HasReplicas || s.Replicas != nil {
 		t.Errorf("exported what the peer has: %+v", s)
@@ -135,6 +136,8 @@
 	evacuated evacuation.Set
 	era       int64  // of the configuration
 	data      string // the document; that of version 1 if it is empty
+	replicas  []replica.Replica
+	revision  int64 // of the last change
 }
 
 func (s *fakeStore) Configuration(context.Context) (Document, evacuation.Set, error) {
@@ -143,7 +146,7 @@
 }
 
 func (s *fakeStore) Replicas(context.Context) ([]replica.Replica, revision.Revision, error) {
-	return nil, revision.New(0, 1), s.err
+	return slices.Clone(s.replicas), revision.New(s.era, max(s.revision, 1)), s.err
 }
 
 func TestFailedReadKeepsVerifiedTime(t *testing.T) {
@@ -193,7 +196,7 @@
 		}
 		from.replicaRevision = revision.New(0, int64(step+1))
 		from.replicasReadAt = now
-		from.applyChanges(from.replicaList.Update(now, replicas), sourceStore)
+		from.applyChanges(from.replicaList.Update(now, 0, replicas), sourceStore)
 		from.applyDocument(Document{
 			Data:     []byte(strconv.Itoa(step+1) + strings.Repeat(" ", 5000)),
 			Revision: revision.New(0, int64(step+1)),
@@ -215,11 +218,11 @@
 	now := steady.Now()
 	from.replicaRevision = revision.New(0, 1)
 	from.replicasReadAt = now
-	from.applyChanges(from.replicaList.Update(now, []replica.Replica{{ID: "a"}}), sourceStore)
+	from.applyChanges(from.replicaList.Update(now, 0, []replica.Replica{{ID: "a"}}), sourceStore)
 	from.applyDocument(document(5, 50), now, "store")
 	before := from.Versions()
 	from.replicasReadAt = now.Add(time.Second)
-	from.applyChanges(from.replicaList.Update(now.Add(time.Second), []replica.Replica{{ID: "a"}, {ID: "b"}}), sourceStore)
+	from.applyChanges(from.replicaList.Update(now.Add(time.Second), 0, []replica.Replica{{ID: "a"}, {ID: "b"}}), sourceStore)
 	from.applyDocument(document(6, 60), now, "store")
 	s := from.Export(now, before)
 	if s.ConfigPatch == nil || s.ReplicaDelta == nil {
--- a/internal/replica/delta.go
+++ b/internal/replica/delta.go
@@ -2,7 +2,8 @@
 
 import (
 	"slices"
-	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/uptime"
 )
 
 // maxSteps is the number of latest changes of a list that Delta can combine.
@@ -61,9 +62,9 @@
 	return d, true
 }
 
-// Apply applies the changes that another host's list, read at the given time, has had since it was the same as this one,
-// and returns what changed here. It returns false if the changes apply to another list than this one.
-func (l *List) Apply(read time.Time, d *Delta) ([]Change, bool) {
+// Apply applies the changes that another host's list has had since it was the same as this one, and returns what changed
+// here; see Replace. It returns false if the changes apply to another list than this one.
+func (l *List) Apply(available uptime.Interval, d *Delta) ([]Change, bool) {
 	if d.Base != l.digest {
 		return nil, false
 	}
@@ -74,5 +75,5 @@
 			all = append(all, r)
 		}
 	}
-	return l.Replace(read, append(all, d.Changed...)), true
+	return l.Replace(available, append(all, d.Changed...)), true
 }
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -6,12 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericshunt/turmericshunt/internal/uptime"
 )
 
 const (
-	// outageGap is the time between two successful reads beyond which the store is taken to have been unavailable, so
-	// that entries may have expired in the meantime.
-	outageGap = 1500 * time.Millisecond
 	// renewalTime is how long after the store is available again a backend server may take to renew its entry.
 	renewalTime = 2 * time.Second
 	// staleTime is how long after a restore of the store the entry of a backend server that has stopped may remain.
@@ -23,9 +22,8 @@
 // List is the set of active replicas.
 type List struct {
 	replicas  map[string]Replica
-	lastRead  time.Time              // when this or another host last read the store
-	outageEnd time.Time              // first read after the last outage of the store; zero if none since the last Replace
-	missing   map[string]time.Time   // for each replica kept without an entry: the first read after the outage
+	available uptime.Interval        // of the store, by the reads of which this host knows
+	failed    time.Time              // when the latest read of this host was started that failed
 	gone      map[string]incarnation // replicas that have left the list
 	leaving   map[string]incarnation // replicas that have announced that they leave
 	// Until staleUntil, entries that were last written at staleRevision or before may be of an older copy from which the
@@ -58,14 +56,14 @@
 	ChangeDraining ChangeKind = "draining" // started to drain or announced that it leaves
 	ChangeUpdated  ChangeKind = "moved"    // any other field changed
 	ChangeKept     ChangeKind = "kept"     // it has no entry any more, which may have expired during an outage of the store
+	ChangeRenewed  ChangeKind = "renewed"  // one that was kept has an entry again
 	ChangeGone     ChangeKind = "gone"
 )
 
 // NewList returns an empty list.
 func NewList() *List {
 	l := &List{
-		replicas: make(map[string]Replica), missing: make(map[string]time.Time),
-		gone: make(map[string]incarnation), leaving: make(map[string]incarnation),
+		replicas: make(map[string]Replica), gone: make(map[string]incarnation), leaving: make(map[string]incarnation),
 	}
 	l.digest = l.computeDigest()
 	return l
@@ -102,73 +100,125 @@
 	l.staleUntil = now.Add(staleTime)
 }
 
-// Update replaces the list by the set of entries that this host read from the store at now and returns what changed.
-// Replicas whose entries expired during an outage of the store are kept until the time for the renewal is over.
-func (l *List) Update(now time.Time, read []Replica) []Change {
-	if l.restored || !l.lastRead.IsZero() && now.Sub(l.lastRead) > outageGap {
-		l.outageEnd = now
-	}
+// RecordFailure records that a read of this host failed, which was started at the given time.
+func (l *List) RecordFailure(started time.Time) { l.failed = started }
+
+// Available returns the time in which the store was available, as far as this host knows.
+func (l *List) Available() uptime.Interval { return l.available }
+
+// Update replaces the list by the set of entries that this host read from the store, in the given era, at now, and returns
+// what changed. Replicas whose entries may have expired during an outage of the store are kept until the time for the renewal
+// is over.
+func (l *List) Update(now time.Time, era int64, read []Replica) []Change {
+	available, outage := l.available.Read(now, era, l.failed)
+	l.available = available
 	if l.restored {
 		l.restored = false
 		l.staleRevision = lastWritten(read)
 	}
-	l.lastRead = now
-	return l.apply(now, read)
+	changes, taken := l.apply(now, read)
+	for id, r := range l.replicas {
+		switch {
+		case taken[id]:
+		case outage && !r.Unlisted:
+			changes = append(changes, l.keep(r))
+		case outage || r.Unlisted && now.Sub(available.Since) <= renewalTime:
+		default:
+			changes = append(changes, l.remove(now, r))
+		}
+	}
+	l.record(changes)
+	return changes
 }
 
-// apply replaces the list by the set read and returns what changed; see Update.
-func (l *List) apply(now time.Time, read []Replica) []Change {
-	var changes []Change
+// apply takes over replicas that were read at now. It returns what changed and the IDs of those that it has taken over.
+func (l *List) apply(now time.Time, read []Replica) (changes []Change, taken map[string]bool) {
 	l.forget(now)
-	seen := make(map[string]bool, len(read))
+	taken = make(map[string]bool, len(read))
 	for _, r := range read {
 		stale := now.Before(l.staleUntil) && r.Written <= l.staleRevision
 		r.Written, r.Cold = 0, Cold{}
-		if g, ok := l.gone[r.ID]; ok && g.born == r.Born && stale {
+		if stale && l.isGone(r) {
 			continue
 		}
-		seen[r.ID] = true
-		delete(l.missing, r.ID)
+		taken[r.ID] = true
 		delete(l.gone, r.ID)
 		if change, ok := l.put(now, r, stale); ok {
 			changes = append(changes, change)
 		}
 	}
-	for id, r := range l.replicas {
-		_, kept := l.missing[id]
-		if seen[id] {
-			continue
-		}
-		if l.mayBeRenewed(now, id) {
-			if !kept {
-				changes = append(changes, Change{Replica: r, Kind: ChangeKept})
-			}
-			continue
+	return changes, taken
+}
+
+// keep keeps r, which has no entry.
+func (l *List) keep(r Replica) Change {
+	r.Unlisted = true
+	l.replicas[r.ID] = r
+	return Change{Replica: r, Kind: ChangeKept}
+}
+
+// remove removes r from the list.
+func (l *List) remove(now time.Time, r Replica) Change {
+	delete(l.replicas, r.ID)
+	l.gone[r.ID] = incarnation{born: r.Born, since: now}
+	return Change{Replica: r, Kind: ChangeGone}
+}
+
+// isGone reports whether this incarnation of r has left the list.
+func (l *List) isGone(r Replica) bool {
+	g, ok := l.gone[r.ID]
+	return ok && g.born == r.Born
+}
+
+// Join takes over when another host, which may have another set, knows the store to have been available, and returns what
+// changed; see Confirm. A host that has heard nothing since the store was restored learns nothing.
+func (l *List) Join(available uptime.Interval) []Change {
+	if available.Era != l.available.Era {
+		return nil
+	}
+	return l.Confirm(available)
+}
+
+// Confirm records that another host has read the same set at the end of the given time, in which it knows the store to have
+// been available, and returns what changed: if the store was available all the while, replicas without an entry haven't lost
+// it by an outage.
+func (l *List) Confirm(available uptime.Interval) []Change {
+	if !l.extend(available) {
+		return nil
+	}
+	var changes []Change
+	for _, r := range l.replicas {
+		if r.Unlisted {
+			changes = append(changes, l.remove(l.available.Until, r))
 		}
-		delete(l.replicas, id)
-		delete(l.missing, id)
-		l.gone[id] = incarnation{born: r.Born, since: now}
-		changes = append(changes, Change{Replica: r, Kind: ChangeGone})
 	}
 	l.record(changes)
 	return changes
 }
 
-// ConfirmRead records that another host read the same set from the store at the given time, so that the time in which
-// this host didn't read isn't taken for an outage.
-func (l *List) ConfirmRead(read time.Time) {
-	if read.After(l.lastRead) {
-		l.lastRead = read
-	}
+// extend takes over when another host knows the store to have been available, and reports whether an outage that this host
+// had noticed was none.
+func (l *List) extend(available uptime.Interval) bool {
+	before := l.available
+	l.available = before.Join(available)
+	return l.available.Era == before.Era && l.available.Since.Before(before.Since)
 }
 
-// Replace replaces the list by the active replicas of another host, which read them at the given time, and returns what
-// changed.
-func (l *List) Replace(read time.Time, all []Replica) []Change {
-	l.ConfirmRead(read)
-	l.outageEnd = time.Time{}
-	clear(l.missing)
-	return l.apply(read, all)
+// Replace replaces the list by the replicas of another host, which read them at the end of the given time in which it knows
+// the store to have been available, and returns what changed. A replica that the other host keeps without an entry is gone
+// if this host knows that it has left, or that there was no outage.
+func (l *List) Replace(available uptime.Interval, all []Replica) []Change {
+	l.extend(available)
+	noOutage := l.available.Since.Before(available.Since)
+	all = slices.DeleteFunc(slices.Clone(all), func(r Replica) bool { return r.Unlisted && (noOutage || l.isGone(r)) })
+	changes, taken := l.apply(available.Until, all)
+	for id, r := range l.replicas {
+		if !taken[id] {
+			changes = append(changes, l.remove(available.Until, r))
+		}
+	}
+	l.record(changes)
+	return changes
 }
 
 // forget forgets what is remembered of replicas that aren't in the list and have left it, or announced that they leave,
@@ -210,8 +260,12 @@
 	switch {
 	case !known:
 		return Change{Replica: r, Kind: ChangeNew}, true
+	case r.Unlisted && !old.Unlisted:
+		return Change{Replica: r, Kind: ChangeKept}, true
 	case r.Draining && !old.Draining, r.Leaving && !old.Leaving:
 		return Change{Replica: r, Kind: ChangeDraining}, true
+	case old.Unlisted && !r.Unlisted:
+		return Change{Replica: r, Kind: ChangeRenewed}, true
 	case r != old:
 		return Change{Replica: r, Kind: ChangeUpdated}, true
 	default:
@@ -219,21 +273,6 @@
 	}
 }
 
-// mayBeRenewed reports whether the entry of replica id, which is missing at now, may have expired during an outage and
-// may still be renewed. It records that the entry is missing.
-func (l *List) mayBeRenewed(now time.Time, id string) bool {
-	if l.outageEnd.IsZero() || now.Sub(l.outageEnd) > renewalTime {
-		return false
-	}
-	if _, ok := l.missing[id]; !ok {
-		if now != l.outageEnd {
-			return false // the entry was there after the outage and was removed since
-		}
-		l.missing[id] = now
-	}
-	return true
-}
-
 // Get returns the replica with the given id, or false if there is none.
 func (l *List) Get(id string) (Replica, bool) {
 	r, ok := l.replicas[id]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,8 @@
 	// Leaving says that the backend server itself has announced in a response that it takes no new requests, whatever its
 	// entry says.
 	Leaving bool `cbor:",omitempty"`
+	// Unlisted says that the backend server has no entry any more, which may have expired during an outage of the store.
+	Unlisted bool `cbor:",omitempty"`
 	// Written is the store's revision at which the entry was last changed; 0 if this host didn't read the entry itself.
 	Written int64 `cbor:"-"`
 	// Cold is what the entry says of how long the backend server stays cold; hosts report that to each other by other means.
@@ -36,12 +38,15 @@
 func (r Replica) TakesRequests() bool { return !r.Draining && !r.Leaving }
 
 // print writes the replica in the form of which hosts compare digests. Earlier versions of the program don't know
-// Leaving, so it is written only if it is set.
+// Leaving and Unlisted, so they are written only if they are set.
 func (r Replica) print(w io.Writer) error {
 	_, err := fmt.Fprintf(w, "{ID:%s Service:%s Address:%v FailureDomain:%s Slots:%d Draining:%t Born:%d}\n", r.ID, r.Service,
 		r.Address, r.FailureDomain, r.Slots, r.Draining, r.Born)
 	if err == nil && r.Leaving {
 		_, err = io.WriteString(w, "leaving\n")
 	}
+	if err == nil && r.Unlisted {
+		_, err = io.WriteString(w, "unlisted\n")
+	}
 	return err
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,10 +7,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/turmericshunt/turmericshunt/internal/uptime"
 )
 
 var start = time.Unix(1000, 0)
 
+// readAt returns what a host knows that has read the store once, at the given time.
+func readAt(read time.Time) uptime.Interval { return uptime.Interval{Since: read, Until: read} }
+
 // kinds returns the kind of change of each replica, by id.
 func kinds(changes []Change) map[string]ChangeKind {
 	m := make(map[string]ChangeKind)
@@ -22,15 +27,15 @@
 
 func TestUpdateReturnsChanges(t *testing.T) {
 	l := NewList()
-	got := kinds(l.Update(start, []Replica{{ID: "a"}, {ID: "b"}}))
+	got := kinds(l.Update(start, 0, []Replica{{ID: "a"}, {ID: "b"}}))
 	if len(got) != 2 || got["a"] != ChangeNew {
 		t.Errorf("changes of the first read: %v", got)
 	}
-	got = kinds(l.Update(start.Add(time.Second), []Replica{{ID: "a", Draining: true}}))
+	got = kinds(l.Update(start.Add(time.Second), 0, []Replica{{ID: "a", Draining: true}}))
 	if got["a"] != ChangeDraining || got["b"] != ChangeGone {
 		t.Errorf("changes of the second read: %v", got)
 	}
-	if got = kinds(l.Update(start.Add(2*time.Second), []Replica{{ID: "a", Draining: true, Born: 5}})); got["a"] !=
+	if got = kinds(l.Update(start.Add(2*time.Second), 0, []Replica{{ID: "a", Draining: true, Born: 5}})); got["a"] !=
 		ChangeUpdated {
 		t.Errorf("changes of the third read: %v", got)
 	}
@@ -38,15 +43,16 @@
 
 func TestExpiredEntriesAreKeptAfterOutage(t *testing.T) {
 	l := NewList()
-	l.Update(start, []Replica{{ID: "a"}, {ID: "b"}})
+	l.Update(start, 0, []Replica{{ID: "a"}, {ID: "b"}})
 	outageEnd := start.Add(5 * time.Second)
-	if got := kinds(l.Update(outageEnd, nil)); len(got) != 2 || got["a"] != ChangeKept || got["b"] != ChangeKept {
+	l.RecordFailure(start.Add(time.Second))
+	if got := kinds(l.Update(outageEnd, 0, nil)); len(got) != 2 || got["a"] != ChangeKept || got["b"] != ChangeKept {
 		t.Errorf("changes at the first read after the outage: %v, want a and b kept", got)
 	}
-	if changes := l.Update(outageEnd.Add(time.Second), []Replica{{ID: "a"}}); len(changes) != 0 {
-		t.Errorf("changes a second later: %v", kinds(changes))
+	if got := kinds(l.Update(outageEnd.Add(time.Second), 0, []Replica{{ID: "a"}})); len(got) != 1 || got["a"] != ChangeRenewed {
+		t.Errorf("changes a second later: %v, want only a renewed", got)
 	}
-	got := kinds(l.Update(outageEnd.Add(2100*time.Millisecond), []Replica{{ID: "a"}}))
+	got := kinds(l.Update(outageEnd.Add(2100*time.Millisecond), 0, []Replica{{ID: "a"}}))
 	if got["b"] != ChangeGone || len(got) != 1 {
 		t.Errorf("changes after renewalTime: %v, want b gone", got)
 	}
@@ -54,10 +60,11 @@
 
 func TestEntryRemovedAfterOutageIsGone(t *testing.T) {
 	l := NewList()
-	l.Update(start, []Replica{{ID: "a"}, {ID: "b"}})
+	l.Update(start, 0, []Replica{{ID: "a"}, {ID: "b"}})
 	outageEnd := start.Add(5 * time.Second)
-	l.Update(outageEnd, []Replica{{ID: "a"}, {ID: "b"}})
-	if got := kinds(l.Update(outageEnd.Add(500*time.Millisecond), []Replica{{ID: "a"}})); got["b"] != ChangeGone {
+	l.RecordFailure(start.Add(time.Second))
+	l.Update(outageEnd, 0, []Replica{{ID: "a"}, {ID: "b"}})
+	if got := kinds(l.Update(outageEnd.Add(500*time.Millisecond), 0, []Replica{{ID: "a"}})); got["b"] != ChangeGone {
 		t.Errorf("changes after b was removed: %v, want b gone", got)
 	}
 }
@@ -66,23 +73,25 @@
 // an outage and so keeps removed replicas.
 func TestConfirmedListSeesNoOutage(t *testing.T) {
 	l := NewList()
-	l.Replace(start, []Replica{{ID: "a"}, {ID: "b"}})
+	l.Replace(readAt(start), []Replica{{ID: "a"}, {ID: "b"}})
 	now := start.Add(10 * time.Second)
-	l.ConfirmRead(now.Add(-300 * time.Millisecond)) // another host has read the store in the meantime
-	if got := kinds(l.Update(now, []Replica{{ID: "a"}})); got["b"] != ChangeGone {
+	l.RecordFailure(now.Add(-200 * time.Millisecond))
+	// Another host has read the store in the meantime.
+	l.Confirm(uptime.Interval{Since: start, Until: now.Add(-300 * time.Millisecond)})
+	if got := kinds(l.Update(now, 0, []Replica{{ID: "a"}})); got["b"] != ChangeGone {
 		t.Errorf("changes after b was removed without an outage: %v, want b gone", got)
 	}
 }
 
 func TestReplaceTakesOverSetOfOtherHost(t *testing.T) {
 	l := NewList()
-	l.Update(start, []Replica{{ID: "a"}, {ID: "b"}})
+	l.Update(start, 0, []Replica{{ID: "a"}, {ID: "b"}})
 	same := NewList()
-	same.Update(start, []Replica{{ID: "b"}, {ID: "a"}})
+	same.Update(start, 0, []Replica{{ID: "b"}, {ID: "a"}})
 	if l.Digest() != same.Digest() {
 		t.Error("digests of the same set differ")
 	}
-	if got := kinds(l.Replace(start.Add(9*time.Second), []Replica{{ID: "a"}})); got["b"] != ChangeGone {
+	if got := kinds(l.Replace(readAt(start.Add(9*time.Second)), []Replica{{ID: "a"}})); got["b"] != ChangeGone {
 		t.Errorf("changes: %v, want b gone", got)
 	}
 	if l.Digest() == same.Digest() {
@@ -94,23 +103,23 @@
 func TestRestoredStoreTakesNoReplicaBack(t *testing.T) {
 	before := []Replica{{ID: "a", Born: 1}, {ID: "b", Born: 2}}
 	l := NewList()
-	l.Update(start, before)
+	l.Update(start, 0, before)
 	now := start.Add(time.Second)
-	l.Update(now, []Replica{{ID: "a", Born: 1, Draining: true}, {ID: "c", Born: 3}})
+	l.Update(now, 0, []Replica{{ID: "a", Born: 1, Draining: true}, {ID: "c", Born: 3}})
 	now = now.Add(time.Second)
 	l.BeginRestore(now)
-	if got := kinds(l.Update(now, before)); len(got) != 1 || got["c"] != ChangeKept {
+	if got := kinds(l.Update(now, 1, before)); len(got) != 1 || got["c"] != ChangeKept {
 		t.Errorf("changes at the first read after the restore: %v, want only c kept", got)
 	}
-	if changes := l.Update(now.Add(renewalTime/2), before); len(changes) != 0 {
+	if changes := l.Update(now.Add(renewalTime/2), 1, before); len(changes) != 0 {
 		t.Errorf("changes within renewalTime: %v", kinds(changes))
 	}
 	now = now.Add(renewalTime + time.Millisecond)
-	if got := kinds(l.Update(now, before)); len(got) != 1 || got["c"] != ChangeGone {
+	if got := kinds(l.Update(now, 1, before)); len(got) != 1 || got["c"] != ChangeGone {
 		t.Errorf("changes after renewalTime: %v, want only c gone", got)
 	}
 	restarted := []Replica{{ID: "a", Born: 8}, {ID: "b", Born: 9}}
-	if got := kinds(l.Update(now.Add(time.Second), restarted)); got["a"] != ChangeUpdated || got["b"] != ChangeNew {
+	if got := kinds(l.Update(now.Add(time.Second), 1, restarted)); got["a"] != ChangeUpdated || got["b"] != ChangeNew {
 		t.Errorf("changes after a and b started again: %v, want a moved and b new", got)
 	}
 }
@@ -118,13 +127,13 @@
 // An entry that a replica has written after the restore says what the replica does now.
 func TestEntryWrittenAfterRestoreIsTaken(t *testing.T) {
 	l := NewList()
-	l.Update(start, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 6}})
-	l.Update(start.Add(time.Second), []Replica{{ID: "a", Draining: true, Written: 7}})
+	l.Update(start, 0, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 6}})
+	l.Update(start.Add(time.Second), 0, []Replica{{ID: "a", Draining: true, Written: 7}})
 	now := start.Add(2 * time.Second)
 	l.BeginRestore(now)
-	l.Update(now, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 6}})
+	l.Update(now, 1, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 6}})
 	now = now.Add(time.Second)
-	got := kinds(l.Update(now, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 7}}))
+	got := kinds(l.Update(now, 1, []Replica{{ID: "a", Written: 5}, {ID: "b", Written: 7}}))
 	if a, _ := l.Get("a"); !a.Draining || got["b"] != ChangeNew || len(got) != 1 {
 		t.Errorf("changes %v, a %+v; want only b new, and a draining as its entry is of the copy", got, a)
 	}
@@ -132,15 +141,15 @@
 
 func TestEntryThatOutlivesRestoreIsTaken(t *testing.T) {
 	l := NewList()
-	l.Update(start, []Replica{{ID: "a", Born: 1}})
-	l.Update(start.Add(time.Second), nil)
+	l.Update(start, 0, []Replica{{ID: "a", Born: 1}})
+	l.Update(start.Add(time.Second), 0, nil)
 	l.BeginRestore(start.Add(2 * time.Second))
 	for now := start.Add(2 * time.Second); now.Before(start.Add(2*time.Second + staleTime)); now = now.Add(time.Second) {
-		if changes := l.Update(now, []Replica{{ID: "a", Born: 1}}); len(changes) != 0 {
+		if changes := l.Update(now, 1, []Replica{{ID: "a", Born: 1}}); len(changes) != 0 {
 			t.Fatalf("changes %v after the restore: %v", now.Sub(start), kinds(changes))
 		}
 	}
-	if got := kinds(l.Update(start.Add(2*time.Second+staleTime), []Replica{{ID: "a", Born: 1}})); got["a"] != ChangeNew {
+	if got := kinds(l.Update(start.Add(2*time.Second+staleTime), 1, []Replica{{ID: "a", Born: 1}})); got["a"] != ChangeNew {
 		t.Errorf("changes after staleTime: %v, want a new", got)
 	}
 }
@@ -148,7 +157,7 @@
 func TestLeavingReplicaStaysSoUntilItStartsAgain(t *testing.T) {
 	l := NewList()
 	ready := []Replica{{ID: "a", Born: 1}, {ID: "b", Born: 2}}
-	l.Update(start, ready)
+	l.Update(start, 0, ready)
 	if _, ok := l.MarkLeaving(start, "a", 7); ok {
 		t.Error("another incarnation was marked as leaving")
 	}
@@ -157,18 +166,18 @@
 		t.Errorf("change %+v, %v; want a draining", change, ok)
 	}
 	peer := NewList()
-	peer.Replace(start, l.All())
+	peer.Replace(readAt(start), l.All())
 	for name, list := range map[string]*List{"own": l, "peer's": peer} {
-		list.Update(start.Add(time.Second), ready)
-		list.Update(start.Add(2*time.Second), nil)
-		list.Update(start.Add(3*time.Second), ready)
+		list.Update(start.Add(time.Second), 0, ready)
+		list.Update(start.Add(2*time.Second), 0, nil)
+		list.Update(start.Add(3*time.Second), 0, ready)
 		if a, _ := list.Get("a"); a.TakesRequests() {
 			t.Errorf("%s list: a takes requests although it leaves", name)
 		}
 		if b, _ := list.Get("b"); !b.TakesRequests() || len(list.Leaving()) != 1 {
 			t.Errorf("%s list: %d replicas leave, want only a", name, len(list.Leaving()))
 		}
-		list.Update(start.Add(4*time.Second), []Replica{{ID: "a", Born: 9}})
+		list.Update(start.Add(4*time.Second), 0, []Replica{{ID: "a", Born: 9}})
 		if a, _ := list.Get("a"); !a.TakesRequests() {
 			t.Errorf("%s list: the new incarnation of a takes no requests", name)
 		}
@@ -189,7 +198,7 @@
 	address := netip.MustParseAddrPort("10.0.0.1:80")
 	r := Replica{ID: "i-1", Service: "s", Address: address, FailureDomain: "a", Slots: 6, Draining: true, Born: 17}
 	l := NewList()
-	l.Update(start, []Replica{r})
+	l.Update(start, 0, []Replica{r})
 	text := fmt.Sprintf("%+v\n", earlier{"i-1", "s", address, "a", 6, true, 17})
 	if got, want := l.Digest(), xxhash.Sum64String(text); got != want {
 		t.Errorf("digest %x, want %x, that of %q", got, want, text)
@@ -206,7 +215,7 @@
 	l := NewList()
 	l.MarkLeaving(now, "i-1", 7)
 	l.MarkLeaving(now, "i-2", 6)
-	l.Update(now.Add(time.Second), []Replica{{ID: "i-1", Born: 7}, {ID: "i-2", Born: 7}})
+	l.Update(now.Add(time.Second), 0, []Replica{{ID: "i-1", Born: 7}, {ID: "i-2", Born: 7}})
 	if r, _ := l.Get("i-1"); !r.Leaving {
 		t.Error("a replica that leaves takes requests at a host that has restarted")
 	}
