relay: a plan for a replica that this host knows to have left is dropped

Cause, by reading: a planner whose zone was cut off plans for others as soon as they hear it again, before it has heard who left; a host compared a plan with the replicas that had announced their leaving, but not with those that its own list shows as draining or gone.

Change: such a plan is dropped before it is sent, also when the connection has been made meanwhile.

Tests: TestReplicaThatTakesNoRequestsHasLeft, TestPlanOfStalePlannerIsDropped (neither compiles before; with the old check both fail), TestServerIsWithdrawnWhileConnecting, which was TestEvacuationWhileConnecting, fails for a replica that leaves.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -371,12 +371,11 @@
 	return c.replicaList.Leaving()
 }
 
-// IsLeaving reports whether this incarnation of r is marked as leaving.
-func (c *Cache) IsLeaving(r replica.Replica) bool {
+// HasLeft reports whether this incarnation of r takes no new requests; see replica.List.HasLeft.
+func (c *Cache) HasLeft(r replica.Replica) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known, ok := c.replicaList.Get(r.ID)
-	return ok && known.Born == r.Born && known.Leaving
+	return c.replicaList.HasLeft(r)
 }
 
 // applyChanges makes the list of replicas active after an update of the list, and logs the changes with what this host has
--- a/internal/placement/leaving_test.go
+++ b/internal/placement/leaving_test.go
@@ -48,7 +48,21 @@
 			}
 			outbound, _ := connect(t, from, to)
 			test.learn(knowing, restarted, outbound)
-			waitUntil(t, "the restarted host knows what leaves", func() bool { return restarted.IsLeaving(r) })
+			waitUntil(t, "the restarted host knows what leaves", func() bool { return restarted.HasLeft(r) })
 		})
 	}
 }
+
+// Guards against DRAIN by plans of a planner that was cut off and doesn't know yet which replicas have left meanwhile.
+func TestPlanOfStalePlannerIsDropped(t *testing.T) {
+	c := newTestClient(1)
+	r := replica.Replica{ID: "r", Service: "orders", Born: 7, Slots: 1}
+	readReplicas(c, r, 5, time.Second)
+	if c.HasLeft(r) {
+		t.Fatal("a listed replica has left")
+	}
+	readReplicas(c, replica.Replica{ID: "other", Service: "orders", Born: 7, Slots: 1}, 6, 0)
+	if !c.HasLeft(r) {
+		t.Error("a plan for a replica that is gone may be sent")
+	}
+}
--- a/internal/placement/placed.go
+++ b/internal/placement/placed.go
@@ -128,8 +128,8 @@
 	}
 }
 
-// IsLeaving reports whether this incarnation of r has announced that it leaves.
-func (c *Client) IsLeaving(r replica.Replica) bool { return c.Cache.IsLeaving(r) }
+// HasLeft reports whether this incarnation of r takes no new requests, as far as this host knows.
+func (c *Client) HasLeft(r replica.Replica) bool { return c.Cache.HasLeft(r) }
 
 // IsEvacuated reports whether a replica of the plan is in an evacuated failure domain. A host that was frozen waits until it
 // knows.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,14 +49,16 @@
 		LastEvent:     a.lastEvent,
 		Priority:      min(a.call.Priority, maxPriority),
 		NewConnection: a.hasTried(plan.Replica.Address),
-		MaySend:       func() bool { return !a.relay.PlannerClient.IsEvacuated(plan) },
+		MaySend: func() bool {
+			return !a.relay.PlannerClient.IsEvacuated(plan) && !a.relay.PlannerClient.HasLeft(plan.Replica)
+		},
 		Passes:        a.relay.passes(a.call),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
 	}
 	if len(parameters.Helpers) > 0 && !a.relay.maySend(a.placement) {
-		a.withdrawn = a.relay.PlannerClient.IsEvacuated(plan)
+		a.withdrawn = true
 		return planner.OutcomeRefused, errors.New("the server may not get the call any more")
 	}
 	a.sentAt = steady.Now()
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -96,24 +96,30 @@
 	}
 }
 
-// A failure domain is evacuated while the connection to a replica there is made. Guards against a request that is sent
-// because the check came before the connection, against an idle connection that is used after the evacuation, and against a
+// A failure domain is evacuated, or a replica leaves, while the connection to a replica there is made. Guards against a request
+// that is sent because the check came before the connection, against an idle connection that is used after it, and against a
 // request that isn't idempotent which isn't sent elsewhere.
-func TestEvacuationWhileConnecting(t *testing.T) {
-	r, p, replicas := statingWorld(t, http.StatusOK, nil)
-	exhaustBudget(r)
-	evacuate := func() { p.evacuate("a") }
-	r.Pool = &backend.Pool{Codec: platform.HeaderCodec{}, Dialer: &dialer.Dialer{
-		Connect: func(ctx context.Context, server netip.AddrPort) (*net.TCPConn, error) {
-			c, err := netconn.Connect(ctx, server)
-			if server == p.replicas[0].Address {
-				evacuate()
+func TestServerIsWithdrawnWhileConnecting(t *testing.T) {
+	for name, withdraw := range map[string]func(p *unawarePlanner){
+		"evacuation": func(p *unawarePlanner) { p.evacuate("a") },
+		"leaving":    func(p *unawarePlanner) { p.Leaving(replica.Replica{ID: "a"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, p, replicas := statingWorld(t, http.StatusOK, nil)
+			exhaustBudget(r)
+			r.Pool = &backend.Pool{Codec: platform.HeaderCodec{}, Dialer: &dialer.Dialer{
+				Connect: func(ctx context.Context, server netip.AddrPort) (*net.TCPConn, error) {
+					c, err := netconn.Connect(ctx, server)
+					if server == p.replicas[0].Address {
+						withdraw(p)
+					}
+					return c, err
+				},
+			}}
+			if status := serveOne(r, "r1"); status != http.StatusOK || replicas[0].requests != 0 || replicas[1].requests != 1 {
+				t.Errorf("status %d; the withdrawn replica got %d requests, the other one %d", status, replicas[0].requests,
+					replicas[1].requests)
 			}
-			return c, err
-		},
-	}}
-	if status := serveOne(r, "r1"); status != http.StatusOK || replicas[0].requests != 0 || replicas[1].requests != 1 {
-		t.Errorf("status %d; the evacuated replica got %d requests, the other one %d", status, replicas[0].requests,
-			replicas[1].requests)
+		})
 	}
 }
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -101,7 +101,7 @@
 
 func (p *racePlanner) ExtraWait(context.Context, string) time.Duration { return 0 }
 func (p *racePlanner) Leaving(replica.Replica)                         {}
-func (p *racePlanner) IsLeaving(replica.Replica) bool                  { return false }
+func (p *racePlanner) HasLeft(replica.Replica) bool                    { return false }
 func (p *racePlanner) IsEvacuated(*planner.Plan) bool                  { return false }
 func (p *racePlanner) EvacuatedReplicas(string) []string               { return nil }
 func (p *racePlanner) MaySend(planner.Result) bool                     { return true }
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -106,7 +106,7 @@
 	p.leaving[r.ID] = true
 }
 
-func (p *unawarePlanner) IsLeaving(r replica.Replica) bool {
+func (p *unawarePlanner) HasLeft(r replica.Replica) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.leaving[r.ID]
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -129,12 +129,12 @@
 	return func(host netip.AddrPort) bool { return r.Regions != nil && r.Regions.AllowHost(c.AllowedRegions, host) }
 }
 
-// maySend reports whether a call may be sent as planned: its server doesn't leave and hasn't asked this host for a pause, its
+// maySend reports whether a call may be sent as planned: its server hasn't left and hasn't asked this host for a pause, its
 // limit allows the call, and neither it nor a helper replica is evacuated. The planner may not know that yet, or the plan may be
 // old.
 func (r *Relay) maySend(result planner.Result) bool {
 	s := result.Plan.Replica
-	return !r.PlannerClient.IsLeaving(s) && !r.PlannerClient.IsEvacuated(result.Plan) &&
+	return !r.PlannerClient.HasLeft(s) && !r.PlannerClient.IsEvacuated(result.Plan) &&
 		!r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,7 +28,8 @@
 // PlannerClient is what the relay needs of the client of the planner, which is placement.Client: Place requests a
 // placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
 // server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have failed.
-// Leaving reports a replica that has announced that it leaves; IsLeaving reports whether one has. IsEvacuated reports whether
+// Leaving reports a replica that has announced that it leaves; HasLeft reports whether one takes no new requests, since it has
+// announced that, drains or is gone. IsEvacuated reports whether
 // a plan uses a replica of an evacuated failure domain; EvacuatedReplicas returns the IDs of those of a service. NamedLimit reports what a
 // response to a request that was sent at sentAt has said of the limit of its server's requests a second; MaySend reports
 // whether the limit still allows to send what the planner has placed. NamedCold reports for how long the server of a response
@@ -39,7 +40,7 @@
 	Ended(id string, outcome planner.Outcome, pause planner.Pause)
 	ExtraWait(ctx context.Context, id string) time.Duration
 	Leaving(r replica.Replica)
-	IsLeaving(r replica.Replica) bool
+	HasLeft(r replica.Replica) bool
 	IsEvacuated(plan *planner.Plan) bool
 	EvacuatedReplicas(service string) []string
 	NamedLimit(r replica.Replica, sentAt time.Time, limited bool, perSecond float64)
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -170,6 +170,15 @@
 	return ok && g.born == r.Born
 }
 
+// HasLeft reports whether this incarnation of r takes no new requests: it drains, has announced that it leaves, or has left
+// the list.
+func (l *List) HasLeft(r Replica) bool {
+	if known, ok := l.replicas[r.ID]; ok && known.Born == r.Born {
+		return !known.TakesRequests()
+	}
+	return l.isGone(r)
+}
+
 // Join takes over when another host, which may have another set, knows the store to have been available, and returns what
 // changed; see Confirm. A host that has heard nothing since the store was restored learns nothing.
 func (l *List) Join(available uptime.Interval) []Change {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -223,3 +223,23 @@
 		t.Error("the mark of an earlier incarnation holds")
 	}
 }
+
+// Guards against a plan of a planner that knows less than this host: it names a replica that takes no new requests.
+func TestReplicaThatTakesNoRequestsHasLeft(t *testing.T) {
+	all := []Replica{{ID: "ready", Born: 1}, {ID: "drains", Born: 1}, {ID: "leaves", Born: 1}, {ID: "gone", Born: 1}}
+	l := NewList()
+	l.Update(start, 0, all)
+	l.MarkLeaving(start, "leaves", 1)
+	l.Update(start.Add(time.Second), 0, []Replica{all[0], {ID: "drains", Born: 1, Draining: true}, all[2]})
+	for _, r := range all {
+		if got, want := l.HasLeft(r), r.ID != "ready"; got != want {
+			t.Errorf("%s has left: %v, want %v", r.ID, got, want)
+		}
+		if r.Born = 2; l.HasLeft(r) {
+			t.Errorf("%s has left though it has started again", r.ID)
+		}
+	}
+	if l.HasLeft(Replica{ID: "unknown", Born: 1}) {
+		t.Error("a replica that this host doesn't know yet has left")
+	}
+}
