relay: a response that promises that an order has not run is replaced if it may have run

Cause: a replica's status is returned unchanged, also 408, 421, 429 and 503, which promise callers that the request was not run and never will be. A replica states that by a header alone.

Change: transfer.writeResponse, through which kept failures and other responses go alike, replaces such a response by a 502 of the host, without the replica's signature, and logs it. Ruled out: hedges (none for such requests), the host's own refusals (they ask whether the call may have run), serve (callers decide by its outcome header; docs/rules.md says so).

--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -61,6 +61,16 @@
 // isFailure reports whether the status is a 5xx one.
 func (r *response) isFailure() bool { return r.head.Status >= http.StatusInternalServerError }
 
+// promisesNotRun reports whether callers take the status for a promise that the call has not run and never will.
+func (r *response) promisesNotRun() bool {
+	switch r.head.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // run makes attempts until one completes, the call may not be retried or the context ends.
 func (t *transfer) run() {
 	defer t.closeHedge()
@@ -227,8 +237,15 @@
 	return planner.OutcomeCompleted, nil
 }
 
-// writeResponse writes a server's complete response to the caller.
+// writeResponse writes a server's complete response to the caller. The server may have run the call. If that must not be
+// repeated, a status by which the caller would send it again is replaced by one that promises nothing.
 func (t *transfer) writeResponse(resp *response) {
+	if t.call.RetryMode == call.RetryNever && resp.promisesNotRun() {
+		t.relay.Log.Event("response_replaced", slog.String("request_id", t.call.ID), slog.Int("status", resp.head.Status))
+		t.headWritten.Store(true)
+		t.relay.Fail(t.writer, t.call.ID, http.StatusBadGateway, "may have run")
+		return
+	}
 	h := t.writer.Header()
 	maps.Copy(h, resp.head.Header)
 	if t.call.Method != http.MethodHead {
