platform: an empty list of workspaces opens no route

Cause: whether requests need a key was taken from the length of the list, not from its presence in the document.

An empty key, which each request without a key would have, is left out. check-config warns of both. Ruled out: patches between hosts and hosts that start (they decode the same document).

--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -20,6 +20,7 @@
 // Document is a configuration document whose entries are in the order of the document.
 type Document struct {
 	MaxBodyBytes int64 // size of a request body at most; 0 if the document doesn't say
+	NeedsKeys    bool  // calls on routes that aren't public need the key of a workspace
 	Routes       []Route
 	Services     []Service
 	Workspaces   []Workspace
@@ -54,6 +55,8 @@
 	EntryRoute     Entry = "route"
 	EntryService   Entry = "service"
 	EntryWorkspace Entry = "workspace"
+	// EntryWorkspaces is the list of workspaces.
+	EntryWorkspaces Entry = "workspaces"
 )
 
 // Field is a field of an entry that a finding is about.
@@ -77,7 +80,7 @@
 // Finding is something in the document that can't have been meant.
 type Finding struct {
 	Entry   Entry
-	Index   int // of the entry in its list; 0 for EntryLimits
+	Index   int // of the entry in its list; 0 for EntryLimits and EntryWorkspaces
 	Field   Field
 	Message string
 }
@@ -105,6 +108,9 @@
 		i.checkUse(index)
 		i.checkCold(index)
 	}
+	if d.NeedsKeys && len(d.Workspaces) == 0 {
+		i.add(EntryWorkspaces, 0, FieldNone, "there is no workspace: calls on routes that aren't public are refused")
+	}
 	for index := range d.Workspaces {
 		i.checkKeys(index)
 		i.checkRegions(EntryWorkspace, index, d.Workspaces[index].Regions)
@@ -253,6 +259,9 @@
 	if len(w.Keys) == 0 {
 		i.add(EntryWorkspace, index, FieldKeys, "workspace %q has no key", w.Name)
 	}
+	if slices.Contains(w.Keys, "") {
+		i.add(EntryWorkspace, index, FieldKeys, "workspace %q has an empty key, which is ignored", w.Name)
+	}
 	for other := index + 1; other < len(i.Workspaces); other++ {
 		for _, key := range w.Keys {
 			if slices.Contains(i.Workspaces[other].Keys, key) {
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -41,6 +41,9 @@
 		want   []Field // of the findings
 	}{
 		{"sound", func(*Document) {}, nil},
+		{"no workspace", func(d *Document) { d.Workspaces = nil }, nil},
+		{"no workspace left", func(d *Document) { d.Workspaces, d.NeedsKeys = nil, true }, []Field{FieldNone}},
+		{"empty key", func(d *Document) { d.Workspaces[0].Keys = []string{"k", ""} }, []Field{FieldKeys}},
 		{"body limit", func(d *Document) { d.MaxBodyBytes++ }, []Field{FieldBody}},
 		{"hidden route", func(d *Document) { d.Routes[0].Prefix = "/b/" }, []Field{FieldNone}},
 		{"other host", func(d *Document) { d.Routes[0].Prefix, d.Routes[0].Host = "/b/", "b.example" }, nil},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,7 +52,7 @@
 		MaySend: func() bool {
 			return !a.relay.PlannerClient.IsEvacuated(plan) && !a.relay.PlannerClient.HasLeft(plan.Replica)
 		},
-		Passes:        a.relay.passes(a.call),
+		Passes: a.relay.passes(a.call),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
