entry: a workspace whose last key was taken away is open to nobody

An empty list was taken for a missing one, and was dropped from the canonical document. Now only a workspace without the field needs no key; null was refused before. Tests: the new row of TestRefusals and TestEmptyListOfKeysIsKept, both failing before.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -55,11 +55,13 @@
 
 	// Workspace is a customer of the system, with its share of the capacity, its limits and its keys.
 	Workspace struct {
-		Name            string   `json:"name"`
-		Share           int      `json:"share"`                 // weight relative to other workspaces
-		TokensPerMinute int64    `json:"tokens_per_minute"`     // in each failure domain; 0 means no limit
-		MaxInFlight     int      `json:"max_in_flight"`         // in each failure domain; 0 means no limit
-		KeyDigests      []string `json:"key_digests,omitempty"` // SHA-256 of each bearer key; none needed if empty
+		Name            string `json:"name"`
+		Share           int    `json:"share"`             // weight relative to other workspaces
+		TokensPerMinute int64  `json:"tokens_per_minute"` // in each failure domain; 0 means no limit
+		MaxInFlight     int    `json:"max_in_flight"`     // in each failure domain; 0 means no limit
+		// KeyDigests are the SHA-256 of each bearer key. No key is needed if the field is missing; if it is an empty list, no
+		// key is valid.
+		KeyDigests []string `json:"key_digests,omitzero"`
 	}
 
 	// NonIdempotentRule marks calls of a plain service that must not be repeated, since they are not idempotent.
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// Guards against a workspace that needs no key any more once its last one has been taken away.
+func TestEmptyListOfKeysIsKept(t *testing.T) {
+	body, err := ParseSection(SectionWorkspaces, []byte(`[{"name":"open"},{"name":"withdrawn","key_digests":[]}]`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Assemble([]Body{{Section: SectionWorkspaces, Text: body}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.Workspaces[0].KeyDigests != nil || d.Workspaces[1].KeyDigests == nil {
+		t.Errorf("workspaces %+v of %s", d.Workspaces, body)
+	}
+}
+
 func TestDiff(t *testing.T) {
 	before, _ := ParseSection(SectionServices, []byte(`[{"name":"orders","deadline":"10s"},{"name":"stock","deadline":"2s"}]`))
 	after, _ := ParseSection(SectionServices, []byte(`[{"name":"orders","deadline":"15s"},{"name":"stock","deadline":"2s"},{"name":"quotes","deadline":"5s"}]`))
--- a/internal/entry/backend_test.go
+++ b/internal/entry/backend_test.go
@@ -89,6 +89,7 @@
 			Workspaces: []document.Workspace{
 				{Name: "open"},
 				{Name: "keyed", KeyDigests: []string{hex.EncodeToString(digest[:])}},
+				{Name: "withdrawn", KeyDigests: []string{}},
 			},
 			Services:      []document.Service{{Name: "orders"}},
 			NonIdempotent: []document.NonIdempotentRule{{Service: "orders", Method: "POST", PathPrefix: "/orders"}},
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,6 +38,8 @@
 		{"deadline above an hour", prompt(hello, HeaderDeadline, "2h"), 400, outcome.KindBadRequest, "Turmericshunt-Deadline must be a duration above 0 and up to 1h, such as 30s"},
 		{"class", prompt(hello, HeaderClass, "fast"), 400, outcome.KindBadRequest, `Turmericshunt-Class must be interactive, standard or batch, not "fast"`},
 		{"unknown workspace", prompt(hello, HeaderWorkspace, "x"), 401, outcome.KindUnauthorized, `Turmericshunt-Workspace: unknown workspace "x"`},
+		// Guards against a workspace that anybody may call as, once its last key has been taken away.
+		{"workspace with no key left", prompt(hello, HeaderWorkspace, "withdrawn"), 401, outcome.KindUnauthorized, `workspace "withdrawn" needs its bearer key`},
 		{"workspace without key", prompt(hello, HeaderWorkspace, "keyed"), 401, outcome.KindUnauthorized, `workspace "keyed" needs its bearer key`},
 		{"no workspace", prompt(hello, HeaderWorkspace, ""), 401, outcome.KindUnauthorized, "set Turmericshunt-Workspace or a bearer key"},
 		{"unknown key", prompt(hello, HeaderWorkspace, "", "Authorization", "Bearer x"), 401, outcome.KindUnauthorized, "unknown bearer key"},
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -97,8 +97,8 @@
 }
 
 // workspaceOf returns the name of the caller's workspace. It identifies the workspace by the bearer key, or by the name
-// in HeaderWorkspace if that workspace has no keys. If both are given, the key must belong to the named workspace; it
-// is ignored if that workspace has no keys.
+// in HeaderWorkspace if that workspace needs no key. If both are given, the key must belong to the named workspace; it
+// is ignored if that workspace needs none.
 func workspaceOf(d *document.Document, header http.Header) (string, error) {
 	name := header.Get(HeaderWorkspace)
 	key, hasKey := bearerKey(header)
@@ -115,7 +115,7 @@
 	if i < 0 {
 		return "", refuse("find workspace", outcome.KindUnauthorized, HeaderWorkspace+": unknown workspace "+quoteTruncated(name))
 	}
-	if len(d.Workspaces[i].KeyDigests) > 0 {
+	if d.Workspaces[i].KeyDigests != nil {
 		return "", refuse("find workspace", outcome.KindUnauthorized, "workspace "+quoteTruncated(name)+" needs its bearer key")
 	}
 	return name, nil
