relay, service: a status that no response can have isn't passed on

Cause: only 429 and 503 were looked at in service.readResponse, only the lower bound in relay.attempt.begin, and after the header that says not run. Now such bytes are no response, and the call may have run.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -17,6 +17,9 @@
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
+// maxStatus is the highest status that a response can have.
+const maxStatus = 599
+
 // attempt is one attempt to run a call at a backend server, from its placement to the end of the response.
 type attempt struct {
 	relay     *Relay
@@ -71,6 +74,8 @@
 	a.exchange = x
 	a.noteRequests(x.Head)
 	switch {
+	case x.Head.Status < http.StatusOK || x.Head.Status > maxStatus:
+		return planner.OutcomeBroken, errors.Errorf("%d is not the status of a response", x.Head.Status)
 	case x.Head.NotRun:
 		body, err := x.ReadAll(ctx, a.relay.Payloads, maxResponseBytes)
 		if err == nil {
@@ -78,7 +83,7 @@
 			x.Finish()
 		}
 		return planner.OutcomeRefused, errors.Errorf("status %d", x.Head.Status)
-	case !x.Head.Valid || x.Head.Status < http.StatusOK:
+	case !x.Head.Valid:
 		return planner.OutcomeBroken, errors.Errorf("status %d: not a valid response of a backend server", x.Head.Status)
 	}
 	return "", nil
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -76,9 +76,17 @@
 	return req, nil
 }
 
+// maxStatus is the highest status that a response can have.
+const maxStatus = 599
+
 // readResponse reads the response of s. It returns an error of KindRefused if the response has status 429 or 503 and
-// its outcome header states that s did not run the call.
+// its outcome header states that s did not run the call, and one of KindBroken if no response can have its status.
 func readResponse(resp *http.Response, s protocol.Server) (Response, *Error) {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return Response{}, &Error{
+			Op: "call", Kind: KindBroken, Err: errors.Errorf("%d is not the status of a response", resp.StatusCode),
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, &Error{Op: "call", Kind: KindBroken, Err: errors.WithStack(err)}
