gateway: test of requests that come late in the grace period of a planned stop

Operators of other systems saw requests that were taken late in the grace period and cut at its end without an answer (LOST).

--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -88,3 +88,51 @@
 		})
 	}
 }
+
+// Guards against LOST at a planned stop in calm: requests that come late in the grace period are passed on and cut without a response
+// at its end, among them those that must not be repeated. Their replica takes longer than the host has left.
+func TestPlannedStopAnswersRequestsThatComeLate(t *testing.T) {
+	t.Parallel()
+	const (
+		workTime     = 3 * time.Second // of a replica, for one request
+		sendInterval = 40 * time.Millisecond
+	)
+	for _, hosts := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d hosts", hosts), func(t *testing.T) {
+			t.Parallel()
+			c, ran := newScriptedHosts(t, hosts, 2, func(_ int, r *http.Request, conn net.Conn) {
+				time.Sleep(workTime)
+				_, _ = conn.Write([]byte(scriptedHead(r, "200 OK", "Content-Length: 2") + "ok"))
+			})
+			defer c.logOnFailure()
+			c.setRoutes("timeoutMs", 15000)
+			for _, r := range c.replicas {
+				r.Slots = 1000
+				c.store.Put("servers/"+r.ID, r.Entry("ready"))
+			}
+			c.eventually("the slots are known", func() bool { return c.post(0, "/orders/first", "o").status == http.StatusOK })
+			h := c.hosts[0]
+			h.stop()
+			responses := make(chan response)
+			sent := 0
+			for end := time.Now().Add(h.settings.GracePeriod); time.Now().Before(end) && len(h.done) == 0; sent++ {
+				path := []string{"/orders/late", "/lookups/late"}[sent%2]
+				go func() { responses <- c.do(0, http.MethodPost, path, "o", nil) }()
+				time.Sleep(sendInterval)
+			}
+			statuses := make(map[int]int)
+			for range sent {
+				r := <-responses
+				statuses[r.status]++
+				runs := ran.of(r.id)
+				if r.err != nil && runs > 0 {
+					t.Errorf("%s was passed on %d times and got no response: %v", r.id, runs, r.err)
+				}
+				if r.status == http.StatusServiceUnavailable && runs > 0 {
+					t.Errorf("%s was refused and has run %d times", r.id, runs)
+				}
+			}
+			t.Logf("statuses %v", statuses)
+		})
+	}
+}
