backend, relay: heads and events without end take little memory

Cause: a head could have 1 MiB of fields, a parsed field takes over 100 bytes of memory, and neither heads nor events that aren't complete counted in any account.

Change: at most 64 KiB and 1,000 lines for a head with the intermediate responses before it, and a limit of its own for each response to another call; events that aren't complete count as payloads. serve, the clients of the store and of engines' memory read heads of 64 KiB at most, 10 MiB before; TestHeadWithoutEndIsCut in service fails without.

Bodies of responses in serve, 16 MiB each, still have no common limit.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"net/netip"
@@ -20,8 +21,10 @@
 	readBufSize = 4 << 10 // bytes
 	// A body up to this size is written before the response is read. A longer one is written concurrently.
 	maxInlineBody = 16 << 10 // bytes
-	// Limit of the head of a response, together with the intermediate responses and those to other calls before it.
-	maxHeadBytes = 1 << 20
+	// Limits of the head of a response, together with the intermediate responses before it. A parsed field takes far more memory
+	// than its bytes.
+	maxHeadBytes = 64 << 10
+	maxHeadLines = 1000
 	// A connection isn't reused once less than this time is left before the server closes it as idle.
 	idleMargin = 800 * time.Millisecond
 	// How long a connection may stay idle if the server sends no Keep-Alive timeout.
@@ -45,6 +48,7 @@
 	silentUntil time.Time   // by when something must have come, see Exchange.SetMaxSilence; zero for no limit
 	caughtUp    bool        // what had come by silentUntil may be read after it, as the host may have been paused
 	headLeft    int         // bytes that may still be read before the final head is complete; -1 for no limit
+	linesLeft   int         // lines that may still be read before that; valid with headLeft
 	extraWait   ExtraWait   // called at silentUntil, see Exchange.SetExtraWait; nil ends the wait
 	check       func() bool // checks whether the way of the connection still leads to the server
 	checkedAt   time.Time   // when check was last called
@@ -58,8 +62,14 @@
 	return cn
 }
 
-// errHeadTooLong is the error of reading a head that is longer than maxHeadBytes.
-var errHeadTooLong = errors.Errorf("head longer than %d bytes", maxHeadBytes)
+// errHeadTooLong is the error of reading a head that is longer than maxHeadBytes or maxHeadLines.
+var errHeadTooLong = errors.Errorf("head longer than %d bytes or %d lines", maxHeadBytes, maxHeadLines)
+
+// limitHead limits what is read from now on to the head of a response.
+func (c *conn) limitHead() { c.headLeft, c.linesLeft = maxHeadBytes, maxHeadLines }
+
+// endHead ends the limit of the head.
+func (c *conn) endHead() { c.headLeft = -1 }
 
 // catchUpTime is how long a host may read after silentUntil what had come before. A host that was paused needs it.
 const catchUpTime = 50 * time.Millisecond
@@ -76,6 +86,10 @@
 	n, err := c.readPatiently(b)
 	if c.headLeft > 0 {
 		c.headLeft -= n
+		c.linesLeft -= bytes.Count(b[:n], []byte{'\n'})
+		if c.linesLeft <= 0 {
+			c.headLeft = 0 // the head may have ended in what was read, before further lines
+		}
 	}
 	return n, err
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -61,7 +61,6 @@
 // names no call is taken as the response to this call if it is the first on its connection.
 func (x *Exchange) sendAndReadHead(ctx context.Context, head []byte, maxSilence time.Duration) error {
 	x.conn.setMaxSilence(maxSilence)
-	x.conn.headLeft = maxHeadBytes
 	x.reused, x.writtenBefore = x.conn.used, x.conn.net.Written()
 	bodySent, err := x.conn.writeRequest(head, x.call.Body)
 	x.bodySent = bodySent
@@ -69,15 +68,16 @@
 		return x.wrapError(ctx, "send", err)
 	}
 	for range maxResponsesRead {
+		x.conn.limitHead()
 		if err := x.readHead(); err != nil {
 			return x.wrapError(ctx, "read answer", err)
 		}
+		x.conn.endHead()
 		namesNone := x.Head.RequestID == ""
 		switch {
 		case namesNone && x.conn.used:
 			return x.wrapError(ctx, "read answer", errNoCallNamed)
 		case x.Head.RequestID == x.call.ID, namesNone && x.Head.Status >= http.StatusBadRequest:
-			x.conn.headLeft = -1
 			return nil
 		}
 		if err := discardBody(x.resp); err != nil {
--- a/internal/payload/budget.go
+++ b/internal/payload/budget.go
@@ -61,7 +61,7 @@
 	if length < 0 {
 		size = min(firstBytes, limit+1)
 	}
-	if !b.reserve(h, size) {
+	if !b.reserve(h, size, size) {
 		return nil, &Error{Op: "read payload", Kind: KindNoMemory}
 	}
 	payload := make([]byte, 0, size)
@@ -105,7 +105,7 @@
 		return nil, &Error{Op: "read payload", Kind: KindTooLong}
 	}
 	size := min(2*int64(cap(payload)), limit+1)
-	if !b.reserve(h, size) {
+	if !b.reserve(h, size, size) {
 		return nil, &Error{Op: "read payload", Kind: KindNoMemory}
 	}
 	larger := append(make([]byte, 0, size), payload...)
@@ -113,15 +113,26 @@
 	return larger, nil
 }
 
-// reserve takes memory for a payload of the given size and reports whether there is enough.
-func (b *Budget) reserve(h Holder, size int64) bool {
-	used := b.used.Add(size)
+// Resize changes the memory of a payload that isn't read by Read from held to size bytes and reports whether there is enough. If
+// not, nothing changes.
+func (b *Budget) Resize(held, size int64) bool {
+	if size > held {
+		return b.reserve(b.responses(), size-held, size)
+	}
+	b.used.Add(size - held)
+	b.responses().Give(held - size)
+	return true
+}
+
+// reserve takes more memory for a payload of the given size and reports whether there is enough.
+func (b *Budget) reserve(h Holder, more, size int64) bool {
+	used := b.used.Add(more)
 	if b.Limit > 0 && size > smallBytes && used > b.Limit {
-		b.used.Add(-size)
+		b.used.Add(-more)
 		return false
 	}
-	if !h.Take(size) {
-		b.used.Add(-size)
+	if !h.Take(more) {
+		b.used.Add(-more)
 		return false
 	}
 	return true
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -26,6 +26,7 @@
 	backoffInitial   = 50 * time.Millisecond // mean wait before the first retry
 	backoffMax       = 2 * time.Second
 	maxResponseBytes = 64 << 20 // of a response body
+	maxHeaderBytes   = 64 << 10 // of the header of a response
 	maxIdleConns     = 32
 	// minFailureDuration is how long an attempt must have lasted for the circuit breaker to count it as a failure when the
 	// caller's deadline ended it. An attempt that is ended earlier does not show whether the platform responds.
@@ -64,6 +65,8 @@
 				MaxIdleConnsPerHost: maxIdleConns,
 				IdleConnTimeout:     time.Minute,
 				DisableCompression:  true,
+
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			}}
 		}
 		c.metrics = c.Metrics
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -33,6 +33,7 @@
 	exchange      *backend.Exchange // nil until the head of the response has come
 	pause         planner.Pause     // that the server has asked for
 	start         []byte            // start of the body that a hedge has read
+	pending       pendingMemory     // of start
 	response      *response         // the complete response, if it isn't a stream and was read
 	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
 	ended         bool              // end was called
@@ -144,12 +145,17 @@
 	}
 	n := copy(b, a.start)
 	a.start = a.start[n:]
+	if len(a.start) == 0 {
+		a.start = nil
+		a.pending.release()
+	}
 	return n, nil
 }
 
 // end ends the attempt and reports its outcome to the planner.
 func (a *attempt) end(outcome planner.Outcome) {
 	a.ended = true
+	a.pending.release()
 	if a.response != nil {
 		a.relay.Payloads.Release(a.response.body)
 	}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -105,6 +105,9 @@
 	e.resuming, e.restarted = resumed, false
 }
 
+// pendingBytes returns how much memory the start of an event takes that isn't complete.
+func (e *eventFilter) pendingBytes() int { return cap(e.pending) }
+
 // complete reports whether the stream so far may be a complete one: it ends with a complete event and, if it is a resumed one, has
 // gone on.
 func (e *eventFilter) complete() bool { return len(e.pending) == 0 && !e.resuming }
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -126,6 +126,9 @@
 		n, err := a.exchange.Read(buffer)
 		a.start = append(a.start, buffer[:n]...)
 		_, filterErr := events.add(buffer[:n])
+		if memoryErr := a.pending.resize(cap(a.start) + events.pendingBytes()); memoryErr != nil {
+			return outcomeOf(memoryErr), memoryErr
+		}
 		switch {
 		case events.steps > 0:
 		case errors.Is(err, io.EOF) && events.complete():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,6 +114,7 @@
 		ctx:         deadlineCtx,
 		progress:    progress{retryMode: c.RetryMode, maxRuns: c.MaxAttempts},
 		fingerprint: fingerprint(c),
+		pending:     pendingMemory{payloads: r.Payloads},
 	}
 	if c.ResumesStream {
 		t.events.lastID = c.LastEvent
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -39,6 +39,7 @@
 	ctx             context.Context // ends with callerCtx and shortly before the deadline
 	progress        progress
 	events          eventFilter       // spans the attempts, so that a resumed stream repeats no event
+	pending         pendingMemory     // of events
 	fingerprint     uint64            // equal for calls that do the same work; recognizes those that crash replicas
 	tried           []replica.Replica // at which an attempt did not complete the call
 	headWritten     atomic.Bool       // the head of the response has been written to the caller
@@ -73,6 +74,7 @@
 
 // run makes attempts until one completes, the call may not be retried or the context ends.
 func (t *transfer) run() {
+	defer t.pending.release()
 	defer t.closeHedge()
 	for {
 		a := t.nextAttempt()
@@ -144,6 +146,7 @@
 func (t *transfer) newAttempt() *attempt {
 	return &attempt{
 		relay: t.relay, call: t.call, resume: t.events.forwarded > 0, lastEvent: t.events.lastID, tried: slices.Clone(t.tried),
+		pending: pendingMemory{payloads: t.relay.Payloads},
 	}
 }
 
@@ -276,6 +279,7 @@
 		}
 		steps := t.events.steps
 		complete, filterErr := t.events.add(buffer[:n])
+		memoryErr := t.pending.resize(t.events.pendingBytes())
 		further := t.events.steps > steps
 		if !t.events.resumable() {
 			t.progress.retryMode = call.RetryNever
@@ -298,6 +302,8 @@
 		switch {
 		case filterErr != nil:
 			return planner.OutcomeBroken, filterErr
+		case memoryErr != nil:
+			return outcomeOf(memoryErr), memoryErr
 		case errors.Is(err, io.EOF) && t.events.complete():
 			t.writeStreamHead(x.Head)
 			x.Finish()
--- a/internal/service/badhead_test.go
+++ b/internal/service/badhead_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +56,25 @@
 		}
 	}
 }
+
+// Guards against a server in trouble that sends header fields without end, which the host keeps until it has no memory left.
+func TestHeadWithoutEndIsCut(t *testing.T) {
+	const fields = 100_000
+	taken := make(chan int, 1)
+	address := listener.Serve(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		n := 0
+		for err := error(nil); n < fields && err == nil; n++ {
+			_, err = fmt.Fprintf(c, "%x:\r\n", n)
+		}
+		taken <- n
+		_ = c.Close()
+	})
+	p := &Pool{}
+	p.init()
+	_, err := p.exchange(t.Context(), &Call{Method: http.MethodPost, Path: "/"}, protocol.Server{Name: "s", Address: address})
+	if err == nil || err.Kind != KindBroken || !strings.Contains(err.Error(), "header") {
+		t.Errorf("error %v, want one that names the header", err)
+	}
+	<-taken
+}
--- a/internal/service/exchange.go
+++ b/internal/service/exchange.go
@@ -27,7 +27,9 @@
 
 func (p *Pool) init() {
 	p.once.Do(func() {
-		p.transport = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+		p.transport = &http.Transport{
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		}
 	})
 }
 
--- a/internal/service/pool.go
+++ b/internal/service/pool.go
@@ -18,6 +18,7 @@
 	maxAttempts      = 3 // servers that a call tries
 	dialTimeout      = time.Second
 	maxResponseBytes = 16 << 20 // of a response body
+	maxHeaderBytes   = 64 << 10 // of the header of a response
 )
 
 type (
