backend, tunnel: connections of requests that were given up are reset

Cause: an attempt that is given up closed its connection in order, and the system goes on to deliver what the server hasn't acknowledged. Now the connection is reset, by the host itself and, for one through another host, by that one.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -165,6 +165,12 @@
 
 func (c *conn) close() { _ = c.net.Close() }
 
+// abort resets the connection, so that what was sent arrives no more if it hasn't arrived yet.
+func (c *conn) abort() {
+	_ = c.net.SetLinger(0)
+	c.close()
+}
+
 // usable reports whether an idle connection may be used for another call: it hasn't been idle for too long, and the
 // server has neither sent anything on it nor closed it.
 func (c *conn) usable(now time.Time) bool {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -19,7 +19,7 @@
 	pool          *Pool
 	conn          *conn
 	call          *call.Call
-	stopAfterFunc func() bool // result of context.AfterFunc, which closes conn when the context ends
+	stopAfterFunc func() bool // result of context.AfterFunc, which resets conn when the context ends
 	resp          *http.Response
 	bodySent      <-chan error // result of writing the body in the background; nil if it isn't
 	ended         bool         // Finish or Abort was called
@@ -191,14 +191,14 @@
 	}
 }
 
-// Abort ends the exchange by closing its connection. It does nothing after Finish.
+// Abort ends the exchange by resetting its connection. It does nothing after Finish.
 func (x *Exchange) Abort() {
 	if x.ended {
 		return
 	}
 	x.written, x.ended = x.bytesWritten(), true
 	x.stopAfterFunc()
-	x.conn.close()
+	x.conn.abort()
 }
 
 // wrapError returns an *Error for the operation op that failed with err after the request was sent, at least in part.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -74,7 +74,7 @@
 	}
 	x := &Exchange{pool: p, conn: cn, call: c}
 	x.SetExtraWait(extraWait)
-	x.stopAfterFunc = context.AfterFunc(ctx, cn.close)
+	x.stopAfterFunc = context.AfterFunc(ctx, cn.abort)
 	if err := x.sendAndReadHead(ctx, p.Codec.AppendRequestHead(nil, c, a), maxSilence); err != nil {
 		x.Abort()
 		return nil, err
--- a/internal/duplex/conn_test.go
+++ b/internal/duplex/conn_test.go
@@ -20,6 +20,7 @@
 func (c *scriptedConn) Read([]byte) (int, error) { return 0, io.EOF }
 func (c *scriptedConn) Readable() (bool, error)  { return false, c.failure }
 func (c *scriptedConn) Direct() bool             { return true }
+func (c *scriptedConn) SetLinger(int) error      { return nil }
 func (c *scriptedConn) Write([]byte) (int, error) {
 	time.Sleep(20 * time.Millisecond)
 	return 0, c.failure
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -90,6 +90,8 @@
 	Readable() (bool, error)
 	// Direct reports whether no other host is between.
 	Direct() bool
+	// SetLinger with 0 makes Close reset the connection, so that what the peer hasn't got is lost; see net.TCPConn.
+	SetLinger(seconds int) error
 }
 
 // TCP is a TCP connection as a Conn.
--- a/internal/tunnel/reset_test.go
+++ b/internal/tunnel/reset_test.go
@@ -30,3 +30,27 @@
 		}
 	}
 }
+
+// Guards against a request that reaches its server although the host that sent it has given it up: the host between has read it
+// and closes the server's connection in order.
+func TestResetOfTunnelResetsServer(t *testing.T) {
+	_, host := newServer(t)
+	read, result := make(chan struct{}), make(chan error, 1)
+	server := listener.Serve(t, func(c *net.TCPConn) {
+		<-read
+		_, err := io.Copy(io.Discard, c)
+		result <- err
+	})
+	c := dial(t, host, server)
+	if _, err := c.Write(make([]byte, 4<<10)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	time.Sleep(50 * time.Millisecond)
+	close(read)
+	if err := <-result; err == nil {
+		t.Error("the server has got what was sent, and then the end of its connection")
+	}
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -175,8 +175,9 @@
 
 func header(length int) []byte { return binary.BigEndian.AppendUint16(nil, uint16(length)) }
 
-// copyToServer copies what the other host sends until that ends, and then closes the server's connection.
-func (t *carried) copyToServer(server net.Conn) {
+// copyToServer copies what the other host sends until that ends, and then closes the server's connection, or resets it if the
+// other host has reset its own.
+func (t *carried) copyToServer(server netconn.Conn) {
 	defer close(t.closed)
 	buffer := make([]byte, copyBytes)
 	for {
@@ -187,6 +188,9 @@
 			}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				_ = server.SetLinger(0)
+			}
 			_ = server.Close()
 			return
 		}
