ingress: heads may be as long as the configuration allows

Now intake alone keeps the limit in force, up to 1 MiB, and counts the head in the callers' account as before.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -33,10 +33,12 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 64 << 10
-	headSlack      = 4 << 10 // bytes that a head may have over the limit, as with net/http
-	defaultMaxBody = 4 << 20 // bytes, if the configuration sets no limit
-	maxDiscard     = 8 << 20 // bytes of a body over the limit that are read and dropped before the response
-	bodyTimeout    = 10 * time.Second
+	// The largest limit that the configuration can set in place of maxHeaderBytes.
+	mostHeaderBytes = 1 << 20
+	headSlack       = 4 << 10 // bytes that a head may have over the limit, as with net/http
+	defaultMaxBody  = 4 << 20 // bytes, if the configuration sets no limit
+	maxDiscard      = 8 << 20 // bytes of a body over the limit that are read and dropped before the response
+	bodyTimeout     = 10 * time.Second
 	// workBytes is what a request takes beside its head and body while a replica works on it: stacks and buffers of its
 	// goroutines, and its placement.
 	workBytes = 48 << 10
@@ -112,6 +114,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(serverErrorLog{g.Log}, "", 0),
 	}}
+	if g.Account != nil {
+		g.server.HTTP.MaxHeaderBytes = mostHeaderBytes + headSlack // intake.Listener keeps the limit in force
+	}
 }
 
 // handler returns the handler of the server.
@@ -128,7 +133,7 @@
 	if config, _ := g.Cache.Active(); config != nil && config.Limits.MaxHeaderBytes > 0 {
 		limits.HeaderBytes = config.Limits.MaxHeaderBytes
 	}
-	limits.HeaderBytes += headSlack
+	limits.HeaderBytes = min(limits.HeaderBytes, mostHeaderBytes) + headSlack
 	return limits
 }
 
