uptime: the end of an outage stays the same time when hosts tell each other

With up to 50 ms TestExpiredEntriesAreKeptWhenPlannerChanges and TestFleetKeepsReplicasThroughOutage fail before this commit.

Now a beginning refutes another one only if it is 0.75 s earlier.

--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -210,7 +210,7 @@
 func (l *List) extend(available uptime.Interval) bool {
 	before := l.available
 	l.available = before.Join(available)
-	return l.available.Era == before.Era && l.available.Since.Before(before.Since)
+	return l.available.Refutes(before)
 }
 
 // Replace replaces the list by the replicas of another host, which read them at the end of the given time in which it knows
@@ -218,7 +218,7 @@
 // if this host knows that it has left, or that there was no outage.
 func (l *List) Replace(available uptime.Interval, all []Replica) []Change {
 	l.extend(available)
-	noOutage := l.available.Since.Before(available.Since)
+	noOutage := l.available.Refutes(available)
 	all = slices.DeleteFunc(slices.Clone(all), func(r Replica) bool { return r.Unlisted && (noOutage || l.isGone(r)) })
 	changes, taken := l.apply(available.Until, all)
 	for id, r := range l.replicas {
--- a/internal/uptime/interval.go
+++ b/internal/uptime/interval.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// maxPause is the longest time between two reads for which the store is taken to have answered all the while: too short for
-// an entry to expire.
-const maxPause = 1500 * time.Millisecond
+const (
+	// maxPause is the longest time between two reads for which the store is taken to have answered all the while: too short for
+	// an entry to expire.
+	maxPause = 2 * time.Second
+	// sameTime is how far apart two times may be that are the same one: times appear earlier to a host that hears of them, by the
+	// time in transit.
+	sameTime = 750 * time.Millisecond
+)
 
 // Interval is a time in which the store was available, as far as the hosts that have read it know. The zero value is that of
 // a host that knows of no read.
@@ -45,13 +50,18 @@
 	case i.Since.Sub(other.Until) > maxPause:
 		return i
 	}
-	if other.Since.Before(i.Since) {
+	if other.Refutes(i) {
 		i.Since = other.Since
 	}
 	i.Until = later(i.Until, other.Until)
 	return i
 }
 
+// Refutes reports whether what other takes for the end of an outage is within i, so that there was none.
+func (i Interval) Refutes(other Interval) bool {
+	return i.Era == other.Era && other.Since.Sub(i.Since) > sameTime && !other.Since.After(i.Until.Add(maxPause))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
