relay, service: tests of heads without end don't count or disturb themselves

TestHeadWithoutEndIsCut failed with an unsolicited response: its server answered before it had read the request. Both are mended in the tests, with the bounds as they were.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -49,8 +49,9 @@
 		"other response": strings.Repeat("HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 900000\r\n\r\n"+strings.Repeat("x", 900000), 2),
 	} {
 		t.Run(name, func(t *testing.T) {
+			sent := []byte(text) // once for all connections, since it counts as memory of the process
 			r := rawWorld(t, func(c *net.TCPConn) {
-				_, _ = io.WriteString(c, text)
+				_, _ = c.Write(sent)
 				_, _ = io.Copy(io.Discard, c)
 				_ = c.Close()
 			})
--- a/internal/service/badhead_test.go
+++ b/internal/service/badhead_test.go
@@ -62,6 +62,7 @@
 	const fields = 100_000
 	taken := make(chan int, 1)
 	address := listener.Serve(t, func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 4096))
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
 		n := 0
 		for err := error(nil); n < fields && err == nil; n++ {
