--- a/internal/feed/exchange.go
+++ b/internal/feed/exchange.go
@@ -228,16 +228,13 @@
 		available.Since = since
 	}
 	readRevision := revision.New(s.ReplicaEra, s.ReplicaRevision)
-	if !isLaterRead(readRevision, readAt, c.replicaRevision, c.replicasReadAt) {
-		c.applyChanges(c.replicaList.Join(available), sourcePeer)
-		return
-	}
-	changes, ok := c.replaceReplicas(available, s)
-	if !ok {
-		c.applyChanges(c.replicaList.Join(available), sourcePeer)
-		return
+	if isLaterRead(readRevision, readAt, c.replicaRevision, c.replicasReadAt) {
+		if changes, ok := c.replaceReplicas(available, s); ok {
+			c.setReplicas(readRevision, readAt, changes, sourcePeer)
+			return
+		}
 	}
-	c.setReplicas(readRevision, readAt, changes, sourcePeer)
+	c.applyChanges(c.replicaList.Join(available), sourcePeer)
 }
 
 // replaceReplicas replaces the list of replicas by that in the state, which was read at the end of the given time, and returns
--- a/internal/feed/leftfleet_test.go
+++ b/internal/feed/leftfleet_test.go
@@ -23,7 +23,6 @@
 type drill struct {
 	*fleet
 	cut       bool
-	cutEnd    time.Time             // when the last cut ended
 	storeDown bool                  // and cut: nobody can read
 	downEnd   time.Time             // when the store was available again
 	left      map[string]time.Time  // when the entry of each replica was removed that has left
@@ -86,9 +85,6 @@
 	switch rapid.SampledFrom([]string{"cut", "leave", "store", "nothing"}).Draw(r, "action") {
 	case "cut":
 		d.cut = !d.cut
-		if !d.cut {
-			d.cutEnd = d.now
-		}
 	case "leave":
 		id := fmt.Sprintf("r%d", len(d.left))
 		if !d.storeDown && len(d.left) < len(d.store.replicas)-1 {
@@ -129,7 +125,7 @@
 			ids = append(ids, fmt.Sprintf("r%d", i))
 		}
 		d := &drill{fleet: newFleet(t, fleetHosts, append(ids, "expires")...), left: make(map[string]time.Time)}
-		d.downEnd, d.cutEnd = d.now.Add(-time.Minute), d.now.Add(-time.Minute)
+		d.downEnd = d.now.Add(-time.Minute)
 		for range 25 {
 			d.act(r)
 			for range rapid.IntRange(1, 45).Draw(r, "steps") {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -53,10 +53,8 @@
 		LastEvent:     a.lastEvent,
 		Priority:      min(a.call.Priority, maxPriority),
 		NewConnection: a.hasTried(plan.Replica.Address),
-		MaySend: func() bool {
-			return !a.relay.PlannerClient.IsEvacuated(plan) && !a.relay.PlannerClient.HasLeft(plan.Replica)
-		},
-		Passes: a.relay.passes(a.call),
+		MaySend:       func() bool { return !a.relay.isWithdrawn(plan) },
+		Passes:        a.relay.passes(a.call),
 	}
 	if err := a.reserveAtHelpers(ctx, parameters); err != nil {
 		return planner.OutcomeRefused, err
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -133,9 +133,12 @@
 // limit allows the call, and neither it nor a helper replica is evacuated. The planner may not know that yet, or the plan may be
 // old.
 func (r *Relay) maySend(result planner.Result) bool {
-	s := result.Plan.Replica
-	return !r.PlannerClient.HasLeft(s) && !r.PlannerClient.IsEvacuated(result.Plan) &&
-		!r.pauses.Paused(steady.Now(), s) && r.PlannerClient.MaySend(result)
+	return !r.isWithdrawn(result.Plan) && !r.pauses.Paused(steady.Now(), result.Plan.Replica) && r.PlannerClient.MaySend(result)
+}
+
+// isWithdrawn reports whether the server of a plan has left, or it or a helper replica is evacuated.
+func (r *Relay) isWithdrawn(p *planner.Plan) bool {
+	return r.PlannerClient.IsEvacuated(p) || r.PlannerClient.HasLeft(p.Replica) // in this order, since the first may wait
 }
 
 func (r *Relay) logPlan(c *call.Call, p *planner.Plan, askedFor time.Duration) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,8 +29,7 @@
 // placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
 // server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have failed.
 // Leaving reports a replica that has announced that it leaves; HasLeft reports whether one takes no new requests, since it has
-// announced that, drains or is gone. IsEvacuated reports whether
-// a plan uses a replica of an evacuated failure domain; EvacuatedReplicas returns the IDs of those of a service. NamedLimit reports what a
+// announced that, drains or is gone. IsEvacuated reports whether a plan uses a replica of an evacuated failure domain; EvacuatedReplicas returns the IDs of those of a service. NamedLimit reports what a
 // response to a request that was sent at sentAt has said of the limit of its server's requests a second; MaySend reports
 // whether the limit still allows to send what the planner has placed. NamedCold reports for how long the server of a response
 // stays cold.
