--- a/review/_standin4/main.go
+++ b/review/_standin4/main.go
@@ -7,7 +7,9 @@
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -55,10 +57,11 @@
 		dir: dir, deploy: command + " gateway", out: bufio.NewWriter(out), began: time.Now(), replicas: make(map[string]*replica),
 	}
 	defer w.stop()
+	go w.stopOnSignal()
 	if w.store, err = startStore(); err != nil {
 		return failed
 	}
-	cases := map[string]func(*world) (verdict, error){"helper": helperCase}
+	cases := map[string]func(*world) (verdict, error){"helper": helperCase, "options": optionsCase, "crowd": crowdCase}
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no case", name)
@@ -76,3 +79,14 @@
 	}
 	return v
 }
+
+// stopOnSignal ends the entry hosts when this process is told to end.
+func (w *world) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	w.record("stopped by a signal")
+	w.stop()
+	_ = os.RemoveAll(w.dir)
+	os.Exit(int(failed))
+}
--- a/review/_standin4/world.go
+++ b/review/_standin4/world.go
@@ -68,7 +68,9 @@
 	if helper {
 		what = "reads a part of the prompt of"
 	}
-	w.record("%s (%s) %s %s %s %s", r.id, r.service, what, id, req.Method, req.URL.Path)
+	if !strings.HasPrefix(id, crowdID) {
+		w.record("%s (%s) %s %s %s %s", r.id, r.service, what, id, req.Method, req.URL.Path)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.runs = append(w.runs, run{replica: r, id: id, path: req.URL.Path, helper: helper})
@@ -161,7 +163,7 @@
 cpuShare = 1.0
 cpuCores = 1
 memoryMb = %d
-maxFds = 2940
+maxFds = 2870
 linkMbps = 700.0
 [faultTolerance]
 machines = 2
@@ -223,7 +225,7 @@
 // stop ends all entry hosts.
 func (w *world) stop() {
 	for _, h := range w.hosts {
-		if h.cmd != nil && h.cmd.Process != nil {
+		if h.done != nil {
 			_ = h.cmd.Process.Signal(syscall.SIGKILL)
 			<-h.done
 		}
