--- a/review/_standin4/main.go
+++ b/review/_standin4/main.go
@@ -61,7 +61,7 @@
 	if w.store, err = startStore(); err != nil {
 		return failed
 	}
-	cases := map[string]func(*world) (verdict, error){"helper": helperCase, "options": optionsCase, "crowd": crowdCase}
+	cases := map[string]func(*world) (verdict, error){"helper": helperCase, "options": optionsCase, "crowd": crowdCase, "split": splitCase}
 	play := cases[name]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no case", name)
--- a/review/_standin4/replica.go
+++ b/review/_standin4/replica.go
@@ -35,8 +35,9 @@
 	mu       sync.Mutex
 	sequence int
 	tickets  map[string]int // reserved tokens by ticket
-	running  int
 	lastBeat time.Time
+	limit    float64   // requests a second that it takes, which it names; 0 for no limit
+	arrivals []arrival // of requests while it names a limit
 }
 
 // startReplica starts a replica at an address, or at a free one if that is empty, and registers it.
@@ -133,6 +134,7 @@
 	case r.model:
 		r.serveStream(w, req, id)
 	default:
+		r.nameLimit(w, id)
 		r.servePlain(w, req, id)
 	}
 }
--- a/review/_standin4/store.go
+++ b/review/_standin4/store.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,14 +21,21 @@
 	CurrentRev int64  `json:"currentRev,omitempty"`
 }
 
-// store is a stand-in of the platform's store. Its leases don't expire within the time of a test.
+// lease is a lease of the store.
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// store is a stand-in of the platform's store.
 type store struct {
 	address string
 
 	mu       sync.Mutex
 	revision int64
 	items    map[string]item
-	leases   int64
+	leases   map[int64]*lease // by ID
+	lastID   int64            // of a lease
 }
 
 // startStore serves an empty store on a free port.
@@ -36,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), revision: 1, items: make(map[string]item)}
+	s := &store{address: l.Addr().String(), revision: 1, items: make(map[string]item), leases: make(map[int64]*lease)}
 	go func() { _ = http.Serve(l, s) }()
 	return s, nil
 }
@@ -49,16 +57,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(key, data)
+	s.write(key, data, 0)
 }
 
-func (s *store) write(key string, data []byte) {
+func (s *store) write(key string, data []byte, lease int64) {
 	s.revision++
 	created := s.revision
 	if old, ok := s.items[key]; ok {
 		created = old.CreatedRev
 	}
-	s.items[key] = item{Key: key, Value: data, Revision: s.revision, CreatedRev: created}
+	s.items[key] = item{Key: key, Value: data, Revision: s.revision, CreatedRev: created, Lease: lease}
 }
 
 // remove removes a key and reports whether it was there.
@@ -77,6 +85,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endLeases()
 	w.Header().Set("Store-Era", "1")
 	query := r.URL.Query()
 	switch {
@@ -101,15 +110,40 @@
 			TTLMS int64 `json:"ttlMs"`
 		}
 		_ = json.NewDecoder(r.Body).Decode(&body)
-		s.leases++
-		reply(w, http.StatusOK, map[string]int64{"lease": s.leases, "ttlMs": body.TTLMS})
-	case strings.HasPrefix(r.URL.Path, "/kv-keep/"), strings.HasPrefix(r.URL.Path, "/kv-lease-end/"):
-		reply(w, http.StatusOK, map[string]int64{})
+		ttl := time.Duration(body.TTLMS) * time.Millisecond
+		s.lastID++
+		s.leases[s.lastID] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+		reply(w, http.StatusOK, map[string]int64{"lease": s.lastID, "ttlMs": body.TTLMS})
+	case strings.HasPrefix(r.URL.Path, "/kv-keep/"):
+		id, _ := strconv.ParseInt(strings.TrimPrefix(r.URL.Path, "/kv-keep/"), 10, 64)
+		l := s.leases[id]
+		if l == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		l.ends = time.Now().Add(l.ttl)
+		reply(w, http.StatusOK, map[string]int64{"lease": id, "ttlMs": l.ttl.Milliseconds()})
 	default:
 		w.WriteHeader(http.StatusBadRequest)
 	}
 }
 
+// endLeases ends the leases whose time is over and removes their keys.
+func (s *store) endLeases() {
+	for id, l := range s.leases {
+		if time.Now().Before(l.ends) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, i := range s.items {
+			if i.Lease == id {
+				s.revision++
+				delete(s.items, key)
+			}
+		}
+	}
+}
+
 func (s *store) under(prefix, after string) []item {
 	items := []item{}
 	for key, i := range s.items {
@@ -131,6 +165,7 @@
 		Puts []struct {
 			Key   string `json:"key"`
 			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
 		} `json:"puts"`
 		Remove []string `json:"remove"`
 	}
@@ -145,7 +180,13 @@
 		}
 	}
 	for _, p := range body.Puts {
-		s.write(p.Key, p.Value)
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		s.write(p.Key, p.Value, p.Lease)
 	}
 	for _, key := range body.Remove {
 		s.revision++
--- a/review/_standin4/world.go
+++ b/review/_standin4/world.go
@@ -48,10 +48,12 @@
 // host is one entry host.
 type host struct {
 	name, front, ready, control string
+	status                      string // address of its status
 	settings                    string // path of the settings file
 	memoryMB                    int
 	cmd                         *exec.Cmd
 	done                        chan struct{} // closed when the process has ended
+	lost                        bool          // its machine has lost power for good
 }
 
 // record writes a line of the record.
@@ -68,7 +70,7 @@
 	if helper {
 		what = "reads a part of the prompt of"
 	}
-	if !strings.HasPrefix(id, crowdID) {
+	if !quiet(id) {
 		w.record("%s (%s) %s %s %s %s", r.id, r.service, what, id, req.Method, req.URL.Path)
 	}
 	w.mu.Lock()
@@ -76,6 +78,9 @@
 	w.runs = append(w.runs, run{replica: r, id: id, path: req.URL.Path, helper: helper})
 }
 
+// quiet reports whether a request is one of so many that they aren't recorded one by one.
+func quiet(id string) bool { return strings.HasPrefix(id, crowdID) || strings.HasPrefix(id, limitID) }
+
 // runsOf returns what replicas have worked on for a request.
 func (w *world) runsOf(id string) []run {
 	w.mu.Lock()
@@ -106,20 +111,33 @@
 	return l.Addr().String()
 }
 
-// startHosts starts entry hosts and waits until all are ready.
+// startHosts starts entry hosts, which are seeds of each other, and waits until all are ready.
 func (w *world) startHosts(count, memoryMB int) error {
+	w.addHosts(count, memoryMB)
 	var seeds []string
-	for n := range count {
+	for _, h := range w.hosts {
+		seeds = append(seeds, h.control)
+	}
+	return w.startAll(w.hosts, seeds)
+}
+
+// addHosts adds entry hosts without starting them.
+func (w *world) addHosts(count, memoryMB int) {
+	for range count {
 		h := &host{
-			name: fmt.Sprintf("front-%d", n+1), front: freeAddress(), ready: freeAddress(), control: freeAddress(),
-			memoryMB: memoryMB,
+			name: fmt.Sprintf("front-%d", len(w.hosts)+1), front: freeAddress(), ready: freeAddress(), control: freeAddress(),
+			status: freeAddress(), memoryMB: memoryMB,
 		}
 		h.settings = filepath.Join(w.dir, h.name+".toml")
-		seeds = append(seeds, `"`+h.control+`"`)
 		w.hosts = append(w.hosts, h)
 	}
-	for _, h := range w.hosts {
-		if err := os.WriteFile(h.settings, []byte(h.settingsText(w, strings.Join(seeds, ","))), 0o600); err != nil {
+}
+
+// startAll starts entry hosts with the given seeds and waits until they are ready.
+func (w *world) startAll(hosts []*host, seeds []string) error {
+	list := `"` + strings.Join(seeds, `","`) + `"`
+	for _, h := range hosts {
+		if err := os.WriteFile(h.settings, []byte(h.settingsText(w, list)), 0o600); err != nil {
 			return err
 		}
 		if err := h.start(w); err != nil {
@@ -127,7 +145,7 @@
 		}
 	}
 	deadline := time.Now().Add(readyIn)
-	for _, h := range w.hosts {
+	for _, h := range hosts {
 		for !h.isReady() {
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%s isn't ready after %v", h.name, readyIn)
@@ -135,17 +153,19 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	w.record("%d entry hosts are ready", count)
+	w.record("%d entry hosts are ready", len(hosts))
 	return nil
 }
 
 // settingsText returns the settings of a host in the platform's format.
 func (h *host) settingsText(w *world, seeds string) string {
+	_, port, _ := net.SplitHostPort(h.status)
 	return fmt.Sprintf(`nodeName = "%s"
 role = "gateway"
 machineClass = "front"
 serves = ["front","control"]
 ip = "127.0.0.1"
+internalPortRange = [%s, %s]
 zone = "a"
 region = "nordeste"
 seeds = [%s]
@@ -187,7 +207,7 @@
 form = "kv"
 writesPerS = 400
 readsPerS = 2000
-`, h.name, seeds, h.front, h.ready, h.control, h.memoryMB, w.store.address)
+`, h.name, port, port, seeds, h.front, h.ready, h.control, h.memoryMB, w.store.address)
 }
 
 // start starts the host's process with the command of the deploy file.
@@ -256,11 +276,15 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	w.record("client sends %s %s %s to %s", id, method, path, h.name)
+	record := w.record
+	if quiet(id) {
+		record = func(string, ...any) {}
+	}
+	record("client sends %s %s %s to %s", id, method, path, h.name)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		w.record("client gets no answer to %s: %v", id, err)
+		record("client gets no answer to %s: %v", id, err)
 		return answer{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -269,7 +293,7 @@
 		status: resp.StatusCode, header: resp.Header, body: string(data), err: err,
 		signature: resp.Header.Get("Response-Signature"),
 	}
-	w.record("client gets %d to %s: %d bytes, signature %q, retry after %q, error %v", a.status, id, len(data), a.signature,
+	record("client gets %d to %s: %d bytes, signature %q, retry after %q, error %v", a.status, id, len(data), a.signature,
 		resp.Header.Get("Retry-After"), err)
 	return a
 }
