--- a/review/_standin4/replica.go
+++ b/review/_standin4/replica.go
@@ -43,7 +43,7 @@
 // startReplica starts a replica at an address, or at a free one if that is empty, and registers it.
 func (w *world) startReplica(id, service, address string, model bool) (*replica, error) {
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = freeAddress()
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/review/_standin4/store.go
+++ b/review/_standin4/store.go
@@ -40,7 +40,7 @@
 
 // startStore serves an empty store on a free port.
 func startStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
--- a/review/_standin4/world.go
+++ b/review/_standin4/world.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -101,14 +102,28 @@
 	return w.replicas[address]
 }
 
-// freeAddress returns a loopback address at which nothing listens.
+// The ports from which addresses are taken. Outgoing connections don't get them.
+const firstPort, lastPort = 20000, 32000
+
+// given are the ports that freeAddress has returned.
+var given = make(map[int]bool)
+
+// freeAddress returns a loopback address at which nothing listens. It isn't safe for concurrent use.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if given[port] {
+			continue
+		}
+		given[port] = true
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // startHosts starts entry hosts, which are seeds of each other, and waits until all are ready.
