--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,10 +42,12 @@
 	t        *testing.T
 	store    *metastore.Store
 	log      *replica.RequestLog // requests that reached replicas
-	replicas []*replica.Replica
+	replicas []*replica.Replica  // in the order of their starts
 	hosts    []*host
 	version  int // of the configuration in the store
 
+	replicasMu sync.Mutex // guards replicas once the hosts run
+
 	storeAddress netip.AddrPort
 	peers        []netip.AddrPort // peer addresses of the hosts
 	seeds        int              // how many of peers are the hosts' seeds
@@ -53,6 +56,7 @@
 	// EvacuationTime of the hosts; unless it is 0, the replicas are in three failure domains.
 	evacuationTime time.Duration
 	withoutStore   map[int]bool // hosts that can't reach the store
+	engineMemory   int          // of each model replica, in tokens; 0 for 315,000
 }
 
 // host is an entry host of a cluster.
@@ -150,12 +154,15 @@
 	c.store, c.log = &metastore.Store{}, &replica.RequestLog{}
 	c.storeAddress = listener.ServeHTTP(t, c.store)
 	c.seeds = seedCount
+	if c.engineMemory == 0 {
+		c.engineMemory = 315000
+	}
 	clock := &replica.Clock{Fleet: &passes.Fleet{Params: engineParameters}}
 	replicaIDs := make(map[netip.AddrPort]string)
 	for i := range 7 {
 		r := &replica.Replica{
 			ID: fmt.Sprintf("i-%d", i), Service: "llm", FailureDomain: "a", Slots: 16, Log: c.log,
-			EngineNames: func() map[netip.AddrPort]string { return replicaIDs },
+			EngineNames: func() map[netip.AddrPort]string { return replicaIDs }, HelperAt: c.replicaAt,
 		}
 		if i < 4 {
 			r.Clock = clock
@@ -171,7 +178,7 @@
 		r.OnReturn = func() { c.store.Put("servers/"+r.ID, r.Entry("ready")) }
 		r.Address = listen(t, r)
 		replicaIDs[r.Address] = r.ID
-		c.replicas = append(c.replicas, r)
+		c.addReplica(r)
 		c.store.Put("servers/"+r.ID, r.Entry("ready"))
 	}
 	c.configure([]string{testKey})
@@ -185,6 +192,25 @@
 	return c
 }
 
+// addReplica adds a replica to the cluster.
+func (c *cluster) addReplica(r *replica.Replica) {
+	c.replicasMu.Lock()
+	defer c.replicasMu.Unlock()
+	c.replicas = append(c.replicas, r)
+}
+
+// replicaAt returns the replica that started last at an address, nil if none has.
+func (c *cluster) replicaAt(address netip.AddrPort) *replica.Replica {
+	c.replicasMu.Lock()
+	defer c.replicasMu.Unlock()
+	for _, r := range slices.Backward(c.replicas) {
+		if r.Address == address {
+			return r
+		}
+	}
+	return nil
+}
+
 // restart stops host i gracefully, starts it again at its peer address and waits until it is ready.
 func (c *cluster) restart(i int) {
 	c.t.Helper()
@@ -265,7 +291,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "healthPath": "/health", "maxConnections": 100, "engine": map[string]any{
-				"slots": 16, "kvTokens": 315000, "stride": 51, "step_ms": 0.2, "per_seq_ms": 0.00425,
+				"slots": 16, "kvTokens": c.engineMemory, "stride": 51, "step_ms": 0.2, "per_seq_ms": 0.00425,
 				"context_per_k": 0.00285, "read_per_s": 177000, "pairs_per_m": 0.184, "chunk": 2048,
 			}},
 			map[string]any{"name": "desk", "healthPath": "/health", "maxConnections": 100},
--- a/internal/standin/replica/crash.go
+++ b/internal/standin/replica/crash.go
@@ -19,7 +19,12 @@
 // Listen serves the replica on a free port of the loopback address until Close, and returns the address. Only a replica
 // that was started so can crash.
 func (p *Replica) Listen() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return p.ListenAt(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0))
+}
+
+// ListenAt is as Listen, at the given address.
+func (p *Replica) ListenAt(address netip.AddrPort) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "listen")
 	}
--- a/internal/standin/replica/log.go
+++ b/internal/standin/replica/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,6 +26,7 @@
 	active  map[string]int               // attempts at which replicas are at work, by Request-Id
 	ended   map[string]time.Time         // when the last attempt ended, by Request-Id
 	crashes map[string][]time.Time       // by the part of a prompt that caused them, in order
+	parts   map[string][]string          // IDs of the replicas that have read parts as helpers, by Request-Id
 }
 
 func (l *RequestLog) add(id string, s ReceivedRequest) {
@@ -104,3 +106,20 @@
 	defer l.mu.Unlock()
 	return append([]time.Time(nil), l.crashes[part]...)
 }
+
+// addPart records that a replica reads a part of the prompt of a request as a helper.
+func (l *RequestLog) addPart(id, replicaID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.parts == nil {
+		l.parts = make(map[string][]string)
+	}
+	l.parts[id] = append(l.parts[id], replicaID)
+}
+
+// Parts returns the IDs of the replicas that have read parts of the prompt of a request as helpers.
+func (l *RequestLog) Parts(id string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.parts[id])
+}
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -22,10 +22,13 @@
 	Slots         int
 	Clock         *Clock                           // runs the requests of a model replica; nil for a plain service
 	EngineNames   func() map[netip.AddrPort]string // returns the engine names by address; resolves the Helpers header
-	ServiceTime   time.Duration                    // time that a plain service takes for a request
-	Log           *RequestLog
-	Silence       time.Duration // duration of FaultSilentStart and FaultSilentMiddle; 0 for DefaultSilence
-	EndlessPiece  int           // bytes of a response without end that are sent at a time; 0 for DefaultEndlessPiece
+	// HelperAt returns the replica at an address, nil if there is none, so that the helpers of a request are checked and their
+	// parts of the prompt logged. If it is nil, any helper is assumed to read its part.
+	HelperAt     func(netip.AddrPort) *Replica
+	ServiceTime  time.Duration // time that a plain service takes for a request
+	Log          *RequestLog
+	Silence      time.Duration // duration of FaultSilentStart and FaultSilentMiddle; 0 for DefaultSilence
+	EndlessPiece int           // bytes of a response without end that are sent at a time; 0 for DefaultEndlessPiece
 	// Fault is called for each request and returns its fault. If it is nil, no request meets a fault.
 	Fault func(r *http.Request) Fault
 	// CrashesOn reports whether the replica crashes when it begins to respond to a request with the given part, not the
@@ -38,8 +41,10 @@
 	leaving      atomic.Bool
 	limit        atomic.Value // string: see NameLimit
 	starts       atomic.Int64 // calls of Restart
+	misdirected  atomic.Int64 // memory commands that named another replica
 	mu           sync.Mutex
 	reservations map[string]reservation // by ID
+	commands     []Command              // that were accepted
 	server       *http.Server           // nil unless Listen was called, as are connections and listener
 	connections  map[net.Conn]bool      // that are open
 	listener     net.Listener
@@ -108,8 +113,9 @@
 	if p.Fault != nil {
 		fault = p.Fault(r)
 	}
-	expected := r.Header.Get("Expected-Instance")
-	refused := fault == FaultRefuse || fault == FaultAskPause || expected != "" && expected != p.ID
+	misdirected := p.isMisdirected(r)
+	faultyHelper, hasFaultyHelper := p.faultyHelper(r)
+	refused := fault == FaultRefuse || fault == FaultAskPause || misdirected || hasFaultyHelper
 	p.Log.add(id, ReceivedRequest{
 		ReplicaID: p.ID, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body),
 		LastEventID: r.Header.Get("Last-Event-Id"), Ran: !refused, At: time.Now(),
@@ -117,10 +123,12 @@
 	defer p.Log.end(id)
 	w.Header().Set("Request-Id", id)
 	switch {
-	case expected != "" && expected != p.ID:
-		w.Header().Set("Instance-Id", p.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	case misdirected:
+		p.refusesMisdirected(w, r)
 	case refused:
+		if hasFaultyHelper {
+			w.Header().Set("At-Server", faultyHelper)
+		}
 		w.Header().Set("Not-Executed", "1")
 		if fault == FaultAskPause {
 			w.Header().Set("Retry-After", strconv.FormatFloat(AskedPause.Seconds(), 'f', -1, 64))
@@ -139,5 +147,21 @@
 	}
 }
 
+// isMisdirected reports whether a request names another replica in its Expected-Instance header.
+func (p *Replica) isMisdirected(r *http.Request) bool {
+	expected := r.Header.Get("Expected-Instance")
+	return expected != "" && expected != p.ID
+}
+
+// refusesMisdirected responds with status 421 to a request that names another replica, and reports whether it has.
+func (p *Replica) refusesMisdirected(w http.ResponseWriter, r *http.Request) bool {
+	if !p.isMisdirected(r) {
+		return false
+	}
+	w.Header().Set("Instance-Id", p.ID)
+	w.WriteHeader(http.StatusMisdirectedRequest)
+	return true
+}
+
 // Signature returns the value of the Response-Signature header in responses to the request with the given ID.
 func Signature(id string) string { return "signed." + id }
--- a/internal/standin/replica/stream.go
+++ b/internal/standin/replica/stream.go
@@ -35,10 +35,10 @@
 	fleetRequest := passes.Request{
 		ID: id + "@" + p.ID, Primary: p.ID, PromptTokens: max(promptTokens, 1), EventCount: EventCount(id) - lastEvent,
 	}
-	for _, helper := range strings.Split(r.Header.Get("Helpers"), ",") {
-		address, _, _ := strings.Cut(helper, "/")
-		if parsed, err := netip.ParseAddrPort(address); err == nil {
-			fleetRequest.Helpers = append(fleetRequest.Helpers, p.EngineNames()[parsed])
+	for _, h := range helpersOf(r) {
+		fleetRequest.Helpers = append(fleetRequest.Helpers, p.EngineNames()[h.address])
+		if p.HelperAt != nil {
+			p.Log.addPart(id, p.HelperAt(h.address).ID)
 		}
 	}
 	if fleetRequest.EventCount <= 0 {
@@ -76,6 +76,37 @@
 	}
 }
 
+// helper is an entry of the Helpers header.
+type helper struct {
+	address netip.AddrPort
+	ticket  string // empty if the entry has none
+}
+
+// helpersOf returns the helpers of a request. It ignores entries that can't be read.
+func helpersOf(r *http.Request) []helper {
+	var helpers []helper
+	for _, entry := range strings.Split(r.Header.Get("Helpers"), ",") {
+		address, ticket, _ := strings.Cut(entry, "/")
+		if parsed, err := netip.ParseAddrPort(address); err == nil {
+			helpers = append(helpers, helper{address: parsed, ticket: ticket})
+		}
+	}
+	return helpers
+}
+
+// faultyHelper returns the address of a helper of the request that is gone or lacks its ticket, if there is one.
+func (p *Replica) faultyHelper(r *http.Request) (string, bool) {
+	if p.HelperAt == nil {
+		return "", false
+	}
+	for _, h := range helpersOf(r) {
+		if other := p.HelperAt(h.address); other == nil || !other.holds(h.ticket) {
+			return h.address.String(), true
+		}
+	}
+	return "", false
+}
+
 // sendKeepAlives sends comments until the client closes the connection.
 func sendKeepAlives(w http.ResponseWriter, r *http.Request) {
 	for r.Context().Err() == nil {
