relay, platform: orders that reserve memory name the replica

The planner goes on with a replica until its entry goes, since nothing at the address failed.

TestReservationIsNotMadeAtReusedAddress failed before: 'i-other of another service has read a part of the prompt of r3', 'has accepted [{reserve r3-2 20556}]'.

Change: orders carry a replica.Location, its ID and its address. The exclusion is bounded, since a 421 need not be right; whatever is planned later is named again.

Ruled out: a plan that is older than the crash (the plan was made 2.1 s after it); a stale list of the host alone (the entry was in the store).

--- a/internal/backend/error.go
+++ b/internal/backend/error.go
@@ -9,6 +9,7 @@
 	KindBroken      Kind = "broken"      // the call was sent and may have run; the response is missing or incomplete
 	KindSilent      Kind = "silent"      // as KindBroken, because nothing was received for too long
 	KindWithdrawn   Kind = "withdrawn"   // Attempt.MaySend has forbidden it; the call was not sent
+	KindMisdirected Kind = "misdirected" // another server than the one that was named responded; it has not run anything
 	KindCanceled    Kind = "canceled"    // the context ended; the call may have run if it was sent
 )
 
--- /dev/null
+++ b/internal/gateway/address_test.go
@@ -0,0 +1,115 @@
+package gateway_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
+)
+
+var (
+	// A prompt that needs the memory of two replicas of newAddressCluster.
+	hugePrompt = http.Header{"Token-Usage": {"60000,400"}, "Model": {"m"}}
+	// A prompt that several replicas prefill though it fits in the memory of one.
+	longPrompt = http.Header{"Token-Usage": {"35000,400"}, "Model": {"m"}}
+)
+
+// newAddressCluster starts a cluster whose engines have little memory.
+func newAddressCluster(t *testing.T, f *faultInjector) *cluster {
+	t.Helper()
+	return (&cluster{t: t, engineMemory: 40000}).start(2, f, 3)
+}
+
+// crashAndReuse ends a replica without notice and starts one of another service at its address. The entry of the one that has
+// crashed remains; the new one has none yet.
+func (c *cluster) crashAndReuse(crashed *replica.Replica, id, service string) *replica.Replica {
+	c.t.Helper()
+	crashed.Close()
+	r := &replica.Replica{
+		ID: id, Service: service, FailureDomain: crashed.FailureDomain, Slots: crashed.Slots, Log: c.log, Clock: crashed.Clock,
+		EngineNames: crashed.EngineNames, HelperAt: crashed.HelperAt, ServiceTime: crashed.ServiceTime, Address: crashed.Address,
+	}
+	r.Restart() // it starts later than the one that has crashed
+	if _, err := r.ListenAt(crashed.Address); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(r.Close)
+	c.addReplica(r)
+	return r
+}
+
+// awaitHelper waits until a replica reads a part of the prompt of a request as a helper, and returns the replica.
+func (c *cluster) awaitHelper(id string) *replica.Replica {
+	c.t.Helper()
+	var parts []string
+	c.eventually("a helper reads a part", func() bool {
+		parts = c.log.Parts(id)
+		return len(parts) > 0
+	})
+	i := slices.IndexFunc(c.replicas, func(r *replica.Replica) bool { return r.ID == parts[0] })
+	return c.replicas[i]
+}
+
+// awaitReservation waits until a replica has reserved memory for a request, and returns the replica.
+func (c *cluster) awaitReservation(id string) *replica.Replica {
+	c.t.Helper()
+	var holder *replica.Replica
+	c.eventually("a replica has reserved memory", func() bool {
+		i := slices.IndexFunc(c.replicas, func(r *replica.Replica) bool { return r.HasReserved(id) })
+		if i >= 0 {
+			holder = c.replicas[i]
+		}
+		return holder != nil
+	})
+	return holder
+}
+
+// wantNoPart checks that a replica has read no part of the prompt of a request.
+func (c *cluster) wantNoPart(id string, r *replica.Replica) {
+	c.t.Helper()
+	if parts := c.log.Parts(id); slices.Contains(parts, r.ID) {
+		c.t.Errorf("%s of another service has read a part of the prompt of %s: parts at %v", r.ID, id, parts)
+	}
+}
+
+// sendUntil sends requests with a long prompt, at one host after the other, until ok returns true.
+func (c *cluster) sendUntil(what string, header http.Header, ok func(id string) bool) {
+	c.t.Helper()
+	const most = 12
+	for n := range most {
+		resp := c.do(n%len(c.hosts), http.MethodPost, "/dossiers/after", "p", header)
+		c.wantResponse(resp, completeStream(resp.id))
+		if ok(resp.id) {
+			return
+		}
+	}
+	c.t.Errorf("not in %d requests: %s", most, what)
+}
+
+// A helper replica crashes, and one of another service comes at its address. Guards against the order that reserves memory for a
+// prompt being granted by the other service, which then reads a part of the prompt (review/11).
+func TestReservationIsNotMadeAtReusedAddress(t *testing.T) {
+	t.Parallel()
+	c := newAddressCluster(t, &faultInjector{})
+	defer c.logOnFailure()
+	before := c.do(0, http.MethodPost, "/dossiers/before", "p", hugePrompt)
+	c.wantResponse(before, completeStream(before.id))
+	helper := c.awaitReservation(before.id)
+	c.eventually("the memory is released", func() bool { return helper.Reserved() == 0 })
+	other := c.crashAndReuse(helper, "i-other", "draft")
+	c.sendUntil("an order goes to the address", hugePrompt, func(id string) bool {
+		c.wantNoPart(id, other)
+		return len(other.Commands()) > 0 || other.MisdirectedCommands() > 0
+	})
+	if commands := other.Commands(); len(commands) > 0 {
+		t.Errorf("a replica of another service has accepted %+v", commands)
+	}
+	for h := range c.hosts {
+		resp := c.do(h, http.MethodPost, "/dossiers/later", "p", hugePrompt)
+		c.wantResponse(resp, completeStream(resp.id))
+	}
+	if n := other.MisdirectedCommands(); n != 1 {
+		t.Errorf("%d orders named the replica that has gone, want 1: the first one tells all hosts", n)
+	}
+}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -8,6 +8,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
 	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/revision"
 	"github.com/turmericshunt/turmericshunt/internal/roster"
 )
@@ -30,6 +31,8 @@
 	Crashes []quarantine.Crash `cbor:"11,keyasint,omitempty"`
 	// Limits reports to the planner what replicas have said of their limits.
 	Limits []ratelimit.Statement `cbor:"12,keyasint,omitempty"`
+	// Misdirected notifies the planner that another server has the address of a replica.
+	Misdirected *replica.Location `cbor:"13,keyasint,omitempty"`
 }
 
 // Result is a placement result with the time at which the planner sent it, as far as the receiver's clock tells it.
--- a/internal/placement/placed.go
+++ b/internal/placement/placed.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// Misdirected reports to the planner, that of this host and the one that this host follows, that another server has responded at the
+// address of a replica.
+func (c *Client) Misdirected(at replica.Location) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := steady.Now()
+	c.localPlanner.Misdirected(now, c.self().String(), at)
+	if p := c.linkToPlanner(); p != nil {
+		p.link.Send(&link.Message{Misdirected: &at})
+	}
+	c.sendResults(now)
+}
+
 // HasLeft reports whether this incarnation of r takes no new requests, as far as this host knows.
 func (c *Client) HasLeft(r replica.Replica) bool { return c.Cache.HasLeft(r) }
 
--- a/internal/placement/run.go
+++ b/internal/placement/run.go
@@ -380,6 +380,8 @@
 		c.endLocal(now, host, *m.Ended)
 	case m.Leaving != nil:
 		c.Cache.MarkLeaving(m.Leaving.Replica, m.Leaving.Born)
+	case m.Misdirected != nil:
+		c.localPlanner.Misdirected(now, host, *m.Misdirected)
 	case m.PlacementSync != nil:
 		c.takePlacements(now, host, m.PlacementSync)
 	case len(m.Limits) > 0:
--- a/internal/planner/exclude.go
+++ b/internal/planner/exclude.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/replica"
+)
 
 const (
 	// A server that can't be reached gets no requests for minExclusion at first, and for twice as long after each
@@ -58,9 +62,30 @@
 	}
 	e.length = min(max(2*e.length, minExclusion), maxExclusion)
 	e.since, e.until, e.tried = now, now.Add(e.length), tried
+	p.recordExclusion(Exclusion{Replica: s.replica.ID, Host: reporter, Common: scope == allHosts, For: e.length})
+}
+
+// recordExclusion records an exclusion for TakeExclusions.
+func (p *Planner) recordExclusion(e Exclusion) {
 	if len(p.exclusions) < maxExclusions {
-		p.exclusions = append(p.exclusions,
-			Exclusion{Replica: s.replica.ID, Host: reporter, Common: scope == allHosts, For: e.length})
+		p.exclusions = append(p.exclusions, e)
+	}
+}
+
+// Misdirected is called when another server than the expected replica has responded at its address, as a host reports: the
+// replica has gone, though its entry hasn't yet. It is excluded for all hosts, as primary and as helper, for as long as the entry
+// of a replica that has gone usually remains.
+func (p *Planner) Misdirected(now time.Time, host string, at replica.Location) {
+	for _, servers := range p.services {
+		s := servers[at.ID]
+		if s == nil || s.replica.Address != at.Address {
+			continue
+		}
+		if s.exclusions == nil {
+			s.exclusions = make(map[string]*exclusion)
+		}
+		s.exclusions[allHosts] = &exclusion{since: now, until: now.Add(maxExclusion), length: maxExclusion, tried: true}
+		p.recordExclusion(Exclusion{Replica: at.ID, Host: host, Common: true, For: maxExclusion})
 	}
 }
 
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -40,6 +40,11 @@
 	ReservedTokens int            `cbor:"3,keyasint,omitempty"` // engine memory to reserve there, in tokens; 0 for none
 }
 
+// Location returns where the helper is expected.
+func (h Helper) Location() replica.Location {
+	return replica.Location{ID: h.Replica, Address: h.Address}
+}
+
 // Plan names the servers that run a request: the primary replica, which decodes it, and its helper replicas.
 type Plan struct {
 	Replica        replica.Replica `cbor:"1,keyasint,omitempty"`
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,6 +38,7 @@
 	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
 	ended         bool              // end was called
 	withdrawn     bool              // nothing was sent, since the server may not get the call any more
+	goneHelper    replica.Location  // the helper replica whose address another server has, which is why; zero if none
 }
 
 // begin sends the call and reads the head of the response. It returns an error, and the outcome of the attempt, unless
@@ -94,6 +95,15 @@
 	return slices.ContainsFunc(a.tried, func(r replica.Replica) bool { return r.Address == address })
 }
 
+// unusable returns the replica that later attempts must not use after this one has failed: its primary replica, or the helper
+// replica that has gone.
+func (a *attempt) unusable() replica.Replica {
+	if a.goneHelper.ID != "" {
+		return replica.Replica{ID: a.goneHelper.ID, Address: a.goneHelper.Address}
+	}
+	return a.placement.Plan.Replica
+}
+
 // through returns the address of the host through which the call goes to its server, or "" if it goes there directly.
 func (a *attempt) through() string {
 	if a.exchange == nil || a.exchange.Direct() {
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -62,10 +62,10 @@
 	reserved []netip.AddrPort
 }
 
-func (m *evacuatingMemory) Reserve(_ context.Context, address netip.AddrPort, _ string, _ int, _ time.Duration) error {
+func (m *evacuatingMemory) Reserve(_ context.Context, engine replica.Location, _ string, _ int, _ time.Duration) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reserved = append(m.reserved, address)
+	m.reserved = append(m.reserved, engine.Address)
 	m.planner.evacuate(m.evacuate)
 	return nil
 }
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -101,6 +101,7 @@
 
 func (p *racePlanner) ExtraWait(context.Context, string) time.Duration { return 0 }
 func (p *racePlanner) Leaving(replica.Replica)                         {}
+func (p *racePlanner) Misdirected(replica.Location)                    {}
 func (p *racePlanner) HasLeft(replica.Replica) bool                    { return false }
 func (p *racePlanner) IsEvacuated(*planner.Plan) bool                  { return false }
 func (p *racePlanner) EvacuatedReplicas(string) []string               { return nil }
@@ -111,10 +112,10 @@
 
 type noMemory struct{}
 
-func (noMemory) Reserve(context.Context, netip.AddrPort, string, int, time.Duration) error {
+func (noMemory) Reserve(context.Context, replica.Location, string, int, time.Duration) error {
 	return nil
 }
-func (noMemory) Release(context.Context, netip.AddrPort, string) error { return nil }
+func (noMemory) Release(context.Context, replica.Location, string) error { return nil }
 
 // newRelay returns a relay of the host h with a large retry budget, which logs to out.
 func newRelay(p relay.PlannerClient, out io.Writer, scope tally.Scope) *relay.Relay {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -40,8 +40,10 @@
 	// Replicas in an evacuated failure domain, as the host knows.
 	evacuated map[string]bool
 	ended     []planner.Outcome
-	cold      []string   // replicas that were reported as cold, with the time
-	regions   [][]string // allowed regions of the placement requests
+	// Replicas at whose addresses another server has responded, in order.
+	misdirected []string
+	cold        []string   // replicas that were reported as cold, with the time
+	regions     [][]string // allowed regions of the placement requests
 }
 
 func (p *unawarePlanner) Place(_ context.Context, req planner.Request) (planner.Result, error) {
@@ -106,6 +108,12 @@
 	p.leaving[r.ID] = true
 }
 
+func (p *unawarePlanner) Misdirected(at replica.Location) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.misdirected = append(p.misdirected, at.ID)
+}
+
 func (p *unawarePlanner) HasLeft(r replica.Replica) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -270,7 +278,7 @@
 // panickingMemory panics in each command.
 type panickingMemory struct{ noMemory }
 
-func (panickingMemory) Release(context.Context, netip.AddrPort, string) error { panic("release") }
+func (panickingMemory) Release(context.Context, replica.Location, string) error { panic("release") }
 
 // Guards against a panic in a goroutine that works for one request and ends the process: that of a hedge, and that of a
 // memory reservation.
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/wait"
 )
@@ -29,9 +29,9 @@
 
 // reservation is memory reserved at one engine.
 type reservation struct {
-	address netip.AddrPort // of the engine
-	ticket  string         // names the reservation at the engine
-	tokens  int            // size in tokens
+	engine replica.Location
+	ticket string // names the reservation at the engine
+	tokens int    // size in tokens
 }
 
 // lastTicket is the number in the ticket that was issued last.
@@ -50,8 +50,11 @@
 				return errors.New("a server of the plan is evacuated")
 			}
 			helper.Ticket = a.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
-			res := reservation{address: h.Address, ticket: helper.Ticket, tokens: h.ReservedTokens}
+			res := reservation{engine: h.Location(), ticket: helper.Ticket, tokens: h.ReservedTokens}
 			err := a.relay.reserveOrRenew(ctx, res)
+			if a.recordHelperGone(res.engine, err) {
+				return err
+			}
 			go a.relay.maintainReservation(held, a.call.ID, res)
 			if err != nil {
 				return err
@@ -62,11 +65,31 @@
 	return nil
 }
 
+// recordHelperGone reports whether err says that another server has the address of a helper. It then tells the planner, and the
+// call is placed anew without this helper; the primary replica has got nothing.
+func (a *attempt) recordHelperGone(helper replica.Location, err error) bool {
+	if !isMisdirected(err) {
+		return false
+	}
+	a.relay.Log.Warn("replica_misdirected", slog.String("request_id", a.call.ID), slog.String("replica", helper.ID),
+		slog.String("address", helper.Address.String()), slog.String("error", err.Error()))
+	a.relay.PlannerClient.Misdirected(helper)
+	a.withdrawn = true
+	a.goneHelper = helper
+	return true
+}
+
+// isMisdirected reports whether err says that another server than the one that was named has responded.
+func isMisdirected(err error) bool {
+	var failure *backend.Error
+	return errors.As(err, &failure) && failure.Kind == backend.KindMisdirected
+}
+
 // reserveOrRenew reserves the memory or renews its lease.
 func (r *Relay) reserveOrRenew(ctx context.Context, res reservation) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	return r.Memory.Reserve(ctx, res.address, res.ticket, res.tokens, reservationLease)
+	return r.Memory.Reserve(ctx, res.engine, res.ticket, res.tokens, reservationLease)
 }
 
 // maintainReservation renews a reservation until ctx ends and then releases it.
@@ -79,7 +102,7 @@
 	for wait.For(ctx, renewalInterval); ctx.Err() == nil; wait.For(ctx, renewalInterval) {
 		// The renewal doesn't use ctx: if it were canceled, it might arrive at the engine after the release.
 		if err := r.reserveOrRenew(context.Background(), res); err != nil {
-			r.Log.Warn("renewal_failed", slog.String("request_id", requestID), slog.String("engine", res.address.String()),
+			r.Log.Warn("renewal_failed", slog.String("request_id", requestID), slog.String("engine", res.engine.Address.String()),
 				slog.String("ticket", res.ticket), slog.String("error", err.Error()))
 		}
 	}
@@ -93,14 +116,14 @@
 	var err error
 	for range maxReleaseAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
-		err = r.Memory.Release(ctx, res.address, res.ticket)
+		err = r.Memory.Release(ctx, res.engine, res.ticket)
 		cancel()
 		if err == nil {
 			return
 		}
 		time.Sleep(releaseRetryInterval)
 	}
-	r.Log.Warn("release_failed", slog.String("request_id", requestID), slog.String("engine", res.address.String()),
+	r.Log.Warn("release_failed", slog.String("request_id", requestID), slog.String("engine", res.engine.Address.String()),
 		slog.String("ticket", res.ticket), slog.String("error", err.Error()),
 		eventlog.Milliseconds("tried_for_ms", steady.Now().Sub(start)))
 }
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -164,7 +164,7 @@
 	if outcome == planner.OutcomeUnreachable || a.withdrawn {
 		t.retryGranted = true // no server has got the call, so the next attempt takes its place
 	}
-	t.tried = append(t.tried, a.placement.Plan.Replica)
+	t.tried = append(t.tried, a.unusable())
 	if outcome == planner.OutcomeFailed && a.response != nil && a.response.isFailure() {
 		t.serverFailure = a.response
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,6 +28,16 @@
 	Cold Cold `cbor:"-"`
 }
 
+// Location is the address at which a replica is expected. After the replica has gone, the address may be that of another one,
+// so that what is sent there names the replica.
+type Location struct {
+	ID      string         `cbor:"1,keyasint,omitempty"` // of the replica
+	Address netip.AddrPort `cbor:"2,keyasint,omitempty"`
+}
+
+// Location returns where r is expected.
+func (r Replica) Location() Location { return Location{ID: r.ID, Address: r.Address} }
+
 // Cold is what the entry of a backend server says of how long the server stays cold after its start.
 type Cold struct {
 	Stated    bool          // the entry says something
