--- a/internal/gateway/address_test.go
+++ b/internal/gateway/address_test.go
@@ -3,11 +3,16 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/standin/replica"
 )
 
+// releaseTime is how long after the end of a response its reservations have been released, or given up.
+const releaseTime = 1500 * time.Millisecond
+
 var (
 	// A prompt that needs the memory of two replicas of newAddressCluster.
 	hugePrompt = http.Header{"Token-Usage": {"60000,400"}, "Model": {"m"}}
@@ -113,3 +118,66 @@
 		t.Errorf("%d orders named the replica that has gone, want 1: the first one tells all hosts", n)
 	}
 }
+
+// crashHolder sends a request with a huge prompt whose replica meets a fault, crashes the helper that holds memory for it once it
+// reads its part, and returns the replica of another service at the helper's address when the response has ended.
+func (c *cluster) crashHolder(f *faultInjector, fault replica.Fault) *replica.Replica {
+	c.t.Helper()
+	f.set(func(_ string, r *http.Request) replica.Fault {
+		if r.URL.Path == "/dossiers/held" {
+			return fault
+		}
+		return replica.FaultNone
+	})
+	response := make(chan response, 1)
+	go func() { response <- c.do(0, http.MethodPost, "/dossiers/held", "p", hugePrompt) }()
+	var holder *replica.Replica
+	c.eventually("a helper that holds memory reads its part", func() bool {
+		for _, r := range c.replicas {
+			if commands := r.Commands(); len(commands) > 0 {
+				id, _, _ := strings.Cut(commands[0].Ticket, "-")
+				holder = r
+				return slices.Contains(c.log.Parts(id), r.ID)
+			}
+		}
+		return false
+	})
+	other := c.crashAndReuse(holder, "i-other", "draft")
+	got := <-response
+	c.wantResponse(got, completeStream(got.id))
+	return other
+}
+
+// The replica that holds memory for a prompt crashes while the response is sent. Guards against renewals that set memory aside at
+// the replica of another service which has its address now.
+func TestReservationIsNotRenewedAtReusedAddress(t *testing.T) {
+	t.Parallel()
+	f := &faultInjector{}
+	c := newAddressCluster(t, f)
+	defer c.logOnFailure()
+	other := c.crashHolder(f, replica.FaultPause)
+	time.Sleep(releaseTime)
+	if commands := other.Commands(); len(commands) > 0 {
+		t.Errorf("a replica of another service has accepted %+v", commands)
+	}
+	if n := other.MisdirectedCommands(); n != 1 {
+		t.Errorf("%d orders named the replica that has gone, want 1: the first renewal ends the reservation", n)
+	}
+}
+
+// The same when the response ends before the first renewal. Guards against a release that another service carries out, and that
+// is repeated though the memory has gone with its replica.
+func TestReservationIsNotReleasedAtReusedAddress(t *testing.T) {
+	t.Parallel()
+	f := &faultInjector{}
+	c := newAddressCluster(t, f)
+	defer c.logOnFailure()
+	other := c.crashHolder(f, replica.FaultNone)
+	time.Sleep(releaseTime)
+	if commands := other.Commands(); len(commands) > 0 {
+		t.Errorf("a replica of another service has accepted %+v", commands)
+	}
+	if n := other.MisdirectedCommands(); n != 1 {
+		t.Errorf("%d orders named the replica that has gone, want 1: the first release says that the memory has gone", n)
+	}
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -71,14 +71,19 @@
 	if !isMisdirected(err) {
 		return false
 	}
-	a.relay.Log.Warn("replica_misdirected", slog.String("request_id", a.call.ID), slog.String("replica", helper.ID),
-		slog.String("address", helper.Address.String()), slog.String("error", err.Error()))
-	a.relay.PlannerClient.Misdirected(helper)
+	a.relay.reportGone(a.call.ID, helper, err)
 	a.withdrawn = true
 	a.goneHelper = helper
 	return true
 }
 
+// reportGone tells the planner that another server has the address of a replica, as err says.
+func (r *Relay) reportGone(requestID string, at replica.Location, err error) {
+	r.Log.Warn("replica_misdirected", slog.String("request_id", requestID), slog.String("replica", at.ID),
+		slog.String("address", at.Address.String()), slog.String("error", err.Error()))
+	r.PlannerClient.Misdirected(at)
+}
+
 // isMisdirected reports whether err says that another server than the one that was named has responded.
 func isMisdirected(err error) bool {
 	var failure *backend.Error
@@ -92,7 +97,8 @@
 	return r.Memory.Reserve(ctx, res.engine, res.ticket, res.tokens, reservationLease)
 }
 
-// maintainReservation renews a reservation until ctx ends and then releases it.
+// maintainReservation renews a reservation until ctx ends and then releases it. If another server has the engine's address, the
+// reservation has gone with the engine.
 func (r *Relay) maintainReservation(ctx context.Context, requestID string, res reservation) {
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -101,7 +107,12 @@
 	}()
 	for wait.For(ctx, renewalInterval); ctx.Err() == nil; wait.For(ctx, renewalInterval) {
 		// The renewal doesn't use ctx: if it were canceled, it might arrive at the engine after the release.
-		if err := r.reserveOrRenew(context.Background(), res); err != nil {
+		err := r.reserveOrRenew(context.Background(), res)
+		if isMisdirected(err) {
+			r.reportGone(requestID, res.engine, err)
+			return
+		}
+		if err != nil {
 			r.Log.Warn("renewal_failed", slog.String("request_id", requestID), slog.String("engine", res.engine.Address.String()),
 				slog.String("ticket", res.ticket), slog.String("error", err.Error()))
 		}
@@ -109,8 +120,8 @@
 	r.releaseReservation(requestID, res)
 }
 
-// releaseReservation releases reserved memory. It retries until the engine confirms the release or maxReleaseAttempts
-// is reached; in that case the reservation expires with its lease.
+// releaseReservation releases reserved memory. It retries until the engine confirms the release, another server has its address,
+// or maxReleaseAttempts is reached; in that case the reservation expires with its lease.
 func (r *Relay) releaseReservation(requestID string, res reservation) {
 	start := steady.Now()
 	var err error
@@ -121,6 +132,10 @@
 		if err == nil {
 			return
 		}
+		if isMisdirected(err) {
+			r.reportGone(requestID, res.engine, err)
+			return
+		}
 		time.Sleep(releaseRetryInterval)
 	}
 	r.Log.Warn("release_failed", slog.String("request_id", requestID), slog.String("engine", res.engine.Address.String()),
