--- a/internal/gateway/address_test.go
+++ b/internal/gateway/address_test.go
@@ -79,11 +79,11 @@
 }
 
 // sendUntil sends requests with a long prompt, at one host after the other, until ok returns true.
-func (c *cluster) sendUntil(what string, header http.Header, ok func(id string) bool) {
+func (c *cluster) sendUntil(what, path string, header http.Header, ok func(id string) bool) {
 	c.t.Helper()
 	const most = 12
 	for n := range most {
-		resp := c.do(n%len(c.hosts), http.MethodPost, "/dossiers/after", "p", header)
+		resp := c.do(n%len(c.hosts), http.MethodPost, path, "p", header)
 		c.wantResponse(resp, completeStream(resp.id))
 		if ok(resp.id) {
 			return
@@ -103,7 +103,7 @@
 	helper := c.awaitReservation(before.id)
 	c.eventually("the memory is released", func() bool { return helper.Reserved() == 0 })
 	other := c.crashAndReuse(helper, "i-other", "draft")
-	c.sendUntil("an order goes to the address", hugePrompt, func(id string) bool {
+	c.sendUntil("an order goes to the address", "/dossiers/after", hugePrompt, func(id string) bool {
 		c.wantNoPart(id, other)
 		return len(other.Commands()) > 0 || other.MisdirectedCommands() > 0
 	})
@@ -181,3 +181,30 @@
 		t.Errorf("%d orders named the replica that has gone, want 1: the first release says that the memory has gone", n)
 	}
 }
+
+// A helper replica that holds no memory crashes, and one of another service comes at its address. Guards against that one reading a
+// part of the prompt, which names its helpers by their addresses.
+func TestPartIsNotPrefilledAtReusedAddress(t *testing.T) {
+	t.Parallel()
+	c := newAddressCluster(t, &faultInjector{})
+	defer c.logOnFailure()
+	before := c.do(0, http.MethodPost, "/quotes/before", "p", longPrompt)
+	c.wantResponse(before, completeStream(before.id))
+	time.Sleep(2 * time.Second) // nothing is known any more of the replicas at the addresses
+	other := c.crashAndReuse(c.awaitHelper(before.id), "i-other", "draft")
+	c.sendUntil("the replica that has gone is named", "/quotes/after", longPrompt, func(id string) bool {
+		c.wantNoPart(id, other)
+		return slices.Contains(c.log.Parts(id), other.ID) || other.MisdirectedCommands() > 0
+	})
+	if commands := other.Commands(); len(commands) > 0 {
+		t.Errorf("a replica of another service has accepted %+v", commands)
+	}
+	for h := range c.hosts {
+		resp := c.do(h, http.MethodPost, "/quotes/later", "p", longPrompt)
+		c.wantResponse(resp, completeStream(resp.id))
+		c.wantNoPart(resp.id, other)
+	}
+	if n := other.MisdirectedCommands(); n != 1 {
+		t.Errorf("%d orders named the replica that has gone, want 1: the first one tells all hosts", n)
+	}
+}
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -115,6 +115,7 @@
 func (noMemory) Reserve(context.Context, replica.Location, string, int, time.Duration) error {
 	return nil
 }
+func (noMemory) Confirm(context.Context, replica.Location) error         { return nil }
 func (noMemory) Release(context.Context, replica.Location, string) error { return nil }
 
 // newRelay returns a relay of the host h with a large retry budget, which logs to out.
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/backend"
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
+	"github.com/turmericshunt/turmericshunt/internal/planner"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/wait"
@@ -21,6 +23,8 @@
 	reservationLease = 3 * time.Second
 	renewalInterval  = time.Second
 
+	// How long a helper may take to confirm that it is at its address.
+	confirmTimeout = 150 * time.Millisecond
 	// Timeout of one command to an engine.
 	commandTimeout       = 500 * time.Millisecond
 	maxReleaseAttempts   = 5
@@ -38,33 +42,76 @@
 var lastTicket atomic.Uint64
 
 // reserveAtHelpers reserves the memory that the plan requires at helper replicas and adds the helpers to parameters. All
-// reservations are released in the background when the attempt ends.
+// reservations are released in the background when the attempt ends. Helpers without a reservation are left out unless they are
+// known to be at their addresses, by which alone a request names them.
 func (a *attempt) reserveAtHelpers(ctx context.Context, parameters *backend.Attempt) error {
 	var held context.Context
 	held, a.releaseMemory = context.WithCancel(context.Background())
+	var unreserved []planner.Helper
 	for _, h := range a.placement.Plan.Helpers {
-		helper := backend.Helper{Address: h.Address}
-		if h.ReservedTokens > 0 {
-			if a.relay.PlannerClient.IsEvacuated(a.placement.Plan) {
-				a.withdrawn = true
-				return errors.New("a server of the plan is evacuated")
-			}
-			helper.Ticket = a.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
-			res := reservation{engine: h.Location(), ticket: helper.Ticket, tokens: h.ReservedTokens}
-			err := a.relay.reserveOrRenew(ctx, res)
-			if a.recordHelperGone(res.engine, err) {
-				return err
-			}
-			go a.relay.maintainReservation(held, a.call.ID, res)
-			if err != nil {
-				return err
-			}
+		if h.ReservedTokens == 0 {
+			unreserved = append(unreserved, h)
+			continue
 		}
-		parameters.Helpers = append(parameters.Helpers, helper)
+		if a.relay.PlannerClient.IsEvacuated(a.placement.Plan) {
+			a.withdrawn = true
+			return errors.New("a server of the plan is evacuated")
+		}
+		ticket := a.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
+		res := reservation{engine: h.Location(), ticket: ticket, tokens: h.ReservedTokens}
+		err := a.relay.reserveOrRenew(ctx, res)
+		if a.recordHelperGone(res.engine, err) {
+			return err
+		}
+		go a.relay.maintainReservation(held, a.call.ID, res)
+		if err != nil {
+			return err
+		}
+		parameters.Helpers = append(parameters.Helpers, backend.Helper{Address: h.Address, Ticket: ticket})
 	}
+	parameters.Helpers = append(parameters.Helpers, a.confirmedHelpers(ctx, unreserved)...)
 	return nil
 }
 
+// confirmedHelpers returns those of the helpers that are at their addresses.
+func (a *attempt) confirmedHelpers(ctx context.Context, helpers []planner.Helper) []backend.Helper {
+	isThere := make([]bool, len(helpers))
+	var checks sync.WaitGroup
+	for i, h := range helpers {
+		checks.Go(func() { isThere[i] = a.confirm(ctx, h.Location()) })
+	}
+	checks.Wait()
+	var confirmed []backend.Helper
+	for i, h := range helpers {
+		if isThere[i] {
+			confirmed = append(confirmed, backend.Helper{Address: h.Address})
+		}
+	}
+	return confirmed
+}
+
+// confirm reports whether a helper is at its address, by a command that names it. It tells the planner if another server is.
+func (a *attempt) confirm(ctx context.Context, helper replica.Location) (isThere bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			a.relay.logPanic(a.call.ID, cause)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	err := a.relay.Memory.Confirm(ctx, helper)
+	switch {
+	case err == nil:
+		return true
+	case isMisdirected(err):
+		a.relay.reportGone(a.call.ID, helper, err)
+	default:
+		a.relay.Log.Event("helper_left_out", slog.String("request_id", a.call.ID), slog.String("replica", helper.ID),
+			slog.String("error", err.Error()))
+	}
+	return false
+}
+
 // recordHelperGone reports whether err says that another server has the address of a helper. It then tells the planner, and the
 // call is placed anew without this helper; the primary replica has got nothing.
 func (a *attempt) recordHelperGone(helper replica.Location, err error) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,11 +56,12 @@
 }
 
 // MemoryReserver reserves memory at engines. Reserve also renews a reservation that the engine holds under the same ticket; a
-// reservation that is not renewed expires when its lease ends. Their errors wrap a *backend.Error with KindMisdirected if
+// reservation that is not renewed expires when its lease ends. Confirm returns nil if the engine is at its address. Their errors wrap a *backend.Error with KindMisdirected if
 // another server has the engine's address, which then has done nothing.
 type MemoryReserver interface {
 	Reserve(ctx context.Context, engine replica.Location, ticket string, tokens int, lease time.Duration) error
 	Release(ctx context.Context, engine replica.Location, ticket string) error
+	Confirm(ctx context.Context, engine replica.Location) error
 }
 
 // ResponseMarker sets the request ID in a response that the host itself generates.
