relay, platform: status 421 to a request tells the planner that the replica has gone

Seen by callers: after a crash and the reuse of the address, 503 'refused' though two sound replicas of the service stood by: five attempts of a request went to the replica that had gone and to others that were full (11 of 200 requests that came 40 at once, 21 requests at the other service's replica).

Cause: 421 counted as a refusal like 503. The planner left the replica out for 100 ms and weighed one failure more against it, and each host found out anew.

Evidence: TestMisdirectedRequestTellsAllHosts failed: '21 requests named the replica that has gone, want 1', 'status 503, body "refused"'.

Change: a 421 that another replica gives is reported as those of orders are. It is the replica's own if the response names it, or if the response names none and the caller asks for a version of the weights (Expected-Version): that is no sign of a reuse, and a caller could otherwise take a sound replica away from all.

Ruled out: the failure rate alone (it keeps a light load away, which is why the test sends more than the others take).

--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -35,17 +35,20 @@
 // ResponseHead is the decoded status line and header of a server's response.
 type ResponseHead struct {
 	Status    int
-	Header    http.Header   // the part of the header that is forwarded to the caller
-	RequestID string        // ID of the call, a request of a caller, that the response belongs to; empty if it names none
-	NotRun    bool          // the server states that it didn't run the call
-	Valid     bool          // the response has the headers that a response of a backend server must have
-	Leaving   bool          // the server announces that it leaves and takes no new requests
-	Pause     time.Duration // the server wants no requests from this host for so long; 0 if it doesn't say so
-	Limited   bool          // the server limits the rate of requests to Limit, until a response doesn't say so
-	Limit     float64       // requests a second that it takes from all hosts together; only if Limited
-	NamesCold bool          // the server says for how long it stays cold
-	Cold      time.Duration // that time; 0 if it isn't cold
-	Length    int64         // length of the body in bytes; -1 if unknown
+	Header    http.Header // the part of the header that is forwarded to the caller
+	RequestID string      // ID of the call, a request of a caller, that the response belongs to; empty if it names none
+	NotRun    bool        // the server states that it didn't run the call
+	Responder string      // ID of the server that responded; empty if the response doesn't say
+	// Misdirected says that another server than the planned one may have responded, which hasn't run the call.
+	Misdirected bool
+	Valid       bool          // the response has the headers that a response of a backend server must have
+	Leaving     bool          // the server announces that it leaves and takes no new requests
+	Pause       time.Duration // the server wants no requests from this host for so long; 0 if it doesn't say so
+	Limited     bool          // the server limits the rate of requests to Limit, until a response doesn't say so
+	Limit       float64       // requests a second that it takes from all hosts together; only if Limited
+	NamesCold   bool          // the server says for how long it stays cold
+	Cold        time.Duration // that time; 0 if it isn't cold
+	Length      int64         // length of the body in bytes; -1 if unknown
 }
 
 // Codec translates between calls and responses of this package and the HTTP headers that backend servers use.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -33,6 +33,7 @@
 	PromptParts   []uint64 // hashes of the prompt parts that other requests may share, in order
 	OutputHint    int      // caller's estimate of the number of output tokens; 0 if unknown
 	LastEvent     int64    // id of the last event that the caller has; valid if ResumesStream
+	ChecksVersion bool     // servers with other weights than the caller wants reject the call as one that is meant for another server
 	ResumesStream bool     // the caller resumes a stream after LastEvent
 
 	Received      time.Time     // time of receipt, on the boot-time clock
--- a/internal/gateway/address_test.go
+++ b/internal/gateway/address_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +15,9 @@
 // releaseTime is how long after the end of a response its reservations have been released, or given up.
 const releaseTime = 1500 * time.Millisecond
 
+// refusalPause is longer than a replica that has refused a request gets no others.
+const refusalPause = 110 * time.Millisecond
+
 var (
 	// A prompt that needs the memory of two replicas of newAddressCluster.
 	hugePrompt = http.Header{"Token-Usage": {"60000,400"}, "Model": {"m"}}
@@ -208,3 +213,43 @@
 		t.Errorf("%d orders named the replica that has gone, want 1: the first one tells all hosts", n)
 	}
 }
+
+// misdirectedRequests returns how many requests to a replica have named another one.
+func (c *cluster) misdirectedRequests(r *replica.Replica) int {
+	n := 0
+	for _, got := range c.log.Received(r.ID, time.Time{}) {
+		if got.Header.Get("Expected-Instance") != r.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// A replica crashes, and another one comes at its address that isn't listed yet. Guards against requests that each find out by
+// themselves that the replica has gone: every one costs a retry.
+func TestMisdirectedRequestTellsAllHosts(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, &faultInjector{})
+	defer c.logOnFailure()
+	other := c.crashAndReuse(c.replicas[4], "i-other", "draft")
+	sendAtOnce := func(n int) {
+		var requests sync.WaitGroup
+		for i := range n {
+			path := "/lookups/" + strconv.Itoa(i)
+			requests.Go(func() { c.wantResponse(c.get(i%2, path, nil), replica.PlainResponse(path, "")) })
+		}
+		requests.Wait()
+		time.Sleep(refusalPause)
+	}
+	c.eventually("a request names the replica that has gone", func() bool {
+		sendAtOnce(3)
+		return c.misdirectedRequests(other) > 0
+	})
+	first := c.misdirectedRequests(other)
+	for range 5 {
+		sendAtOnce(40) // more than the other replicas of the service take at once
+	}
+	if n := c.misdirectedRequests(other); n != first {
+		t.Errorf("%d requests named the replica that has gone, want %d: the first one tells all hosts", n, first)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -77,6 +77,9 @@
 	case x.Head.Status < http.StatusOK || x.Head.Status > maxStatus:
 		return planner.OutcomeBroken, errors.Errorf("%d is not the status of a response", x.Head.Status)
 	case x.Head.NotRun:
+		if a.wasMisdirected(x.Head) {
+			a.relay.reportGone(a.call.ID, plan.Replica.Location(), errors.Errorf("status %d by %q", x.Head.Status, x.Head.Responder))
+		}
 		body, err := x.ReadAll(ctx, a.relay.Payloads, maxResponseBytes)
 		if err == nil {
 			a.relay.Payloads.Release(body)
@@ -89,6 +92,17 @@
 	return "", nil
 }
 
+// wasMisdirected reports whether a response says that another server has the address of the planned one.
+func (a *attempt) wasMisdirected(head *backend.ResponseHead) bool {
+	if !head.Misdirected {
+		return false
+	}
+	if head.Responder == "" {
+		return !a.call.ChecksVersion
+	}
+	return head.Responder != a.placement.Plan.Replica.ID
+}
+
 // hasTried reports whether the call was sent to an address in an earlier attempt. A response that comes late on a connection to it
 // can't be told from that to this attempt, since both name the call.
 func (a *attempt) hasTried(address netip.AddrPort) bool {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -185,12 +185,17 @@
 // serveOne serves one call and returns the status of its response.
 func serveOne(r *relay.Relay, id string) int {
 	w := httptest.NewRecorder()
-	r.Serve(context.Background(), w, &call.Call{
+	r.Serve(context.Background(), w, newCall(id))
+	return w.Code
+}
+
+// newCall returns a call of a plain service.
+func newCall(id string) *call.Call {
+	return &call.Call{
 		ID: id, Method: http.MethodGet, Host: "shop.example", Target: "/x", Received: steady.Now(), Service: "desk",
 		Header:        http.Header{"Request-Id": {id}},
 		CallerTimeout: 5 * time.Second, RouteTimeout: 5 * time.Second, RetryMode: call.RetryFromStart, MaxAttempts: 3,
-	})
-	return w.Code
+	}
 }
 
 // A replica says that it leaves, wants a pause or limits its requests, on heads of any status, and the planner goes on
@@ -358,3 +363,30 @@
 		}
 	}
 }
+
+// A replica has gone from its address if another one responds there, but not if it responds 421 itself, since it has other weights
+// than the caller wants. Guards against sound replicas that get nothing more for such a response.
+func TestStatus421OfReplicaItselfIsNoReuse(t *testing.T) {
+	for _, test := range []struct {
+		responder     string
+		checksVersion bool
+		want          []string
+	}{
+		{"z", false, []string{"a"}}, {"z", true, []string{"a"}}, {"", false, []string{"a"}},
+		{"a", false, nil}, {"a", true, nil}, {"", true, nil},
+	} {
+		header := http.Header{"Not-Executed": {"1"}}
+		if test.responder != "" {
+			header.Set("Instance-Id", test.responder)
+		}
+		r, p, _ := statingWorld(t, http.StatusMisdirectedRequest, header)
+		c := newCall("r1")
+		c.ChecksVersion = test.checksVersion
+		w := httptest.NewRecorder()
+		r.Serve(t.Context(), w, c)
+		if w.Code != http.StatusOK || !slices.Equal(p.misdirected, test.want) {
+			t.Errorf("421 by %q, version checked: %t: status %d, replicas that have gone %v, want %v", test.responder,
+				test.checksVersion, w.Code, p.misdirected, test.want)
+		}
+	}
+}
