replica, feed: of two replicas listed at one address the earlier one has gone

Seen by callers: retries in vain, and prompts that lacked a replica of their plan, for up to three heartbeats after the address of a replica that had crashed was used again.

Cause: replica.List kept both entries beside each other, and all that uses the list took the earlier replica for a sound one.

Change: a replica at whose address another one of the list has started later is no longer present: the planner, the dialer and the tunnels don't see it, and HasLeft drops plans for it. Lists that hosts exchange still hold both, so digests agree with those of earlier versions. Replicas whose start is unknown, or the same, are left alone.

Ruled out: the order of the entries' revisions in place of the start times (peers don't exchange them). A start time that is wrong by more than the time until the reuse (2 s) takes the wrong one until the other entry goes; 421 keeps requests from running.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -85,7 +85,8 @@
 	era             int64             // newest era of the store that this host knows
 	rewrittenAt     time.Time         // when the store has all again that was written before era; see rewriteTime
 	replicaList     *replica.List
-	replicas        []replica.Replica // the active ones; replaced as a whole, never modified
+	replicas        []replica.Replica // the active ones, as peers exchange them; replaced as a whole, never modified
+	present         []replica.Replica // those of replicas that haven't gone; see replica.List.Present
 	packedReplicas  []byte            // replicas encoded and compressed; nil until a peer needs it
 	replicaRevision revision.Revision // of the store when the replicas were read
 	replicasReadAt  time.Time         // when this host or a peer started to read the replicas
@@ -111,11 +112,11 @@
 	return c.configuration, c.verifiedAt
 }
 
-// Replicas returns the active replicas; the slice must not be modified.
+// Replicas returns the active replicas, see replica.List.Present; the slice must not be modified.
 func (c *Cache) Replicas() []replica.Replica {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.replicas
+	return c.present
 }
 
 // Run reads the configuration and the replicas from the store whenever they reach the age that MaxAge returns. It runs
@@ -384,7 +385,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	c.replicas = c.replicaList.All()
+	c.replicas, c.present = c.replicaList.All(), c.replicaList.Present()
 	c.packedReplicas = nil
 	c.replicaDigest = c.replicaList.Digest()
 	for _, change := range changes {
--- a/internal/gateway/address_test.go
+++ b/internal/gateway/address_test.go
@@ -253,3 +253,46 @@
 		t.Errorf("%d requests named the replica that has gone, want %d: the first one tells all hosts", n, first)
 	}
 }
+
+// A replica crashes, and another one of the same service comes at its address; the entries of both are listed for some time. Guards
+// against requests, orders and confirmations that go to the one that has gone, all of which are in vain.
+func TestEarlierReplicaAtAddressGetsNothing(t *testing.T) {
+	t.Parallel()
+	c := newAddressCluster(t, &faultInjector{})
+	defer c.logOnFailure()
+	var later []*replica.Replica
+	for _, i := range []int{0, 4} {
+		r := c.crashAndReuse(c.replicas[i], "i-later-"+strconv.Itoa(i), c.replicas[i].Service)
+		c.store.Put("servers/"+r.ID, r.Entry("ready"))
+		later = append(later, r)
+	}
+	c.eventually("both entries are known", func() bool {
+		for _, h := range c.hosts {
+			for _, r := range later {
+				if !strings.Contains(h.logs.String(), `"replica":"`+r.ID) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	time.Sleep(refusalPause)
+	for n := range 10 {
+		path := "/lookups/" + strconv.Itoa(n)
+		var requests sync.WaitGroup
+		for range 3 {
+			requests.Go(func() { c.wantResponse(c.get(n%2, path, nil), replica.PlainResponse(path, "")) })
+		}
+		requests.Wait()
+		resp := c.do(n%2, http.MethodPost, "/quotes/long", "p", longPrompt)
+		c.wantResponse(resp, completeStream(resp.id))
+	}
+	for _, r := range later {
+		if n, m := c.misdirectedRequests(r), r.MisdirectedCommands(); n+m > 0 {
+			t.Errorf("%d requests and %d orders at %s named the replica that has gone", n, m, r.ID)
+		}
+		if len(c.log.Received(r.ID, time.Time{})) == 0 {
+			t.Errorf("%s has got no request", r.ID)
+		}
+	}
+}
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -372,8 +372,12 @@
 		checksVersion bool
 		want          []string
 	}{
-		{"z", false, []string{"a"}}, {"z", true, []string{"a"}}, {"", false, []string{"a"}},
-		{"a", false, nil}, {"a", true, nil}, {"", true, nil},
+		{"z", false, []string{"a"}},
+		{"z", true, []string{"a"}},
+		{"", false, []string{"a"}},
+		{"a", false, nil},
+		{"a", true, nil},
+		{"", true, nil},
 	} {
 		header := http.Header{"Not-Executed": {"1"}}
 		if test.responder != "" {
--- a/internal/replica/delta.go
+++ b/internal/replica/delta.go
@@ -22,7 +22,7 @@
 	ids  []string // of the replicas that changed
 }
 
-// record adds changes that were just made to the steps and updates the digest.
+// record adds changes that were just made to the steps and updates what is derived from the replicas.
 func (l *List) record(changes []Change) {
 	if len(changes) == 0 {
 		return
@@ -36,6 +36,7 @@
 		l.steps = slices.Delete(l.steps, 0, 1)
 	}
 	l.digest = l.computeDigest()
+	l.superseded = l.findSuperseded()
 }
 
 // Delta returns what has changed since the list had the digest base. It returns false if that is not remembered.
--- a/internal/replica/list.go
+++ b/internal/replica/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -30,9 +31,10 @@
 	// store was restored.
 	staleUntil    time.Time
 	staleRevision int64
-	restored      bool   // the store was restored and this host hasn't read it since
-	digest        uint64 // of replicas
-	steps         []step // latest changes, oldest first
+	restored      bool            // the store was restored and this host hasn't read it since
+	digest        uint64          // of replicas
+	superseded    map[string]bool // IDs of those at whose addresses replicas of the list have started later
+	steps         []step          // latest changes, oldest first
 }
 
 // incarnation is one start of a replica.
@@ -170,11 +172,11 @@
 	return ok && g.born == r.Born
 }
 
-// HasLeft reports whether this incarnation of r takes no new requests: it drains, has announced that it leaves, or has left
-// the list.
+// HasLeft reports whether this incarnation of r takes no new requests: it drains, has announced that it leaves, has left the list,
+// or a replica that has started later is listed at its address.
 func (l *List) HasLeft(r Replica) bool {
 	if known, ok := l.replicas[r.ID]; ok && known.Born == r.Born {
-		return !known.TakesRequests()
+		return !known.TakesRequests() || l.superseded[r.ID]
 	}
 	return l.isGone(r)
 }
@@ -288,6 +290,28 @@
 	return r, ok
 }
 
+// Present returns the replicas of the list, ordered by id, but for those at whose addresses others have started later: they have
+// gone, though their entries remain for some time.
+func (l *List) Present() []Replica {
+	return slices.DeleteFunc(l.All(), func(r Replica) bool { return l.superseded[r.ID] })
+}
+
+// findSuperseded returns the IDs of the replicas at whose addresses others of the list have started later. One whose start isn't
+// known says nothing.
+func (l *List) findSuperseded() map[string]bool {
+	latest := make(map[netip.AddrPort]int64, len(l.replicas))
+	for _, r := range l.replicas {
+		latest[r.Address] = max(latest[r.Address], r.Born)
+	}
+	superseded := make(map[string]bool)
+	for id, r := range l.replicas {
+		if r.Born > 0 && r.Born < latest[r.Address] {
+			superseded[id] = true
+		}
+	}
+	return superseded
+}
+
 // All returns the active replicas, ordered by id.
 func (l *List) All() []Replica {
 	all := make([]Replica, 0, len(l.replicas))
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -243,3 +244,31 @@
 		t.Error("a replica that this host doesn't know yet has left")
 	}
 }
+
+// Two replicas are listed at one address. Guards against one being used that has gone, and against one being taken for gone of
+// which nothing says so.
+func TestEarlierReplicaAtAddressHasLeft(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	for _, test := range []struct {
+		born1, born2 int64
+		present      string
+	}{{1, 2, "b"}, {2, 1, "a"}, {2, 2, "ab"}, {0, 2, "ab"}, {0, 0, "ab"}} {
+		a, b := Replica{ID: "a", Address: address, Born: test.born1}, Replica{ID: "b", Address: address, Born: test.born2}
+		l := NewList()
+		l.Update(start, 0, []Replica{a, b})
+		present := ""
+		for _, r := range l.Present() {
+			present += r.ID
+			if l.HasLeft(r) {
+				t.Errorf("started at %d and %d: %s is present and has left", test.born1, test.born2, r.ID)
+			}
+		}
+		if present != test.present || len(l.All()) != 2 || l.HasLeft(a) == strings.Contains(present, "a") {
+			t.Errorf("started at %d and %d: %q are present, want %q", test.born1, test.born2, present, test.present)
+		}
+		l.Update(start.Add(time.Second), 0, []Replica{a})
+		if l.HasLeft(a) || len(l.Present()) != 1 {
+			t.Errorf("started at %d and %d: the first one isn't present without the second", test.born1, test.born2)
+		}
+	}
+}
