planner: attempts don't count at another service's replica at the address

Cause: a replica that comes at the address of one that is no longer listed counts as its later incarnation, and takes over the attempts that broke off late there. The address alone decided, so a replica of another service took them over too.

Evidence, by a test only: TestAttemptsDoNotCountAtOtherServiceWithAddress failed: 'attempts count at ... next/2, want the second at first/1'. No failure that callers saw is traced to this.

Change: at the address of another service's replica the earlier one counts as ended, and its attempts stay where they broke off.

Ruled out for now: the same for a replica of the same service with another ID, which such attempts can't have reached either; what is known of crashing prompts rests on it (docs/incidents/crashing-parts.md).

--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -171,7 +171,8 @@
 }
 
 // recordRestarts records which of the listed replicas are later incarnations of known ones: those with the same ID or, in place of
-// one that isn't listed any more, with the same address.
+// one of their service that isn't listed any more, with the same address. If another service uses the address again, the earlier
+// replica has ended, and nothing that broke off there concerns the later one.
 func (p *Planner) recordRestarts(now time.Time, replicas []replica.Replica, listed map[string]bool) {
 	unlisted := make(map[netip.AddrPort]*server)
 	for _, servers := range p.services {
@@ -187,7 +188,11 @@
 		if earlier == nil {
 			earlier = unlisted[r.Address]
 		}
-		if earlier != nil && earlier.replica.Born < r.Born {
+		switch {
+		case earlier == nil || earlier.replica.Born >= r.Born:
+		case earlier.replica.Service != r.Service:
+			p.quarantine.Down(now, incarnation(&earlier.replica))
+		default:
 			p.quarantine.Restarted(now, incarnation(&earlier.replica), incarnation(r))
 		}
 	}
