reach, dialer: a lost path is that of a replica, not of its address

Cause: paths were kept by address.

Evidence, by a test only: TestPathOfServerThatHasGoneSaysNothing failed: 'lost [10.1.64.0:8686] after another server has come at the address'.

Change: SetServers gets the IDs with the addresses; a path is forgotten when its address has another replica.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -14,6 +14,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
 	"github.com/turmericshunt/turmericshunt/internal/reach"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 	"github.com/turmericshunt/turmericshunt/internal/tunnel"
 	"github.com/turmericshunt/turmericshunt/internal/wait"
@@ -46,8 +47,8 @@
 	detours detour.Table
 }
 
-// SetServers sets the addresses of the backend servers.
-func (d *Dialer) SetServers(addresses []netip.AddrPort) { d.paths.SetServers(addresses) }
+// SetServers sets the backend servers.
+func (d *Dialer) SetServers(servers []replica.Location) { d.paths.SetServers(servers) }
 
 // SetDetours sets the hosts through which this one can connect to backend servers; see detour.Table.SetHosts.
 func (d *Dialer) SetDetours(preferred, others []netip.AddrPort) {
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmericshunt/turmericshunt/internal/eventlog"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/standin/listener"
 	"github.com/turmericshunt/turmericshunt/internal/tunnel"
 )
@@ -52,7 +53,11 @@
 func newDialer(servers []netip.AddrPort) (*Dialer, *directPath) {
 	p := &directPath{}
 	d := &Dialer{Log: eventlog.New(io.Discard, "h"), Metrics: tally.NoopScope, Connect: p.connect}
-	d.SetServers(servers)
+	var located []replica.Location
+	for _, s := range servers {
+		located = append(located, replica.Location{ID: "i-" + s.String(), Address: s})
+	}
+	d.SetServers(located)
 	return d, p
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,15 +224,15 @@
 // applyState passes the active configuration and replicas on to the components that use them.
 func (g *Gateway) applyState() {
 	replicas := g.cache.Replicas()
-	addresses := make([]netip.AddrPort, 0, len(replicas))
+	servers := make([]replica.Location, 0, len(replicas))
 	evacuated := make(map[netip.AddrPort]bool)
 	for i := range replicas {
-		addresses = append(addresses, replicas[i].Address)
+		servers = append(servers, replicas[i].Location())
 		if g.cache.IsEvacuated(replicas[i]) {
 			evacuated[replicas[i].Address] = true
 		}
 	}
-	g.Dialer.SetServers(addresses)
+	g.Dialer.SetServers(servers)
 	g.relay.SetReplicas(replicas)
 	g.placement.ApplyState()
 	g.tunnels.Withdraw(evacuated)
--- a/internal/placement/cutfleet_test.go
+++ b/internal/placement/cutfleet_test.go
@@ -108,10 +108,10 @@
 		f.servers = append(f.servers, s)
 	}
 	var list []replica.Replica
-	var addresses []netip.AddrPort
+	var servers []replica.Location
 	for _, s := range f.servers {
 		list = append(list, s.replica)
-		addresses = append(addresses, s.replica.Address)
+		servers = append(servers, s.replica.Location())
 	}
 	for i := range 6 + f.random.IntN(25) {
 		h := &cutHost{
@@ -119,7 +119,7 @@
 			faults:  make(map[*cutServer]cutKind), plans: make(map[string]func(planner.Result)),
 		}
 		h.name = h.address.String()
-		h.paths.SetServers(addresses)
+		h.paths.SetServers(servers)
 		f.hosts = append(f.hosts, h)
 	}
 	f.planner = f.hosts[f.random.IntN(len(f.hosts))]
--- a/internal/reach/table.go
+++ b/internal/reach/table.go
@@ -1,10 +1,13 @@
 package reach
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
 const (
@@ -36,6 +39,7 @@
 
 // path is the path to one server.
 type path struct {
+	server    string        // ID of the server at the address
 	lost      bool          // the last new connection failed
 	evidence  time.Time     // when a connection was made last, or a response came
 	checkAt   time.Time     // when it is to be checked; zero for never
@@ -43,28 +47,26 @@
 	inquiring bool          // a check is in progress
 }
 
-// SetServers replaces the servers that are known. It keeps what is known of those that remain.
-func (t *Table) SetServers(addresses []netip.AddrPort) {
+// SetServers replaces the servers that are known. It keeps what is known of those that remain; what was known of a server says
+// nothing about another one that has its address now.
+func (t *Table) SetServers(servers []replica.Location) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	paths := make(map[netip.AddrPort]*path, len(addresses))
-	for _, a := range addresses {
-		paths[a] = t.paths[a]
-		if paths[a] == nil {
-			paths[a] = &path{}
+	paths := make(map[netip.AddrPort]*path, len(servers))
+	for _, s := range servers {
+		p := t.paths[s.Address]
+		if p == nil || p.server != s.ID {
+			p = &path{server: s.ID}
 		}
+		paths[s.Address] = p
 	}
 	for a, p := range t.paths {
-		if paths[a] != nil {
-			continue
-		}
-		if p.inquiring {
+		if paths[a] != p && p.inquiring {
 			t.checks--
 		}
 	}
 	t.paths = paths
-	t.sorted = slices.SortedFunc(slices.Values(addresses), netip.AddrPort.Compare)
-	t.sorted = slices.Compact(t.sorted)
+	t.sorted = slices.SortedFunc(maps.Keys(paths), netip.AddrPort.Compare)
 	t.updateLost()
 }
 
--- a/internal/reach/table_test.go
+++ b/internal/reach/table_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/turmericshunt/turmericshunt/internal/replica"
 )
 
 var begin = time.Unix(1000, 0)
@@ -21,10 +23,19 @@
 func newTable(n int) (*Table, []netip.AddrPort) {
 	t := &Table{}
 	addresses := servers(n)
-	t.SetServers(addresses)
+	t.SetServers(located(addresses))
 	return t, addresses
 }
 
+// located returns servers at the addresses, each with another ID.
+func located(addresses []netip.AddrPort) []replica.Location {
+	var servers []replica.Location
+	for _, a := range addresses {
+		servers = append(servers, replica.Location{ID: "i-" + a.String(), Address: a})
+	}
+	return servers
+}
+
 // A failed connection leads to checks of two other paths; if these are sound, of no more.
 func TestOneLostPathIsToldFromCut(t *testing.T) {
 	table, a := newTable(18)
@@ -106,7 +117,7 @@
 func TestServersAreReplaced(t *testing.T) {
 	table, a := newTable(3)
 	for range 2 * maxChecks {
-		table.SetServers(a)
+		table.SetServers(located(a))
 		table.Failed(at(0), a[0])
 		table.Due(at(time.Second))
 		table.SetServers(nil)
@@ -115,3 +126,25 @@
 		t.Errorf("lost %v, %d checks in progress after the servers have left", table.Lost(a[0]), table.checks)
 	}
 }
+
+// A server can't be reached, and another one comes at its address. Guards against the failures of the first being put down to the
+// second, which would get no direct connections until its address is checked.
+func TestPathOfServerThatHasGoneSaysNothing(t *testing.T) {
+	table, a := newTable(3)
+	table.Failed(at(0), a[0])
+	table.Due(at(maxCheckInterval))
+	next := located(a)
+	table.SetServers(next)
+	if !table.Lost(a[0]) {
+		t.Error("the path isn't lost any more though the server is the same")
+	}
+	next[0].ID = "i-next"
+	table.SetServers(next)
+	if lost, _ := table.LostServers(); table.Lost(a[0]) || len(lost) != 0 {
+		t.Errorf("lost %v after another server has come at the address", lost)
+	}
+	table.Failed(at(maxCheckInterval), a[0])
+	if !table.Lost(a[0]) || table.checks < 0 {
+		t.Errorf("lost: %t, %d checks in progress after the next server has failed", table.Lost(a[0]), table.checks)
+	}
+}
