planner: a prompt that lacks an excluded replica is worth a retry

Cause: a prompt counted as too large if the replicas that may be used now can't hold it, and that was taken to be so for good.

Evidence: TestPromptThatLacksReplicaIsWorthRetry failed: a refusal with Retry-After 1m0s, up to 1 s wanted.

Change: if all replicas of the service that take requests could hold the prompt, Retry-After says when the first excluded one may be used again.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -115,7 +115,7 @@
 	case len(servers) == 0:
 		return p.noServerRefusal(now, req)
 	case tooLarge(req, servers):
-		return &Refusal{Cause: CauseTooLarge, RetryAfter: tooLargeRetryAfter}
+		return p.tooLargeRefusal(now, req)
 	}
 	if retryAfter, refused := p.quarantine.Refuses(now, req.content(), p.mayProbe); refused {
 		return &Refusal{Cause: CauseCrashes, RetryAfter: retryAfter}
@@ -139,6 +139,21 @@
 	return max(after, minRetryAfter)
 }
 
+// tooLargeRefusal returns the refusal of a request that the servers it may use now can't hold. If the others could, it is worth a
+// retry when one of them may be used again.
+func (p *Planner) tooLargeRefusal(now time.Time, req *Request) *Refusal {
+	var all []*server
+	for _, s := range p.sortedServers[req.Service] {
+		if s.replica.TakesRequests() && !s.evacuated && p.inAllowedRegion(req, s) {
+			all = append(all, s)
+		}
+	}
+	if tooLarge(req, all) {
+		return &Refusal{Cause: CauseTooLarge, RetryAfter: tooLargeRetryAfter}
+	}
+	return &Refusal{Cause: CauseTooLarge, RetryAfter: p.usableAfter(now, req)}
+}
+
 // tooLarge reports whether the request needs more memory than the largest allowed set of servers has.
 func tooLarge(req *Request, servers []*server) bool {
 	if servers[0].model == nil {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -117,6 +117,29 @@
 	}
 }
 
+// A prompt needs three replicas, and one of three has gone from its address. Guards against telling the caller that the prompt is
+// too large for good, and against a replica that is excluded for one host only, or as primary only.
+func TestPromptThatLacksReplicaIsWorthRetry(t *testing.T) {
+	p := newDomainPlanner(3)
+	req := longRequest(0)
+	req.PromptTokens = 2*testEngine.MemoryTokens + 50000
+	req.FirstTarget, req.Deadline, req.UntilDisconnect, req.PauseTimeout = 20*time.Second, time.Minute, time.Minute, time.Minute
+	gone := p.sortedServers[req.Service][0].replica
+	p.Misdirected(at(0), "h9", replica.Location{ID: gone.ID, Address: netip.MustParseAddrPort("10.9.9.9:80")})
+	mustPlan(t, p, at(0), req) // its address is another one
+	p.RemoveHost(at(0), req.Host)
+	p.Misdirected(at(0), "h9", gone.Location())
+	p.Submit(at(1), req)
+	results := p.Decide(at(1))
+	if len(results) != 1 || results[0].Refusal == nil || results[0].Refusal.RetryAfter > noReplicaRetryAfter {
+		t.Errorf("results %+v, want a refusal with Retry-After up to %v", results, noReplicaRetryAfter)
+	}
+	p.Submit(at(5000), req)
+	if results := p.Decide(at(5000)); len(results) != 1 || results[0].Plan == nil {
+		t.Errorf("results %+v once the replica counts again, want a plan", results)
+	}
+}
+
 func TestFullServiceRefusesWhatCantBeServedInTime(t *testing.T) {
 	p := newDomainPlanner(1)
 	for i := range 16 {
