--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -39,6 +39,7 @@
 	RequestID string      // ID of the call, a request of a caller, that the response belongs to; empty if it names none
 	NotRun    bool        // the server states that it didn't run the call
 	Responder string      // ID of the server that responded; empty if the response doesn't say
+	AtFault   string      // ID or address of the server because of which the call wasn't run; empty if the response doesn't say
 	// Misdirected says that another server than the planned one may have responded, which hasn't run the call.
 	Misdirected bool
 	Valid       bool          // the response has the headers that a response of a backend server must have
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -38,7 +38,7 @@
 	releaseMemory func()            // releases the memory that is reserved at helpers; nil before
 	ended         bool              // end was called
 	withdrawn     bool              // nothing was sent, since the server may not get the call any more
-	goneHelper    replica.Location  // the helper replica whose address another server has, which is why; zero if none
+	faultyHelper  replica.Location  // the helper replica because of which the attempt has failed; zero if none
 }
 
 // begin sends the call and reads the head of the response. It returns an error, and the outcome of the attempt, unless
@@ -77,6 +77,7 @@
 	case x.Head.Status < http.StatusOK || x.Head.Status > maxStatus:
 		return planner.OutcomeBroken, errors.Errorf("%d is not the status of a response", x.Head.Status)
 	case x.Head.NotRun:
+		a.faultyHelper = a.helperAt(x.Head.AtFault)
 		if a.wasMisdirected(x.Head) {
 			a.relay.reportGone(a.call.ID, plan.Replica.Location(), errors.Errorf("status %d by %q", x.Head.Status, x.Head.Responder))
 		}
@@ -103,6 +104,16 @@
 	return head.Responder != a.placement.Plan.Replica.ID
 }
 
+// helperAt returns the helper replica of the plan with the given ID or address, zero if there is none.
+func (a *attempt) helperAt(name string) replica.Location {
+	for _, h := range a.placement.Plan.Helpers {
+		if name == h.Replica || name == h.Address.String() {
+			return h.Location()
+		}
+	}
+	return replica.Location{}
+}
+
 // hasTried reports whether the call was sent to an address in an earlier attempt. A response that comes late on a connection to it
 // can't be told from that to this attempt, since both name the call.
 func (a *attempt) hasTried(address netip.AddrPort) bool {
@@ -110,10 +121,10 @@
 }
 
 // unusable returns the replica that later attempts must not use after this one has failed: its primary replica, or the helper
-// replica that has gone.
+// replica at fault.
 func (a *attempt) unusable() replica.Replica {
-	if a.goneHelper.ID != "" {
-		return replica.Replica{ID: a.goneHelper.ID, Address: a.goneHelper.Address}
+	if a.faultyHelper.ID != "" {
+		return replica.Replica{ID: a.faultyHelper.ID, Address: a.faultyHelper.Address}
 	}
 	return a.placement.Plan.Replica
 }
@@ -189,8 +200,8 @@
 	if a.releaseMemory != nil {
 		a.releaseMemory()
 	}
-	if a.withdrawn {
-		outcome = planner.OutcomeCanceled // the server has refused nothing
+	if a.withdrawn || a.faultyHelper.ID != "" {
+		outcome = planner.OutcomeCanceled // the primary replica isn't to blame
 	}
 	a.relay.PlannerClient.Ended(a.placement.ID, outcome, a.pause)
 }
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -40,6 +40,7 @@
 	// Replicas in an evacuated failure domain, as the host knows.
 	evacuated map[string]bool
 	ended     []planner.Outcome
+	excluded  [][]string // replicas that the placement requests have excluded
 	// Replicas at whose addresses another server has responded, in order.
 	misdirected []string
 	cold        []string   // replicas that were reported as cold, with the time
@@ -51,6 +52,7 @@
 	held := p.held
 	p.held = nil
 	p.regions = append(p.regions, req.AllowedRegions)
+	p.excluded = append(p.excluded, req.ExcludedReplicas)
 	p.mu.Unlock()
 	if p.panics && len(req.ExcludedReplicas) > 0 {
 		panic("placement of " + req.ID)
@@ -394,3 +396,27 @@
 		}
 	}
 }
+
+// A replica can't run a prompt because of a helper, which it names by its ID or its address. Guards against the primary replica
+// being left out and blamed, while the next plan has the same helper.
+func TestHelperAtFaultIsLeftOut(t *testing.T) {
+	for _, test := range []struct{ atFault, want string }{
+		{"h1", "h1"}, {"10.0.0.1:80", "h1"}, {"", "a"}, {"a", "a"}, {"10.0.0.9:80", "a"},
+	} {
+		header := http.Header{"Not-Executed": {"1"}}
+		if test.atFault != "" {
+			header.Set("At-Server", test.atFault)
+		}
+		r, p, _ := statingWorld(t, http.StatusServiceUnavailable, header)
+		p.helpers = []planner.Helper{{Replica: "h1", Address: netip.MustParseAddrPort("10.0.0.1:80")}}
+		serveOne(r, "r1")
+		wantEnded := planner.OutcomeRefused
+		if test.want == "h1" {
+			wantEnded = planner.OutcomeCanceled
+		}
+		if len(p.excluded) < 2 || !slices.Equal(p.excluded[1], []string{test.want}) || p.ended[0] != wantEnded {
+			t.Errorf("at fault %q: placement requests exclude %v, the first attempt ended %v; want %s excluded after %s", test.atFault,
+				p.excluded, p.ended, test.want, wantEnded)
+		}
+	}
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -120,7 +120,7 @@
 	}
 	a.relay.reportGone(a.call.ID, helper, err)
 	a.withdrawn = true
-	a.goneHelper = helper
+	a.faultyHelper = helper
 	return true
 }
 
