gateway, placement: planners search the store for fleets that they don't know

Cause: only a host that hears from nobody searched the store. Two fleets of two hosts or more never did, though the planner of each renews its announcement there all the time.

Hosts of which the roster has never heard become seeds, so that the next heartbeat, within 250 ms, brings the fleets together.

Left: until they meet, some 6 s after the start of the second planner at most, both spend limits: the first one by its share of the hosts it remembers, the second one, which has just started, as if it were alone.

Ruled out: reading with staleOk (it would cost a tenth, and may be seconds old when seconds count).

--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -56,6 +56,7 @@
 	// EvacuationTime of the hosts; unless it is 0, the replicas are in three failure domains.
 	evacuationTime time.Duration
 	withoutStore   map[int]bool // hosts that can't reach the store
+	seedGroups     int          // hosts have only those of their group as seeds: i and j if i and j modulo seedGroups are the same; 0 for one group
 	engineMemory   int          // of each model replica, in tokens; 0 for 315,000
 }
 
@@ -223,12 +224,26 @@
 // failureDomain returns the failure domain of the host or replica with the given index.
 func failureDomain(i int) string { return string(rune('a' + i%3)) }
 
+// seedsOf returns the seeds of the host with the given index.
+func (c *cluster) seedsOf(i int) []netip.AddrPort {
+	if c.seedGroups == 0 {
+		return c.peers[:min(c.seeds, len(c.peers))]
+	}
+	var seeds []netip.AddrPort
+	for j, address := range c.peers {
+		if j%c.seedGroups == i%c.seedGroups {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
+}
+
 // startHost starts the host with the index i and returns it.
 func (c *cluster) startHost(i int) *host {
 	s := &site.Settings{
 		Host: fmt.Sprintf("front-%d", i), FailureDomain: failureDomain(i), CallerAddress: freePort(c.t), ReadinessAddress: freePort(c.t),
 		MetricsAddress: freePort(c.t),
-		PeerAddress:    c.peers[i], Seeds: c.peers[:min(c.seeds, len(c.peers))], StoreAddress: c.storeAddress, CPUCores: 1,
+		PeerAddress:    c.peers[i], Seeds: c.seedsOf(i), StoreAddress: c.storeAddress, CPUCores: 1,
 		MemoryBytes: 500 << 20, GracePeriod: 5 * time.Second, RevocationTime: 3 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, EvacuationTime: c.evacuationTime,
 		ColdOver: 1.5, ColdSlack: 5,
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -182,11 +182,23 @@
 	return c.localPlanner.Waiting()
 }
 
-// AddSeeds adds addresses of hosts from which this host can learn of other hosts.
-func (c *Client) AddSeeds(seeds []netip.AddrPort) {
+// AddSeeds adds addresses of hosts from which this host can learn of other hosts. It returns how many of them weren't known.
+func (c *Client) AddSeeds(seeds []netip.AddrPort) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	unknown := c.Roster.Unknown(seeds)
 	c.Roster.AddSeeds(seeds)
+	return len(unknown)
+}
+
+// AddFound adds those of the hosts as seeds of which this host knows nothing, and returns how many they are. Of the others it hears
+// anyway, or has lost them.
+func (c *Client) AddFound(hosts []netip.AddrPort) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unknown := c.Roster.Unknown(hosts)
+	c.Roster.AddSeeds(unknown)
+	return len(unknown)
 }
 
 // Isolated reports whether this host has run for at least limit and knows of no other host that was heard from within
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// Unknown returns those of the addresses that are neither this host's nor that of one of which it has heard, or a seed.
+func (r *Roster) Unknown(addresses []netip.AddrPort) []netip.AddrPort {
+	var unknown []netip.AddrPort
+	for _, a := range addresses {
+		if a != r.self.Address && r.entries[a] == nil {
+			unknown = append(unknown, a)
+		}
+	}
+	return unknown
+}
+
 // SetStopping records that this host stops soon, so that no host chooses it as planner.
 func (r *Roster) SetStopping() {
 	r.self.Stopping = true
