ingress, host: OPTIONS * goes through the checks of all requests

Cause: net/http answers it itself unless DisableGeneralOptionsHandler is set.

The same server option was missing for the callers of serve (internal/host), which is mended without a test of its own.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -245,7 +245,8 @@
 func newHTTPServer(handler http.Handler) *drain.Server {
 	return &drain.Server{FirstRequestTime: firstRequestTime, HTTP: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout,
-		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+		DisableGeneralOptionsHandler: true, // no request has a response without a route
+		ErrorLog:                     slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,11 +108,12 @@
 // Init creates the server. It must be called before Run.
 func (g *Ingress) Init() {
 	g.server = &drain.Server{FirstRequestTime: firstRequestTime, HTTP: &http.Server{
-		Handler:           g.handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(serverErrorLog{g.Log}, "", 0),
+		DisableGeneralOptionsHandler: true, // no request has a response without a route
+		Handler:                      g.handler(),
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		ErrorLog:                     log.New(serverErrorLog{g.Log}, "", 0),
 	}}
 	if g.Account != nil {
 		g.server.HTTP.MaxHeaderBytes = mostHeaderBytes + headSlack // intake.Listener keeps the limit in force
