--- a/internal/gateway/address_test.go
+++ b/internal/gateway/address_test.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// wantOneMisdirectedOrder checks that one order that names the replica which has gone came to the other one at its address, which
+// has accepted none.
+func (c *cluster) wantOneMisdirectedOrder(other *replica.Replica, why string) {
+	c.t.Helper()
+	if commands := other.Commands(); len(commands) > 0 {
+		c.t.Errorf("a replica of another service has accepted %+v", commands)
+	}
+	if n := other.MisdirectedCommands(); n != 1 {
+		c.t.Errorf("%d orders named the replica that has gone, want 1: %s", n, why)
+	}
+}
+
 // sendUntil sends requests with a long prompt, at one host after the other, until ok returns true.
 func (c *cluster) sendUntil(what, path string, header http.Header, ok func(id string) bool) {
 	c.t.Helper()
@@ -112,16 +124,11 @@
 		c.wantNoPart(id, other)
 		return len(other.Commands()) > 0 || other.MisdirectedCommands() > 0
 	})
-	if commands := other.Commands(); len(commands) > 0 {
-		t.Errorf("a replica of another service has accepted %+v", commands)
-	}
 	for h := range c.hosts {
 		resp := c.do(h, http.MethodPost, "/dossiers/later", "p", hugePrompt)
 		c.wantResponse(resp, completeStream(resp.id))
 	}
-	if n := other.MisdirectedCommands(); n != 1 {
-		t.Errorf("%d orders named the replica that has gone, want 1: the first one tells all hosts", n)
-	}
+	c.wantOneMisdirectedOrder(other, "the first one tells all hosts")
 }
 
 // crashHolder sends a request with a huge prompt whose replica meets a fault, crashes the helper that holds memory for it once it
@@ -162,12 +169,7 @@
 	defer c.logOnFailure()
 	other := c.crashHolder(f, replica.FaultPause)
 	time.Sleep(releaseTime)
-	if commands := other.Commands(); len(commands) > 0 {
-		t.Errorf("a replica of another service has accepted %+v", commands)
-	}
-	if n := other.MisdirectedCommands(); n != 1 {
-		t.Errorf("%d orders named the replica that has gone, want 1: the first renewal ends the reservation", n)
-	}
+	c.wantOneMisdirectedOrder(other, "the first renewal ends the reservation")
 }
 
 // The same when the response ends before the first renewal. Guards against a release that another service carries out, and that
@@ -179,12 +181,7 @@
 	defer c.logOnFailure()
 	other := c.crashHolder(f, replica.FaultNone)
 	time.Sleep(releaseTime)
-	if commands := other.Commands(); len(commands) > 0 {
-		t.Errorf("a replica of another service has accepted %+v", commands)
-	}
-	if n := other.MisdirectedCommands(); n != 1 {
-		t.Errorf("%d orders named the replica that has gone, want 1: the first release says that the memory has gone", n)
-	}
+	c.wantOneMisdirectedOrder(other, "the first release says that the memory has gone")
 }
 
 // A helper replica that holds no memory crashes, and one of another service comes at its address. Guards against that one reading a
@@ -201,17 +198,12 @@
 		c.wantNoPart(id, other)
 		return slices.Contains(c.log.Parts(id), other.ID) || other.MisdirectedCommands() > 0
 	})
-	if commands := other.Commands(); len(commands) > 0 {
-		t.Errorf("a replica of another service has accepted %+v", commands)
-	}
 	for h := range c.hosts {
 		resp := c.do(h, http.MethodPost, "/quotes/later", "p", longPrompt)
 		c.wantResponse(resp, completeStream(resp.id))
 		c.wantNoPart(resp.id, other)
 	}
-	if n := other.MisdirectedCommands(); n != 1 {
-		t.Errorf("%d orders named the replica that has gone, want 1: the first one tells all hosts", n)
-	}
+	c.wantOneMisdirectedOrder(other, "the first one tells all hosts")
 }
 
 // misdirectedRequests returns how many requests to a replica have named another one.
@@ -277,22 +269,37 @@
 		return true
 	})
 	time.Sleep(refusalPause)
-	for n := range 10 {
-		path := "/lookups/" + strconv.Itoa(n)
+	var logged []int // length of each host's log before the requests
+	for _, h := range c.hosts {
+		logged = append(logged, len(h.logs.String()))
+	}
+	c.eventually("the later replicas work", func() bool {
 		var requests sync.WaitGroup
-		for range 3 {
-			requests.Go(func() { c.wantResponse(c.get(n%2, path, nil), replica.PlainResponse(path, "")) })
+		for n := range 6 {
+			requests.Go(func() { c.wantResponse(c.get(n%2, "/lookups/x", nil), replica.PlainResponse("/lookups/x", "")) })
+			requests.Go(func() {
+				resp := c.post(n%2, "/quotes/x", "p")
+				c.wantResponse(resp, completeStream(resp.id))
+			})
 		}
 		requests.Wait()
-		resp := c.do(n%2, http.MethodPost, "/quotes/long", "p", longPrompt)
+		resp := c.do(0, http.MethodPost, "/quotes/long", "p", longPrompt)
 		c.wantResponse(resp, completeStream(resp.id))
+		return !slices.ContainsFunc(later, func(r *replica.Replica) bool {
+			return len(c.log.Received(r.ID, time.Time{})) == 0 && len(r.Commands()) == 0
+		})
+	})
+	for i, h := range c.hosts {
+		for line := range strings.Lines(h.logs.String()[logged[i]:]) {
+			planned := strings.Contains(line, `"event":"request_planned"`)
+			if planned && (strings.Contains(line, c.replicas[0].ID) || strings.Contains(line, c.replicas[4].ID)) {
+				t.Errorf("a plan has a replica that has gone: %s", line)
+			}
+		}
 	}
 	for _, r := range later {
 		if n, m := c.misdirectedRequests(r), r.MisdirectedCommands(); n+m > 0 {
 			t.Errorf("%d requests and %d orders at %s named the replica that has gone", n, m, r.ID)
 		}
-		if len(c.log.Received(r.ID, time.Time{})) == 0 {
-			t.Errorf("%s has got no request", r.ID)
-		}
 	}
 }
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -53,9 +53,8 @@
 			unreserved = append(unreserved, h)
 			continue
 		}
-		if a.relay.PlannerClient.IsEvacuated(a.placement.Plan) {
-			a.withdrawn = true
-			return errors.New("a server of the plan is evacuated")
+		if err := a.checkEvacuated(); err != nil {
+			return err
 		}
 		ticket := a.call.ID + "-" + strconv.FormatUint(lastTicket.Add(1), 36)
 		res := reservation{engine: h.Location(), ticket: ticket, tokens: h.ReservedTokens}
@@ -69,10 +68,25 @@
 		}
 		parameters.Helpers = append(parameters.Helpers, backend.Helper{Address: h.Address, Ticket: ticket})
 	}
+	if len(unreserved) == 0 {
+		return nil
+	}
+	if err := a.checkEvacuated(); err != nil {
+		return err
+	}
 	parameters.Helpers = append(parameters.Helpers, a.confirmedHelpers(ctx, unreserved)...)
 	return nil
 }
 
+// checkEvacuated returns an error if a server of the plan is evacuated, so that it must not get anything.
+func (a *attempt) checkEvacuated() error {
+	if !a.relay.PlannerClient.IsEvacuated(a.placement.Plan) {
+		return nil
+	}
+	a.withdrawn = true
+	return errors.New("a server of the plan is evacuated")
+}
+
 // confirmedHelpers returns those of the helpers that are at their addresses.
 func (a *attempt) confirmedHelpers(ctx context.Context, helpers []planner.Helper) []backend.Helper {
 	isThere := make([]bool, len(helpers))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,14 +25,18 @@
 	"github.com/turmericshunt/turmericshunt/internal/steady"
 )
 
-// PlannerClient is what the relay needs of the client of the planner, which is placement.Client: Place requests a
-// placement for a call, Started and Ended report the placement's first event and its outcome, with the pause that the
-// server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have failed.
-// Leaving reports a replica that has announced that it leaves, Misdirected one at whose address another server has responded; HasLeft reports whether one takes no new requests, since it has
-// announced that, drains or is gone. IsEvacuated reports whether a plan uses a replica of an evacuated failure domain; EvacuatedReplicas returns the IDs of those of a service. NamedLimit reports what a
-// response to a request that was sent at sentAt has said of the limit of its server's requests a second; MaySend reports
-// whether the limit still allows to send what the planner has placed. NamedCold reports for how long the server of a response
-// stays cold.
+// PlannerClient is what the relay needs of the client of the planner, which is placement.Client.
+//
+// Place requests a placement for a call; Started and Ended report the placement's first event and its outcome, with the pause that
+// the server has asked for. ExtraWait returns for how long a silent server of a placement needs no action, 0 if it seems to have
+// failed. MaySend reports whether the limit still allows to send what the planner has placed.
+//
+// Leaving reports a replica that has announced that it leaves, Misdirected one at whose address another server has responded.
+// NamedLimit reports what a response to a request that was sent at sentAt has said of the limit of its server's requests a second,
+// NamedCold for how long the server of a response stays cold.
+//
+// HasLeft reports whether a replica takes no new requests, since it has announced that, drains or is gone. IsEvacuated reports
+// whether a plan uses a replica of an evacuated failure domain; EvacuatedReplicas returns the IDs of those of a service.
 type PlannerClient interface {
 	Place(ctx context.Context, req planner.Request) (planner.Result, error)
 	Started(id string)
@@ -56,8 +60,8 @@
 }
 
 // MemoryReserver reserves memory at engines. Reserve also renews a reservation that the engine holds under the same ticket; a
-// reservation that is not renewed expires when its lease ends. Confirm returns nil if the engine is at its address. Their errors wrap a *backend.Error with KindMisdirected if
-// another server has the engine's address, which then has done nothing.
+// reservation that is not renewed expires when its lease ends. Confirm returns nil if the engine is at its address. Their errors
+// wrap a *backend.Error with KindMisdirected if another server has the engine's address, which then has done nothing.
 type MemoryReserver interface {
 	Reserve(ctx context.Context, engine replica.Location, ticket string, tokens int, lease time.Duration) error
 	Release(ctx context.Context, engine replica.Location, ticket string) error
