gateway: the tests of reservations wait for a reservation, not for any order

Cause: crashHolder took the first command of a replica for a reservation. Found when the change was read; not seen to fail.

Change: only orders that reserve memory count. What is checked afterwards stays the same.

--- a/internal/gateway/address_test.go
+++ b/internal/gateway/address_test.go
@@ -146,10 +146,12 @@
 	var holder *replica.Replica
 	c.eventually("a helper that holds memory reads its part", func() bool {
 		for _, r := range c.replicas {
-			if commands := r.Commands(); len(commands) > 0 {
-				id, _, _ := strings.Cut(commands[0].Ticket, "-")
-				holder = r
-				return slices.Contains(c.log.Parts(id), r.ID)
+			for _, command := range r.Commands() {
+				id, _, _ := strings.Cut(command.Ticket, "-")
+				if command.Operation == "reserve" && slices.Contains(c.log.Parts(id), r.ID) {
+					holder = r
+					return true
+				}
 			}
 		}
 		return false
