--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -24,7 +24,8 @@
 // finishRefused ends a call for which the planner has no server.
 func (t *transfer) finishRefused(r *planner.Refusal) {
 	t.closeHedge()
-	t.relay.Metrics.Tagged(map[string]string{"cause": string(r.Cause)}).Counter("refusals").Inc(1)
+	t.relay.Metrics.Tagged(map[string]string{"cause": string(r.Cause), "prompt_length": promptLengthClass(t.call)}).
+		Counter("refusals").Inc(1)
 	t.relay.recordEnd(t.call, "refused", slog.String("cause", string(r.Cause)),
 		eventlog.Milliseconds("retry_after_ms", r.RetryAfter), slog.Bool("ran", t.progress.mayHaveRun()),
 		slog.Bool("cut", t.headWritten.Load()))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -200,20 +200,16 @@
 
 // promptLengthClass returns the value of the metrics label for the length of the call's prompt.
 func promptLengthClass(c *call.Call) string {
-	const (
-		maxShort  = 8 << 10  // tokens
-		maxMedium = 64 << 10 // tokens
-	)
-	switch {
-	case c.PromptTokens == 0:
+	const smallest, largest = 8, 512 // 1,024 tokens
+	if c.PromptTokens == 0 {
 		return "none"
-	case c.PromptTokens <= maxShort:
-		return "up_to_8k"
-	case c.PromptTokens <= maxMedium:
-		return "up_to_64k"
-	default:
-		return "over_64k"
 	}
+	for limit := smallest; limit <= largest; limit *= 2 {
+		if c.PromptTokens <= limit<<10 {
+			return "up_to_" + strconv.Itoa(limit) + "k"
+		}
+	}
+	return "over_" + strconv.Itoa(largest) + "k"
 }
 
 // recordTimings records the metrics of a complete response: the delay of its first event and its longest pause.
