planner: a simulation of large prompts under heavy load with faults, which fails

The simulation plays the waves of the large site and of a small one, callers that return once, and the loss of engines.

--- a/internal/planner/contention_test.go
+++ b/internal/planner/contention_test.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
+	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
 	"github.com/turmericshunt/turmericshunt/internal/standin/passes"
 )
@@ -25,9 +26,28 @@
 	logbookDelay = 5 * time.Millisecond
 	// A caller waits for a refusal's Retry-After up to this part of the time that it has left.
 	honoredPart = 3
-	maxLogbook  = 800000 // prompt tokens at most
 )
 
+// customer is the deployment of a customer.
+type customer struct {
+	engine     *catalog.EngineParams
+	engines    int
+	domains    int // failure domains, each with every domains-th engine
+	workspaces int
+	classes    []promptClass
+	maxTokens  int // of a prompt
+	// Times that a caller returns after a refusal; 0 for as often as its deadline allows.
+	retries int
+}
+
+// logbook returns the logbook customer.
+func logbook() *customer {
+	return &customer{
+		engine: logbookEngine(), engines: logbookEngines, domains: 3, workspaces: logbookWorkspaces,
+		classes: logbookClasses, maxTokens: 800000,
+	}
+}
+
 // logbookEngine returns the parameters of the customer's engines. The page gives no attention time, so it is that of the
 // sample engine; the archives of the heavy phase then ask for 47 of 54 engine-seconds a second.
 func logbookEngine() *catalog.EngineParams {
@@ -76,16 +96,21 @@
 	workspace int
 	tokens    int
 	events    int
-	arrived   time.Time // of its first try
-	submitted time.Time // of its present try
-	tries     int
-	refusals  int
-	left      bool // its caller has given up
-	placed    bool
-	first     time.Duration // from arrival to the first event
-	last      time.Time     // of its last event
-	pause     time.Duration // its longest
-	done      bool
+	// Tokens in an event.
+	eventTokens int
+	arrived     time.Time // of its first try
+	submitted   time.Time // of its present try
+	tries       int
+	refusals    int
+	breaks      int      // tries that ended with an engine
+	engines     []string // that run its present try
+	excluded    []string // engines that failed it
+	left        bool     // its caller has given up
+	placed      bool
+	first       time.Duration // from arrival to the first event
+	last        time.Time     // of its last event
+	pause       time.Duration // its longest
+	done        bool
 }
 
 // value returns what the prompt's caller got and what it would have got in time.
@@ -105,18 +130,23 @@
 	return r.done && r.first <= r.class.firstTarget && r.pause <= r.class.pauseTarget
 }
 
-// logbookArrivals returns the prompts of the phases by time of arrival. Workspace i has a weight of 1 over i+1.
+// logbookArrivals returns the prompts of the logbook customer.
 func logbookArrivals(seed uint64, phases []loadPhase) []*prompt {
+	return logbook().arrivals(seed, phases)
+}
+
+// arrivals returns the prompts of the phases by time of arrival. Workspace i has a weight of 1 over i+1.
+func (u *customer) arrivals(seed uint64, phases []loadPhase) []*prompt {
 	random := rand.New(rand.NewPCG(seed, 41))
 	weights := 0.0
-	for i := range logbookWorkspaces {
+	for i := range u.workspaces {
 		weights += 1 / float64(i+1)
 	}
 	var all []*prompt
 	begin := start
 	for _, p := range phases {
-		for i := range logbookClasses {
-			c := &logbookClasses[i]
+		for i := range u.classes {
+			c := &u.classes[i]
 			rate := c.perSecond * p.factors[i]
 			for at := random.ExpFloat64() / rate; at < p.length.Seconds(); at += random.ExpFloat64() / rate {
 				size := func(mean, spread, most float64) int {
@@ -124,8 +154,8 @@
 				}
 				r := &prompt{
 					id: fmt.Sprint(c.name, len(all)), class: c, arrived: begin.Add(time.Duration(at * float64(time.Second))),
-					tokens: max(size(c.tokens, c.spread, min(8*c.tokens, maxLogbook)), 100),
-					events: max(size(c.events, 0.6, 2.5*c.events), 1),
+					tokens: max(size(c.tokens, c.spread, min(8*c.tokens, float64(u.maxTokens))), 100),
+					events: max(size(c.events, 0.6, 2.5*c.events), 1), eventTokens: u.engine.EventTokens,
 				}
 				for draw := random.Float64() * weights; draw > 1/float64(r.workspace+1); r.workspace++ {
 					draw -= 1 / float64(r.workspace+1)
@@ -149,17 +179,24 @@
 
 // contest is a run of prompts under a policy.
 type contest struct {
+	site    *customer // nil for the logbook customer
 	policy  contender
 	fleet   *passes.Fleet
 	prompts map[string]*prompt
 	active  []*prompt // submitted or waiting to return, and neither done nor given up
 	wasted  time.Duration
+	outages []outage // of engines
+	lost    map[string]bool
+	later   []laterEvent
 }
 
 // run plays all prompts to their ends.
 func (s *contest) run(all []*prompt) {
 	const tick = 5 * time.Millisecond
-	s.fleet = &passes.Fleet{Params: logbookEngine()}
+	if s.site == nil {
+		s.site = logbook()
+	}
+	s.fleet = &passes.Fleet{Params: s.site.engine}
 	s.prompts = make(map[string]*prompt)
 	for now, end := start, all[len(all)-1].arrived.Add(16*time.Second); now.Before(end); now = now.Add(tick) {
 		for len(all) > 0 && !all[0].arrived.After(now) {
@@ -169,8 +206,9 @@
 			r.submitted = r.arrived
 			s.active = append(s.active, r)
 		}
+		s.advanceOutages(now)
 		for _, r := range s.active {
-			if !now.Before(r.submitted) && r.tries == r.refusals {
+			if !now.Before(r.submitted) && r.tries == r.refusals+r.breaks {
 				r.tries++
 				r.last = now
 				s.policy.submit(now, r)
@@ -190,22 +228,32 @@
 func (s *contest) take(now time.Time, r *prompt, result Result) {
 	if result.Refusal != nil {
 		r.refusals++
+		if s.site.retries > 0 && r.refusals > s.site.retries {
+			r.left = true
+			return
+		}
 		left := r.arrived.Add(r.class.deadline).Sub(now)
 		r.submitted = now.Add(min(result.Refusal.RetryAfter, left/honoredPart) + 2*logbookDelay)
 		return
 	}
 	r.placed = true
-	request := passes.Request{ID: r.id, Primary: result.Plan.Replica.ID, PromptTokens: r.tokens, EventCount: r.events}
+	r.engines = []string{result.Plan.Replica.ID}
 	for _, h := range result.Plan.Helpers {
-		request.Helpers = append(request.Helpers, h.Replica)
+		r.engines = append(r.engines, h.Replica)
 	}
+	if s.losesEngine(r) {
+		s.fail(now, r)
+		return
+	}
+	request := passes.Request{ID: r.id, Primary: result.Plan.Replica.ID, PromptTokens: r.tokens, EventCount: r.events}
+	request.Helpers = r.engines[1:]
 	s.fleet.Submit(now, request)
 }
 
 // event records an event of a prompt's response.
 func (s *contest) event(now time.Time, e passes.Event) {
 	r := s.prompts[e.ID]
-	if r.left {
+	if r.left || !r.placed {
 		s.fleet.Cancel(r.id) // its prefill couldn't be canceled
 		return
 	}
@@ -224,7 +272,10 @@
 
 // leave reports whether the prompt's caller gives up now, at its deadline or after a long silence.
 func (s *contest) leave(now time.Time, r *prompt) bool {
-	silent := r.tries > r.refusals && now.Sub(r.last) > r.class.timeout()
+	if r.left {
+		return true
+	}
+	silent := r.tries > r.refusals+r.breaks && now.Sub(r.last) > r.class.timeout()
 	if !silent && now.Before(r.arrived.Add(r.class.deadline)) {
 		return false
 	}
@@ -232,12 +283,11 @@
 	if r.placed {
 		s.fleet.Cancel(r.id)
 	}
-	if r.tries > r.refusals {
+	if r.tries > r.refusals+r.breaks {
 		s.policy.ended(now, r, OutcomeCanceled)
 	}
 	if r.placed {
-		s.wasted += time.Duration(float64(r.tokens)/154000*float64(time.Second)) +
-			time.Duration(float64(r.tokens)*float64(r.tokens)/2e6*float64(184*time.Microsecond))
+		s.wasted += pass.PrefillTime(s.site.engine, r.tokens, 1)
 	}
 	return true
 }
@@ -250,32 +300,40 @@
 
 // newLogbookPlanner returns a planner of the customer's engines.
 func newLogbookPlanner(order uint64) *Planner {
+	return logbook().newPlanner(order)
+}
+
+// newPlanner returns a planner of the customer's engines.
+func (u *customer) newPlanner(order uint64) *Planner {
 	p := New(order)
-	p.SetEngines(map[string]*catalog.EngineParams{"llm": logbookEngine()})
-	p.SetReplicas(start, logbookReplicas())
+	p.SetEngines(map[string]*catalog.EngineParams{"llm": u.engine})
+	p.SetReplicas(start, u.replicas())
 	return p
 }
 
-func logbookReplicas() []replica.Replica {
+// replicas returns the replicas, one for each engine.
+func (u *customer) replicas() []replica.Replica {
 	var list []replica.Replica
-	for i := range logbookEngines {
+	for i := range u.engines {
 		list = append(list, replica.Replica{
-			ID: fmt.Sprintf("i-%02d", i), Service: "llm", Slots: logbookSlots, FailureDomain: string(rune('a' + i%3)),
+			ID: engineID(i), Service: "llm", Slots: u.engine.Slots, FailureDomain: string(rune('a' + i%u.domains)),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 8080),
 		})
 	}
 	return list
 }
 
+func engineID(i int) string { return fmt.Sprintf("i-%02d", i) }
+
 // placementRequest describes the present try of the prompt as an entry host does.
 func (r *prompt) placementRequest(now time.Time) Request {
-	likely := r.events * 38
+	likely := r.events * r.eventTokens
 	return Request{
 		ID: r.id, Host: "h", Service: "llm", PromptTokens: r.tokens, OutputTokens: likely, LikelyTokens: likely,
 		FirstTarget: r.class.firstTarget, PauseTarget: r.class.pauseTarget,
 		Deadline:        r.arrived.Add(r.class.deadline).Sub(now),
 		UntilDisconnect: r.class.timeout(), PauseTimeout: r.class.timeout(), Fingerprint: xxhash.Sum64String(r.id),
-		Workspace: fmt.Sprint(r.workspace),
+		Workspace: fmt.Sprint(r.workspace), ExcludedReplicas: r.excluded,
 	}
 }
 
