planner: a long prompt is charged only for the engines that it takes itself

Cause: the loss that a long prompt imposes on short ones counted all engines that prefill long prompts, also those that others had taken already, and was charged anew for each prompt, for as long as its own passes take. So a prompt over 16 engines for 3 s was charged a hundred times as much as one over 2 engines for 0.2 s, for what neither of them changes. Now it is charged the increase.

--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -237,14 +237,15 @@
 	}
 }
 
-// loss returns the expected loss of short prompts if that many more engines are busy for d.
+// loss returns by how much the expected loss of short prompts grows if that many more engines are busy for d.
 func (l shortLoad) loss(engines int, d time.Duration) float64 {
-	taken := l.busy + engines - l.spare
-	if taken <= 0 {
-		return 0
-	}
-	share := float64(taken) / float64(max(l.servers-l.spare, 1))
-	return l.lossPerSecond * min(share, 1) * d.Seconds()
+	return l.lossPerSecond * (l.missingShare(l.busy+engines) - l.missingShare(l.busy)) * d.Seconds()
+}
+
+// missingShare returns the share of the engines needed by short prompts that they lack if the given number are busy.
+func (l shortLoad) missingShare(busy int) float64 {
+	missing := max(busy-l.spare, 0)
+	return min(float64(missing)/float64(max(l.servers-l.spare, 1)), 1)
 }
 
 // sortCandidates computes the cost of prefilling a part at each candidate and sorts the candidates by it, lowest first.
