--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/turmericshunt/turmericshunt/internal/budget"
 	"github.com/turmericshunt/turmericshunt/internal/call"
 	"github.com/turmericshunt/turmericshunt/internal/dialer"
 	"github.com/turmericshunt/turmericshunt/internal/netconn"
@@ -420,3 +422,23 @@
 		}
 	}
 }
+
+// refusingMemory has no memory for anybody.
+type refusingMemory struct{ noMemory }
+
+func (refusingMemory) Reserve(context.Context, replica.Location, string, int, time.Duration) error {
+	return errors.New("connection timed out")
+}
+
+// The first helper that is asked for memory can't be reached. Guards against SHORT: the primary replica was left out, so that the next plan
+// of a large prompt had the same helper, and each of these plans took a retry though no server had got the call.
+func TestHelperWithoutMemoryIsLeftOut(t *testing.T) {
+	r, p, _ := statingWorld(t, http.StatusOK, nil)
+	r.Memory = refusingMemory{}
+	r.Budget = &budget.Budget{Window: time.Second, Hosts: func() int { return 1 }}
+	p.helpers = []planner.Helper{{Replica: "h1", Address: netip.MustParseAddrPort("10.0.0.1:80"), ReservedTokens: 1}}
+	serveOne(r, "r1")
+	if len(p.excluded) < 2 || !slices.Equal(p.excluded[1], []string{"h1"}) || p.ended[0] != planner.OutcomeCanceled {
+		t.Errorf("placement requests exclude %v, attempts ended %v", p.excluded, p.ended)
+	}
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -64,6 +64,7 @@
 		}
 		go a.relay.maintainReservation(held, a.call.ID, res)
 		if err != nil {
+			a.leaveOut(res.engine)
 			return err
 		}
 		parameters.Helpers = append(parameters.Helpers, backend.Helper{Address: h.Address, Ticket: ticket})
@@ -126,16 +127,21 @@
 	return false
 }
 
-// recordHelperGone reports whether err says that another server has the address of a helper. It then tells the planner, and the
-// call is placed anew without this helper; the primary replica has got nothing.
+// recordHelperGone reports whether err says that another server has the address of a helper. It then tells the planner and leaves
+// the helper out.
 func (a *attempt) recordHelperGone(helper replica.Location, err error) bool {
 	if !isMisdirected(err) {
 		return false
 	}
 	a.relay.reportGone(a.call.ID, helper, err)
+	a.leaveOut(helper)
+	return true
+}
+
+// leaveOut has the call placed anew without a helper, because of which the primary replica has got nothing.
+func (a *attempt) leaveOut(helper replica.Location) {
 	a.withdrawn = true
 	a.faultyHelper = helper
-	return true
 }
 
 // reportGone tells the planner that another server has the address of a replica, as err says.
