planner: long prompts of a size that gets engines too seldom go first

Cause: a large prompt needs up to 16 engines at once, and nothing is kept for it. Each engine that becomes clear is taken by a smaller prompt, which gains more for its engine time; past its target the large one is behind all others, and yields even when engines are found. Nothing measured that a size starves, and a refusal came after 9 to 11 s of waiting, too late for a second try.

Change: package promptsize counts by route and size (engine time in powers of two) what is placed, refused, lost with an engine, and waits for over a second. A size that is placed less than 0.6 times as often as its route goes first, doesn't yield, may impose more, and for half a second longer prompts than a part of it leave engines to it. A choice of engines with which the response ends too late is no choice. Requests name their route (field 24, optional).

--- a/internal/planner/deadline.go
+++ b/internal/planner/deadline.go
@@ -19,6 +19,12 @@
 	return decodeTime(pass.NewModel(p.engines[req.Service]), req, maxEnginesPerPrompt)
 }
 
+// endsInTime reports whether the first event of a request that is placed at c comes before its caller disconnects, and the
+// response probably ends by its deadline.
+func (p *Planner) endsInTime(req *Request, c *choice) bool {
+	return c.firstEvent < req.firstEventTimeout() && !p.endsTooLate(req, c)
+}
+
 // endsTooLate reports whether the response to a request that is placed at c would probably be incomplete at the request's
 // deadline, so that the engines would prefill its prompt for nothing.
 func (p *Planner) endsTooLate(req *Request, c *choice) bool {
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/pass"
+	"github.com/turmericshunt/turmericshunt/internal/promptsize"
 )
 
 const (
@@ -23,30 +24,40 @@
 		return nil
 	}
 	p.setExcess(now)
+	tryDue := now.Sub(p.lastTry) >= tryInterval
+	if tryDue {
+		p.lastTry = now
+		p.setBehind(now)
+	}
 	slices.SortStableFunc(p.waiting, func(x, y waitingRequest) int { return compareWaiting(now, &x, &y) })
 	p.results = nil
 	waiting := p.waiting
 	p.waiting = nil
 	r := round{
-		planner: p, now: now, tryDue: now.Sub(p.lastTry) >= tryInterval,
+		planner: p, now: now, tryDue: tryDue,
 		queues: make(map[string]*serviceQueue),
 	}
-	if r.tryDue {
-		p.lastTry = now
-	}
 	freed := p.slotFreed
 	p.slotFreed = false
 	longInterval := longTryInterval(waiting)
 	p.setLongAhead(waiting)
+	behind := putBehindFirst(waiting)
+	p.setLongAhead(behind)
+	behindInterval := longTryInterval(behind)
 	var notOnTime []waitingRequest
 	for i := range waiting {
 		w := &waiting[i]
 		tryAgain := r.tryDue || freed
 		if w.long {
-			tryAgain = r.tryDue && now.Sub(w.lastTry) >= longInterval
+			interval := longInterval
+			if w.behind {
+				interval = behindInterval
+			}
+			tryAgain = r.tryDue && now.Sub(w.lastTry) >= interval
 		}
 		switch {
 		case w.tried && !tryAgain:
+			r.hold(w, &w.request)
 			p.waiting = append(p.waiting, *w)
 		case !r.decide(w, true):
 			notOnTime = append(notOnTime, *w)
@@ -175,7 +186,8 @@
 }
 
 // refuse adds a refusal to the results. It always returns true, the value by which decide reports a result.
-func (p *Planner) refuse(req *Request, refusal *Refusal) bool {
+func (p *Planner) refuse(now time.Time, req *Request, refusal *Refusal) bool {
+	p.recordSize(now, req, (*promptsize.Table).Refused)
 	p.results = append(p.results, Result{ID: req.ID, Host: req.Host, Refusal: refusal})
 	return true
 }
--- a/internal/planner/limit.go
+++ b/internal/planner/limit.go
@@ -61,7 +61,7 @@
 		q.limitAhead++
 		return false
 	}
-	return r.planner.refuse(req, &Refusal{Cause: CauseLimited, RetryAfter: r.planner.nextReturn(r.now, req.Service, rate)})
+	return r.planner.refuse(r.now, req, &Refusal{Cause: CauseLimited, RetryAfter: r.planner.nextReturn(r.now, req.Service, rate)})
 }
 
 // maxLimitWait returns how long a request may wait for a replica's limit: until it would miss its target, or, if it is a
--- a/internal/planner/long.go
+++ b/internal/planner/long.go
@@ -22,6 +22,8 @@
 	deferInterval = 200 * time.Millisecond
 	// Gain, as a share of the value of a request, that counts for placing it now even if it misses its target anyway.
 	basePlacementGain = 0.06
+	// The same for a prompt of a size that gets engines too seldom: it may have no later chance.
+	behindPlacementGain = 0.3
 	// The maximum number of servers whose passes are predicted in order to place one long prompt.
 	maxLongCandidates = 64
 	// If a service has at least minServersForReserve servers, one in reserveDivisor of them, but at least one, prefills
@@ -37,8 +39,9 @@
 
 // placeLong returns the best choice of engines for a long prompt, and the tokens of memory to reserve at each helper
 // replica. It reports false if the prompt should wait: no choice is possible, the best one imposes a larger loss on
-// other requests than the prompt gains, or the prompt misses its target now but can meet it later.
-func (p *Planner) placeLong(now time.Time, req *Request, servers []*server) (choice, []int, bool) {
+// other requests than the prompt gains, or the prompt misses its target now but can meet it later. The argument behind says
+// that prompts of its size get engines too seldom.
+func (p *Planner) placeLong(now time.Time, req *Request, servers []*server, behind bool) (choice, []int, bool) {
 	candidates, busy := longCandidates(servers)
 	views := make([]view, 0, len(candidates))
 	for _, s := range candidates {
@@ -55,7 +58,11 @@
 		load: p.shortLoadOf(now, req.Service, len(servers), busy), crossing: p.crossingOf(now, req),
 	}
 	best, reservations, found := p.bestLong(now, req, &all, servers)
-	if !found || best.imposedLoss > placementGain(req, best.firstEvent) {
+	gain := placementGain(req, best.firstEvent)
+	if behind {
+		gain = max(gain, behindPlacementGain*requestValue(req.PromptTokens))
+	}
+	if !found || best.imposedLoss > gain {
 		return choice{}, nil, false
 	}
 	if best.firstEvent > req.FirstTarget && onTimeIfDeferred(req, views, len(servers)) {
@@ -85,7 +92,7 @@
 	return best, reservations, found
 }
 
-// bestInGroup returns the best choice of engines of a group.
+// bestInGroup returns the best choice of engines of a group among those with which the response ends in time.
 func (p *Planner) bestInGroup(now time.Time, req *Request, g *longGroup) (choice, []int, bool) {
 	var best choice
 	var reservations []int
@@ -95,7 +102,7 @@
 			break
 		}
 		c, splitReservations, ok := p.bestSplit(now, req, g, engines)
-		if ok && (!found || c.loss < best.loss) {
+		if ok && (!found || c.loss < best.loss) && p.endsInTime(req, &c) {
 			best, reservations, found = c, splitReservations, true
 		}
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -30,15 +30,15 @@
 }
 
 // place chooses servers for one request. It also returns the tokens of memory to reserve at each helper replica. It
-// reports false if the request must wait.
-func (p *Planner) place(now time.Time, req *Request, servers []*server) (choice, []int, bool) {
+// reports false if the request must wait. The argument behind says that prompts of its size get engines too seldom.
+func (p *Planner) place(now time.Time, req *Request, servers []*server, behind bool) (choice, []int, bool) {
 	servers = p.withinRamp(now, req, servers)
 	switch {
 	case servers[0].model == nil:
 		c, ok := p.placePlain(now, req, servers)
 		return c, nil, ok
 	case p.isLong(req):
-		return p.placeLong(now, req, servers)
+		return p.placeLong(now, req, servers, behind)
 	default:
 		c, ok := p.placeShort(now, req, servers)
 		return c, nil, ok
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -13,6 +13,7 @@
 	"github.com/turmericshunt/turmericshunt/internal/appointment"
 	"github.com/turmericshunt/turmericshunt/internal/catalog"
 	"github.com/turmericshunt/turmericshunt/internal/pass"
+	"github.com/turmericshunt/turmericshunt/internal/promptsize"
 	"github.com/turmericshunt/turmericshunt/internal/quarantine"
 	"github.com/turmericshunt/turmericshunt/internal/ratelimit"
 	"github.com/turmericshunt/turmericshunt/internal/replica"
@@ -48,6 +49,8 @@
 	returns       map[string]time.Time             // by service: until when callers refused for limits were asked to return
 	busyReturns   map[returnKey]*appointment.Order // of callers refused for lack of slots or engines
 	shares        map[string]*share.Table          // prefill time that workspaces use, by service
+	sizes         map[string]*promptsize.Table     // how often long prompts get engines, by service
+	sizesUnequal  bool                             // tests compare with a policy that lets large prompts starve
 	asBefore      bool                             // tests compare with the policy without deadlines of decoding, orders of return and shares
 	partialView   bool                             // see SetPartialView
 	mayProbe      bool                             // see SetProbing
@@ -79,6 +82,9 @@
 	tried   bool // the planner has tried to place it at least once
 	lastTry time.Time
 	excess  bool // its workspace has used more than all others together
+	behind  bool // prompts of its size get engines much less often than all of its kind
+	// Until when it holds engines, from the first time that it was found behind; zero if it never was.
+	holdsUntil time.Time
 	// Prefill time on one engine of the long prompts of the service that are ahead of the request.
 	longAhead time.Duration
 }
@@ -97,6 +103,7 @@
 		returns:       make(map[string]time.Time),
 		busyReturns:   make(map[returnKey]*appointment.Order),
 		shares:        make(map[string]*share.Table),
+		sizes:         make(map[string]*promptsize.Table),
 		shortRates:    make(map[string]*shortRateMeter),
 		lostServers:   make(map[string]map[netip.AddrPort]bool),
 		domainStates:  make(map[string]map[string]*domainState),
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -66,6 +66,7 @@
 		return
 	}
 	p.removeJob(now, j)
+	p.recordLost(now, j, outcome)
 	s := j.server
 	p.RecordOutcome(now, &j.request, &s.replica, j.writingTime(now), outcome)
 	if p.lostBy(host, &s.replica) && (outcome == OutcomeBroken || outcome == OutcomeSilent) {
--- a/internal/planner/request.go
+++ b/internal/planner/request.go
@@ -30,6 +30,7 @@
 	AllowedRegions   []string      `cbor:"30,keyasint,omitempty"` // regions whose replicas may get it; none for all
 	FailureDomain    string        `cbor:"21,keyasint,omitempty"` // of Host, if it prefers servers there; empty if it doesn't
 	Bytes            int           `cbor:"22,keyasint,omitempty"` // expected bytes of body and response
+	Route            string        `cbor:"24,keyasint,omitempty"` // by which the caller sent it; empty if the host doesn't say
 	CrossingDelay    time.Duration `cbor:"23,keyasint,omitempty"` // by how much a round trip to another failure domain is longer; 0 if unknown
 }
 
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/turmericshunt/turmericshunt/internal/pass"
+	"github.com/turmericshunt/turmericshunt/internal/promptsize"
 )
 
 const (
@@ -35,6 +36,8 @@
 	shareWaiting   bool            // such a prompt is not of the workspace that has used more than all others
 	endTimes       []time.Duration // times from now until its jobs are expected to end, ascending; nil until computed
 	longQueue      *longQueue      // nil until computed
+	// Engine time above which a long prompt leaves the engines to those that hold them; 0 if none does.
+	heldAbove time.Duration
 }
 
 // longQueue is the prefill that is queued at engines, and the engines that do it.
@@ -52,7 +55,7 @@
 	req.SubtractElapsed(r.now.Sub(w.arrived))
 	servers := r.planner.usableServers(r.now, &req)
 	if refusal := r.planner.immediateRefusal(r.now, &req, servers); refusal != nil {
-		return r.planner.refuse(&req, refusal)
+		return r.planner.refuse(r.now, &req, refusal)
 	}
 	q := r.queue(req.Service)
 	usable := servers
@@ -63,19 +66,20 @@
 	if q.shortNotPlaced && !w.long {
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
-	if w.long && w.excess && q.shareWaiting && !req.Resumed {
+	if r.mustLeaveEngines(w, &req, q) {
 		return !onTime && r.waitOrRefuse(w, &req, q)
 	}
 	if r.planner.partialView && w.long {
 		servers = r.planner.fewServers(&req, servers)
 	}
-	c, reservations, found := r.planner.place(r.now, &req, servers)
-	ok := found && c.firstEvent < req.firstEventTimeout() && !r.planner.endsTooLate(&req, &c)
+	c, reservations, found := r.planner.place(r.now, &req, servers, w.behind)
+	ok := found && r.planner.endsInTime(&req, &c)
+	if !ok {
+		r.hold(w, &req)
+	}
 	switch {
 	case !ok && onTime:
-		q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0 && len(req.AllowedRegions) == 0
-		q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0 && len(req.AllowedRegions) == 0
-		q.shareWaiting = q.shareWaiting || w.long && req.FirstTarget > 0 && len(req.AllowedRegions) == 0 && !w.excess
+		q.recordNotPlaced(w, &req, found)
 		return false
 	case onTime && missProbability(c.firstEvent, req.FirstTarget) > maxMissRisk:
 		return false // requests that can meet their targets go first
@@ -83,13 +87,27 @@
 		return r.waitOrRefuse(w, &req, q)
 	}
 	r.planner.recordUse(r.now, &req)
+	r.planner.recordSize(r.now, &req, (*promptsize.Table).Placed)
 	plan := r.planner.recordPlacement(r.now, &req, c, reservations)
 	r.planner.results = append(r.planner.results, Result{ID: req.ID, Host: req.Host, Plan: plan})
 	return true
 }
 
+// recordNotPlaced records that a request was not placed, for those behind it. The argument found says that a server could take it.
+func (q *serviceQueue) recordNotPlaced(w *waitingRequest, req *Request, found bool) {
+	if len(req.AllowedRegions) > 0 {
+		return
+	}
+	q.shortNotPlaced = q.shortNotPlaced || !found && !w.long && len(req.ExcludedReplicas) == 0
+	q.longWaiting = q.longWaiting || w.long && req.FirstTarget > 0
+	q.shareWaiting = q.shareWaiting || w.long && req.FirstTarget > 0 && !w.excess
+}
+
 // shouldYield reports whether a request that will miss its target should leave its slot to one that can meet its own.
 func (r *round) shouldYield(w *waitingRequest, q *serviceQueue) bool {
+	if w.behind {
+		return false // it would yield to those that get engines more often
+	}
 	if w.long {
 		return q.longWaiting
 	}
@@ -138,7 +156,7 @@
 	}
 	q.ahead++
 	if wait+runTime > req.firstEventTimeout() || wait+runTime+decode > req.Deadline {
-		return r.planner.refuse(req, &Refusal{
+		return r.planner.refuse(r.now, req, &Refusal{
 			Cause: CauseNoSlot, RetryAfter: r.returnAfter(w, req, q, wait),
 		})
 	}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -59,6 +59,7 @@
 		PauseTimeout:     pauseTimeout,
 		Resumed:          t.events.forwarded > 0,
 		Workspace:        c.Workspace,
+		Route:            c.Route,
 		AllowedRegions:   c.AllowedRegions,
 		Bytes:            t.relay.Crossings.ExpectedBytes(c.Service, len(c.Body)),
 		CrossingDelay:    t.relay.Crossings.Delay(),
