planner: only refusals for lack of engines count by size

Prompts that are refused for what they are (too large, a part that crashes replicas, limits, evacuations) would give precedence to sound ones of their length. The engine time of a prompt has one function.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -4,9 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/turmericshunt/turmericshunt/internal/pass"
-	"github.com/turmericshunt/turmericshunt/internal/promptsize"
 )
 
 const (
@@ -78,7 +75,7 @@
 		w := &waiting[i]
 		w.longAhead = ahead[w.request.Service]
 		if w.long {
-			ahead[w.request.Service] += pass.PrefillTime(p.engines[w.request.Service], w.request.PromptTokens, 1)
+			ahead[w.request.Service] += p.prefillWork(&w.request)
 		}
 	}
 }
@@ -187,7 +184,7 @@
 
 // refuse adds a refusal to the results. It always returns true, the value by which decide reports a result.
 func (p *Planner) refuse(now time.Time, req *Request, refusal *Refusal) bool {
-	p.recordSize(now, req, (*promptsize.Table).Refused)
+	p.recordRefused(now, req, refusal.Cause)
 	p.results = append(p.results, Result{ID: req.ID, Host: req.Host, Refusal: refusal})
 	return true
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -238,8 +238,7 @@
 
 // isLong reports whether the prompt of the request is long.
 func (p *Planner) isLong(req *Request) bool {
-	engine := p.engines[req.Service]
-	return engine != nil && pass.PrefillTime(engine, req.PromptTokens, 1) > longPrefill
+	return p.prefillWork(req) > longPrefill
 }
 
 // Waiting returns the number of placement requests without a result.
--- a/internal/planner/sizes.go
+++ b/internal/planner/sizes.go
@@ -16,8 +16,8 @@
 	maxHold = 500 * time.Millisecond
 )
 
-// workOf returns the engine time of a request's prompt; 0 for a service without engines.
-func (p *Planner) workOf(req *Request) time.Duration {
+// prefillWork returns the engine time of a request's prompt; 0 for a service without engines.
+func (p *Planner) prefillWork(req *Request) time.Duration {
 	engine := p.engines[req.Service]
 	if engine == nil {
 		return 0
@@ -35,7 +35,14 @@
 		t = &promptsize.Table{}
 		p.sizes[req.Service] = t
 	}
-	record(t, now, req.Route, p.workOf(req))
+	record(t, now, req.Route, p.prefillWork(req))
+}
+
+// recordRefused records that a long prompt is refused for lack of engines.
+func (p *Planner) recordRefused(now time.Time, req *Request, cause Cause) {
+	if cause == CauseNoSlot || cause == CauseOutOfTime {
+		p.recordSize(now, req, (*promptsize.Table).Refused)
+	}
 }
 
 // recordLost records that a job has ended without a complete response, if it has.
@@ -59,7 +66,7 @@
 	for i := range p.waiting {
 		w := &p.waiting[i]
 		t := p.sizes[w.request.Service]
-		w.behind = w.long && !w.request.Resumed && !p.sizesUnequal && t != nil && t.Behind(w.request.Route, p.workOf(&w.request))
+		w.behind = w.long && !w.request.Resumed && !p.sizesUnequal && t != nil && t.Behind(w.request.Route, p.prefillWork(&w.request))
 		if w.behind && w.holdsUntil.IsZero() {
 			w.holdsUntil = now.Add(maxHold)
 		}
@@ -94,7 +101,7 @@
 		return
 	}
 	q := r.queue(req.Service)
-	part := r.planner.workOf(req) / maxEnginesPerPrompt
+	part := r.planner.prefillWork(req) / maxEnginesPerPrompt
 	if q.heldAbove == 0 || part < q.heldAbove {
 		q.heldAbove = part
 	}
@@ -105,5 +112,5 @@
 	if !w.long || req.Resumed {
 		return false
 	}
-	return w.excess && q.shareWaiting || !w.behind && q.heldAbove > 0 && r.planner.workOf(req) > q.heldAbove
+	return w.excess && q.shareWaiting || !w.behind && q.heldAbove > 0 && r.planner.prefillWork(req) > q.heldAbove
 }
