planner: holding engines needs no second form of a request, one function for the engine time of a prompt

On reading the change once more; no behaviour is meant to change. hold took the present form of the request, of which it used only what doesn't change; recordUse computed what prefillWork does.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -54,7 +54,7 @@
 		}
 		switch {
 		case w.tried && !tryAgain:
-			r.hold(w, &w.request)
+			r.hold(w)
 			p.waiting = append(p.waiting, *w)
 		case !r.decide(w, true):
 			notOnTime = append(notOnTime, *w)
--- a/internal/planner/round.go
+++ b/internal/planner/round.go
@@ -75,7 +75,7 @@
 	c, reservations, found := r.planner.place(r.now, &req, servers, w.behind)
 	ok := found && r.planner.endsInTime(&req, &c)
 	if !ok {
-		r.hold(w, &req)
+		r.hold(w)
 	}
 	switch {
 	case !ok && onTime:
--- a/internal/planner/sizes.go
+++ b/internal/planner/sizes.go
@@ -94,14 +94,14 @@
 	return waiting[:behind]
 }
 
-// hold keeps the engines that become clear for w, of which req is the present form, if its size gets them too seldom. Prompts that
-// take an engine for no longer than w itself go on.
-func (r *round) hold(w *waitingRequest, req *Request) {
+// hold keeps the engines that become clear for w if its size gets them too seldom. Prompts that take an engine for no longer than w
+// itself go on.
+func (r *round) hold(w *waitingRequest) {
 	if !w.behind || !r.now.Before(w.holdsUntil) {
 		return
 	}
-	q := r.queue(req.Service)
-	part := r.planner.prefillWork(req) / maxEnginesPerPrompt
+	q := r.queue(w.request.Service)
+	part := r.planner.prefillWork(&w.request) / maxEnginesPerPrompt
 	if q.heldAbove == 0 || part < q.heldAbove {
 		q.heldAbove = part
 	}
--- a/internal/planner/workspace.go
+++ b/internal/planner/workspace.go
@@ -3,14 +3,12 @@
 import (
 	"time"
 
-	"github.com/turmericshunt/turmericshunt/internal/pass"
 	"github.com/turmericshunt/turmericshunt/internal/share"
 )
 
 // recordUse records the prefill time that a placed request uses for its workspace.
 func (p *Planner) recordUse(now time.Time, req *Request) {
-	engine := p.engines[req.Service]
-	if engine == nil || p.asBefore {
+	if p.engines[req.Service] == nil || p.asBefore {
 		return
 	}
 	t := p.shares[req.Service]
@@ -18,7 +16,7 @@
 		t = &share.Table{}
 		p.shares[req.Service] = t
 	}
-	t.Use(now, req.Workspace, pass.PrefillTime(engine, req.PromptTokens, 1))
+	t.Use(now, req.Workspace, p.prefillWork(req))
 }
 
 // setExcess sets which of the waiting requests are of a workspace that has used more than all others together.
